--- /dev/null
+++ b/internal/steering/configuration.go
@@ -0,0 +1,124 @@
+package steering
+
+import "time"
+
+// Configuration is what one revision puts in force. It is immutable once built.
+type Configuration struct {
+	Revision    Revision  `json:"revision"`
+	PublishedAt time.Time `json:"published_at"`
+	Platform    Platform  `json:"platform"`
+	Services    []Service `json:"services"` // sorted by name
+}
+
+// Platform is the content of the platform file: where things are and who owns what.
+type Platform struct {
+	Deployment string   `json:"deployment"`
+	Regions    []Region `json:"regions"`
+	Links      []Link   `json:"links"`
+	Teams      []Team   `json:"teams"`
+}
+
+// Region is a region and its availability zones.
+type Region struct {
+	Name  RegionName `json:"name"`
+	Zones []ZoneName `json:"zones"`
+}
+
+// Link is one direction of the link between two regions.
+type Link struct {
+	From         RegionName `json:"from"`
+	To           RegionName `json:"to"`
+	CapacityMbit float64    `json:"capacity_mbit_s"` // Mbit/s
+	Delay        Duration   `json:"delay"`           // one way
+}
+
+// Team owns services; only its files may change them.
+type Team struct {
+	Name     TeamName      `json:"name"`
+	Services []ServiceName `json:"services"`
+}
+
+// Service is the content of one steering file.
+type Service struct {
+	Name       ServiceName    `json:"service"`
+	Team       TeamName       `json:"team"`
+	Operations []Operation    `json:"operations"`
+	Weights    []RegionWeight `json:"regions"`
+	ShiftCap   ShiftCap       `json:"shift_cap"`
+	Budgets    Budgets        `json:"budgets"`
+	Drains     []Drain        `json:"drains,omitempty"`
+	Floor      Floor          `json:"floor"`
+}
+
+// Operation is one kind of request to a service.
+type Operation struct {
+	Name          OperationName `json:"name"`
+	Method        string        `json:"method"`
+	Path          string        `json:"path"` // gorilla/mux template below /SERVICE
+	Idempotent    bool          `json:"idempotent"`
+	Class         Class         `json:"class"`
+	Deadline      Duration      `json:"deadline"`
+	ExpectedBytes int64         `json:"expected_bytes"` // larger of request and answer
+}
+
+// RegionWeight is the share of a service's slots that an operator wants used in a region.
+type RegionWeight struct {
+	Region RegionName `json:"region"`
+	Weight float64    `json:"weight"` // relative; 0 takes the region out
+}
+
+// ShiftCap bounds how much of a service's traffic may move between regions in a window.
+type ShiftCap struct {
+	Share  float64  `json:"share"` // of the traffic, 0 to 1
+	Window Duration `json:"window"`
+}
+
+// Budgets bounds extra attempts as a share of the requests of a service.
+type Budgets struct {
+	Retries float64 `json:"retries"` // 0 to 1
+	Hedges  float64 `json:"hedges"`  // 0 to 1
+}
+
+// Drain empties a region or a zone of a service from a time on.
+type Drain struct {
+	Region RegionName `json:"region,omitempty"`
+	Zone   ZoneName   `json:"zone,omitempty"`
+	Start  time.Time  `json:"start"`
+}
+
+// Floor is the share of a zone's slots that its own entry VMs keep without any lease.
+type Floor struct {
+	Share float64 `json:"share"` // 0 to 1
+}
+
+// ServiceByName returns the service called name, or nil.
+func (c *Configuration) ServiceByName(name ServiceName) *Service {
+	for i := range c.Services {
+		if c.Services[i].Name == name {
+			return &c.Services[i]
+		}
+	}
+	return nil
+}
+
+// RegionOf returns the region that holds zone, or "".
+func (p *Platform) RegionOf(zone ZoneName) RegionName {
+	for _, r := range p.Regions {
+		for _, z := range r.Zones {
+			if z == zone {
+				return r.Name
+			}
+		}
+	}
+	return ""
+}
+
+// Link returns the link between two regions, or nil.
+func (p *Platform) Link(from, to RegionName) *Link {
+	for i := range p.Links {
+		if p.Links[i].From == from && p.Links[i].To == to {
+			return &p.Links[i]
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/steering/settings.go
@@ -0,0 +1,59 @@
+package steering
+
+// Settings are those of one daemon: the addresses and limits of an entry VM.
+type Settings struct {
+	Deployment string            `json:"deployment"`
+	VM         VMSettings        `json:"vm"`
+	Listen     ListenSettings    `json:"listen"`
+	Platform   PlatformSettings  `json:"platform"`
+	Telemetry  TelemetrySettings `json:"telemetry"`
+	Limits     LimitSettings     `json:"limits"`
+	Admin      AdminSettings     `json:"admin"`
+}
+
+// VMSettings say which VM this is and where it stands.
+type VMSettings struct {
+	Name   string     `json:"name"`
+	Region RegionName `json:"region"`
+	Zone   ZoneName   `json:"zone"`
+}
+
+// ListenSettings are the addresses of a daemon, each host:port.
+type ListenSettings struct {
+	Requests string `json:"requests"` // callers: requests and lookups
+	Peer     string `json:"peer"`     // other entry VMs: drpc
+	Admin    string `json:"admin"`    // operators: /v1, /metrics, /healthz, /readyz
+}
+
+// PlatformSettings are the URLs of the platform's services.
+type PlatformSettings struct {
+	Store  string `json:"store"`
+	VMList string `json:"vm_list"`
+}
+
+// TelemetrySettings configure logs and traces.
+type TelemetrySettings struct {
+	LogLevel     string  `json:"log_level"`     // debug, info, warning, error
+	Traces       string  `json:"traces"`        // none, stdout, otlp
+	OTLPEndpoint string  `json:"otlp_endpoint"` // URL, for otlp
+	SampleShare  float64 `json:"sample_share"`  // of the traces, 0 to 1
+}
+
+// LimitSettings bound what a daemon holds and does.
+type LimitSettings struct {
+	QueuePerService    int      `json:"queue_per_service"`    // requests
+	InFlightPerCaller  int      `json:"in_flight_per_caller"` // requests of one caller and service
+	ConnsPerServer     int      `json:"conns_per_server"`     // connections of this VM to one server
+	RecordsInMemory    int      `json:"records_in_memory"`    // decision records
+	DrainTimeout       Duration `json:"drain_timeout"`        // longest planned stop
+	SilentAfter        Duration `json:"silent_after"`         // no byte for this long: connection is suspect
+	StoreCallsPerMin   int      `json:"store_calls_per_min"`  // budget of this VM
+	RemoteContractTTL  Duration `json:"remote_contract_ttl"`  // of a grant from another zone
+	PollVMList         Duration `json:"poll_vm_list"`
+	PollUpstreamReport Duration `json:"poll_upstream_report"`
+}
+
+// AdminSettings configure the administration API.
+type AdminSettings struct {
+	Token string `json:"token"` // bearer token; empty: none asked
+}
