--- a/internal/steering/configuration.go
+++ b/internal/steering/configuration.go
@@ -12,10 +12,12 @@
 
 // Platform is the content of the platform file: where things are and who owns what.
 type Platform struct {
-	Deployment string   `json:"deployment"`
-	Regions    []Region `json:"regions"`
-	Links      []Link   `json:"links"`
-	Teams      []Team   `json:"teams"`
+	Deployment  string   `json:"deployment"`
+	ZoneDelay   Duration `json:"zone_delay,omitempty"`   // one way, between the zones of a region
+	ClientDelay Duration `json:"client_delay,omitempty"` // one way, from a caller to its region
+	Regions     []Region `json:"regions"`
+	Links       []Link   `json:"links"`
+	Teams       []Team   `json:"teams"`
 }
 
 // Region is a region and its availability zones.
@@ -59,12 +61,17 @@
 	Class         Class         `json:"class"`
 	Deadline      Duration      `json:"deadline"`
 	ExpectedBytes int64         `json:"expected_bytes"` // larger of request and answer
+	// PeakRequests and ServiceTime are what the team expects; 0 where it does not say. They serve
+	// checks and differences only, no decision on the path of a request.
+	PeakRequests float64  `json:"peak_requests_s,omitempty"` // requests a second from all origins
+	ServiceTime  Duration `json:"service_time,omitempty"`    // that a request holds a slot
 }
 
 // RegionWeight is the share of a service's slots that an operator wants used in a region.
 type RegionWeight struct {
 	Region RegionName `json:"region"`
-	Weight float64    `json:"weight"` // relative; 0 takes the region out
+	Weight float64    `json:"weight"`          // relative; 0 takes the region out
+	Slots  int        `json:"slots,omitempty"` // of the planned servers in the region; 0 where not said
 }
 
 // ShiftCap bounds how much of a service's traffic may move between regions in a window.
