--- a/internal/steering/configuration.go
+++ b/internal/steering/configuration.go
@@ -12,40 +12,40 @@
 
 // Platform is the content of the platform file: where things are and who owns what.
 type Platform struct {
-	Deployment  string   `json:"deployment"`
+	Deployment  string   `json:"deployment" file:"required"`
 	ZoneDelay   Duration `json:"zone_delay,omitempty"`   // one way, between the zones of a region
 	ClientDelay Duration `json:"client_delay,omitempty"` // one way, from a caller to its region
-	Regions     []Region `json:"regions"`
+	Regions     []Region `json:"regions" file:"required"`
 	Links       []Link   `json:"links"`
-	Teams       []Team   `json:"teams"`
+	Teams       []Team   `json:"teams" file:"required"`
 }
 
 // Region is a region and its availability zones.
 type Region struct {
-	Name  RegionName `json:"name"`
-	Zones []ZoneName `json:"zones"`
+	Name  RegionName `json:"name" file:"required"`
+	Zones []ZoneName `json:"zones" file:"required"`
 }
 
 // Link is one direction of the link between two regions.
 type Link struct {
-	From         RegionName `json:"from"`
-	To           RegionName `json:"to"`
-	CapacityMbit float64    `json:"capacity_mbit_s"` // Mbit/s
-	Delay        Duration   `json:"delay"`           // one way
+	From         RegionName `json:"from" file:"required"`
+	To           RegionName `json:"to" file:"required"`
+	CapacityMbit float64    `json:"capacity_mbit_s" file:"required"` // Mbit/s
+	Delay        Duration   `json:"delay" file:"required"`           // one way
 }
 
 // Team owns services; only its files may change them.
 type Team struct {
-	Name     TeamName      `json:"name"`
-	Services []ServiceName `json:"services"`
+	Name     TeamName      `json:"name" file:"required"`
+	Services []ServiceName `json:"services" file:"required"`
 }
 
 // Service is the content of one steering file.
 type Service struct {
-	Name       ServiceName    `json:"service"`
-	Team       TeamName       `json:"team"`
-	Operations []Operation    `json:"operations"`
-	Weights    []RegionWeight `json:"regions"`
+	Name       ServiceName    `json:"service" file:"required"`
+	Team       TeamName       `json:"team" file:"required"`
+	Operations []Operation    `json:"operations" file:"required"`
+	Weights    []RegionWeight `json:"regions" file:"required"`
 	ShiftCap   ShiftCap       `json:"shift_cap"`
 	Budgets    Budgets        `json:"budgets"`
 	Drains     []Drain        `json:"drains,omitempty"`
@@ -54,11 +54,11 @@
 
 // Operation is one kind of request to a service.
 type Operation struct {
-	Name          OperationName `json:"name"`
-	Method        string        `json:"method"`
-	Path          string        `json:"path"` // gorilla/mux template below /SERVICE
-	Idempotent    bool          `json:"idempotent"`
-	Class         Class         `json:"class"`
+	Name          OperationName `json:"name" file:"required"`
+	Method        string        `json:"method" file:"required"`
+	Path          string        `json:"path" file:"required"` // gorilla/mux template below /SERVICE
+	Idempotent    bool          `json:"idempotent" file:"required"`
+	Class         Class         `json:"class" file:"required"`
 	Deadline      Duration      `json:"deadline"`
 	ExpectedBytes int64         `json:"expected_bytes"` // larger of request and answer
 	// PeakRequests and ServiceTime are what the team expects; 0 where it does not say. They serve
@@ -69,9 +69,9 @@
 
 // RegionWeight is the share of a service's slots that an operator wants used in a region.
 type RegionWeight struct {
-	Region RegionName `json:"region"`
-	Weight float64    `json:"weight"`          // relative; 0 takes the region out
-	Slots  int        `json:"slots,omitempty"` // of the planned servers in the region; 0 where not said
+	Region RegionName `json:"region" file:"required"`
+	Weight float64    `json:"weight" file:"required"` // relative; 0 takes the region out
+	Slots  int        `json:"slots,omitempty"`        // of the planned servers in the region; 0 where not said
 }
 
 // ShiftCap bounds how much of a service's traffic may move between regions in a window.
@@ -90,7 +90,7 @@
 type Drain struct {
 	Region RegionName `json:"region,omitempty"`
 	Zone   ZoneName   `json:"zone,omitempty"`
-	Start  time.Time  `json:"start"`
+	Start  time.Time  `json:"start" file:"required"`
 }
 
 // Floor is the share of a zone's slots that its own entry VMs keep without any lease.
--- a/internal/steering/settings.go
+++ b/internal/steering/settings.go
@@ -2,10 +2,10 @@
 
 // Settings are those of one daemon: the addresses and limits of an entry VM.
 type Settings struct {
-	Deployment string            `json:"deployment"`
-	VM         VMSettings        `json:"vm"`
-	Listen     ListenSettings    `json:"listen"`
-	Platform   PlatformSettings  `json:"platform"`
+	Deployment string            `json:"deployment" file:"required"`
+	VM         VMSettings        `json:"vm" file:"required"`
+	Listen     ListenSettings    `json:"listen" file:"required"`
+	Platform   PlatformSettings  `json:"platform" file:"required"`
 	Telemetry  TelemetrySettings `json:"telemetry"`
 	Limits     LimitSettings     `json:"limits"`
 	Admin      AdminSettings     `json:"admin"`
@@ -13,22 +13,22 @@
 
 // VMSettings say which VM this is and where it stands.
 type VMSettings struct {
-	Name   string     `json:"name"`
-	Region RegionName `json:"region"`
-	Zone   ZoneName   `json:"zone"`
+	Name   string     `json:"name" file:"required"`
+	Region RegionName `json:"region" file:"required"`
+	Zone   ZoneName   `json:"zone" file:"required"`
 }
 
 // ListenSettings are the addresses of a daemon, each host:port.
 type ListenSettings struct {
-	Requests string `json:"requests"` // callers: requests and lookups
-	Peer     string `json:"peer"`     // other entry VMs: drpc
-	Admin    string `json:"admin"`    // operators: /v1, /metrics, /healthz, /readyz
+	Requests string `json:"requests" file:"required"` // callers: requests and lookups
+	Peer     string `json:"peer" file:"required"`     // other entry VMs: drpc
+	Admin    string `json:"admin" file:"required"`    // operators: /v1, /metrics, /healthz, /readyz
 }
 
 // PlatformSettings are the URLs of the platform's services.
 type PlatformSettings struct {
-	Store  string `json:"store"`
-	VMList string `json:"vm_list"`
+	Store  string `json:"store" file:"required"`
+	VMList string `json:"vm_list" file:"required"`
 }
 
 // TelemetrySettings configure logs and traces.
