--- /dev/null
+++ b/internal/platform/wire.go
@@ -0,0 +1,64 @@
+package platform
+
+import (
+	"github.com/azureflow/azureflow/internal/platform/kv"
+	"github.com/azureflow/azureflow/internal/vm"
+)
+
+// Paths of the platform's HTTP interface. Keys, prefixes and versions are query parameters.
+const (
+	PathKey    = "/v1/key"    // GET, PUT, DELETE ?key= (PUT, DELETE: &expect=) (PUT: &lease=)
+	PathKeys   = "/v1/keys"   // GET ?prefix=
+	PathWatch  = "/v1/watch"  // GET ?prefix=&after=
+	PathLeases = "/v1/leases" // POST ?ttl_ms=
+	PathLease  = "/v1/lease"  // POST renews, DELETE ends ?id=
+	PathVMs    = "/v1/vms"    // GET
+)
+
+// HeaderClient names the client of a call, for the stand-in's faults and counts.
+const HeaderClient = "Platform-Client"
+
+// Codes of a Problem.
+const (
+	CodeNotFound    = "not-found"
+	CodeConflict    = "conflict"
+	CodeUnavailable = "unavailable" // the call certainly had no effect
+	CodeLapsed      = "lease-lapsed"
+	CodeTooLarge    = "too-large"
+	CodeInvalid     = "invalid"
+)
+
+// Problem is the body of an answer that is not 2xx.
+type Problem struct {
+	Code     string     `json:"code"`
+	Key      string     `json:"key,omitempty"`
+	Expected kv.Version `json:"expected,omitempty"`
+	Current  kv.Version `json:"current,omitempty"`
+	Lease    kv.LeaseID `json:"lease,omitempty"`
+	Bytes    int        `json:"bytes,omitempty"`
+	Limit    int        `json:"limit,omitempty"`
+	Detail   string     `json:"detail,omitempty"`
+}
+
+// EntriesAnswer answers a list or a watch.
+type EntriesAnswer struct {
+	Entries []kv.Entry `json:"entries"`
+	Version kv.Version `json:"version"`
+}
+
+// VersionAnswer answers a write.
+type VersionAnswer struct {
+	Version kv.Version `json:"version"`
+}
+
+// LeaseAnswer answers the grant of a lease.
+type LeaseAnswer struct {
+	ID    kv.LeaseID `json:"id"`
+	TTLMs int64      `json:"ttl_ms"`
+	Epoch kv.Version `json:"epoch"`
+}
+
+// VMsAnswer answers the VM list.
+type VMsAnswer struct {
+	VMs []vm.VM `json:"vms"`
+}
--- /dev/null
+++ b/internal/standin/platformoperator.go
@@ -0,0 +1,160 @@
+package standin
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"github.com/azureflow/azureflow/internal/platform"
+	"github.com/azureflow/azureflow/internal/standin/memkv"
+	"github.com/azureflow/azureflow/internal/vm"
+)
+
+// maxOperatorBody bounds the body of an operator's request, in bytes.
+const maxOperatorBody = 1 << 20
+
+// PlatformFaults are the faults that PUT /faults switches on.
+type PlatformFaults struct {
+	Down         bool   `json:"down"`
+	DelayMs      int64  `json:"delay_ms"`
+	LoseAnswers  int    `json:"lose_answers"`
+	LoseRequests int    `json:"lose_requests"`
+	WatchSilent  bool   `json:"watch_silent"`
+	Stale        string `json:"stale"` // name of a snapshot from which reads are answered
+	VMListDown   bool   `json:"vm_list_down"`
+	VMListLagMs  *int64 `json:"vm_list_lag_ms,omitempty"` // for all clients; absent: unchanged
+}
+
+func (p *Platform) operatorRoutes(r *mux.Router) {
+	r.HandleFunc("/operator/vms", p.operatorVMs).Methods(http.MethodGet)
+	r.HandleFunc("/operator/vms/{name}", p.putVM).Methods(http.MethodPut)
+	r.HandleFunc("/operator/vms/{name}", p.deleteVM).Methods(http.MethodDelete)
+	r.HandleFunc("/operator/vms/{name}/leaving", p.leaveVM).Methods(http.MethodPost)
+	r.HandleFunc("/operator/counts", p.counts).Methods(http.MethodGet)
+	r.HandleFunc("/faults", p.getFaults).Methods(http.MethodGet)
+	r.HandleFunc("/faults", p.putFaults).Methods(http.MethodPut)
+	r.HandleFunc("/snapshots/{name}", p.takeSnapshot).Methods(http.MethodPost)
+	r.HandleFunc("/snapshots/{name}/restore", p.restoreSnapshot).Methods(http.MethodPost)
+}
+
+// SetFaults replaces the faults of one client, or with "" those of all.
+func (p *Platform) SetFaults(client string, f PlatformFaults) {
+	p.mu.Lock()
+	p.faults[client] = f
+	stale := p.snapshots[f.Stale]
+	p.mu.Unlock()
+	if f.VMListLagMs != nil {
+		p.vms.setLag(time.Duration(*f.VMListLagMs) * time.Millisecond)
+	}
+	faults := memkv.Faults{
+		Down:         f.Down,
+		Delay:        time.Duration(f.DelayMs) * time.Millisecond,
+		LoseAnswers:  f.LoseAnswers,
+		LoseRequests: f.LoseRequests,
+		WatchSilent:  f.WatchSilent,
+		Stale:        stale,
+	}
+	if client == "" {
+		p.store.SetStoreFaults(faults)
+		return
+	}
+	p.clientNamed(client).SetFaults(faults)
+}
+
+// listDown reports whether the VM list is down for a client.
+func (p *Platform) listDown(client string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.faults[""].VMListDown || p.faults[client].VMListDown
+}
+
+func (p *Platform) listVMs(w http.ResponseWriter, r *http.Request) {
+	if p.listDown(r.Header.Get(platform.HeaderClient)) {
+		writeProblem(w, http.StatusServiceUnavailable, platform.Problem{Code: platform.CodeUnavailable})
+		return
+	}
+	writeJSON(w, http.StatusOK, platform.VMsAnswer{VMs: p.vms.lagged()})
+}
+
+func (p *Platform) operatorVMs(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, platform.VMsAnswer{VMs: p.vms.now()})
+}
+
+func (p *Platform) putVM(w http.ResponseWriter, r *http.Request) {
+	var v vm.VM
+	if !readBody(w, r, &v) {
+		return
+	}
+	v.Name = vm.Name(mux.Vars(r)["name"])
+	p.PutVM(v)
+	writeJSON(w, http.StatusOK, v)
+}
+
+func (p *Platform) deleteVM(w http.ResponseWriter, r *http.Request) {
+	p.RemoveVM(vm.Name(mux.Vars(r)["name"]))
+	writeJSON(w, http.StatusOK, struct{}{})
+}
+
+func (p *Platform) leaveVM(w http.ResponseWriter, r *http.Request) {
+	name := mux.Vars(r)["name"]
+	if !p.vms.markLeaving(vm.Name(name)) {
+		writeProblem(w, http.StatusNotFound, platform.Problem{Code: platform.CodeNotFound, Key: name})
+		return
+	}
+	writeJSON(w, http.StatusOK, struct{}{})
+}
+
+func (p *Platform) counts(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, p.store.StoreCounts())
+}
+
+func (p *Platform) getFaults(w http.ResponseWriter, r *http.Request) {
+	p.mu.Lock()
+	f := p.faults[r.URL.Query().Get("client")]
+	p.mu.Unlock()
+	writeJSON(w, http.StatusOK, f)
+}
+
+func (p *Platform) putFaults(w http.ResponseWriter, r *http.Request) {
+	var f PlatformFaults
+	if !readBody(w, r, &f) {
+		return
+	}
+	p.SetFaults(r.URL.Query().Get("client"), f)
+	writeJSON(w, http.StatusOK, f)
+}
+
+func (p *Platform) takeSnapshot(w http.ResponseWriter, r *http.Request) {
+	snapshot := p.store.Snapshot()
+	p.mu.Lock()
+	p.snapshots[mux.Vars(r)["name"]] = snapshot
+	p.mu.Unlock()
+	writeJSON(w, http.StatusOK, platform.VersionAnswer{Version: snapshot.Version()})
+}
+
+func (p *Platform) restoreSnapshot(w http.ResponseWriter, r *http.Request) {
+	name := mux.Vars(r)["name"]
+	p.mu.Lock()
+	snapshot, ok := p.snapshots[name]
+	p.mu.Unlock()
+	if !ok {
+		writeProblem(w, http.StatusNotFound, platform.Problem{Code: platform.CodeNotFound, Key: name})
+		return
+	}
+	p.store.Restore(snapshot)
+	writeJSON(w, http.StatusOK, platform.VersionAnswer{Version: snapshot.Version()})
+}
+
+// readBody decodes a JSON body strictly, or answers what is wrong.
+func readBody(w http.ResponseWriter, r *http.Request, target any) bool {
+	d := json.NewDecoder(io.LimitReader(r.Body, maxOperatorBody))
+	d.DisallowUnknownFields()
+	if err := d.Decode(target); err != nil {
+		writeProblem(w, http.StatusBadRequest, platform.Problem{Code: platform.CodeInvalid, Detail: err.Error()})
+		return false
+	}
+	return true
+}
