--- a/cmd/azureflow/main.go
+++ b/cmd/azureflow/main.go
@@ -1,4 +1,58 @@
-// Command azureflow steers traffic from callers to upstreams over regions. See README.md.
+// Command azureflow steers traffic from callers over regions to upstreams. See README.md.
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+)
+
+// version is set by the linker for a release.
+var version = "0.1.0-dev"
+
+// commands is the command line.
+type commands struct {
+	Entry    entryCommand    `cmd:"" help:"Run the daemon of an entry VM."`
+	Check    checkCommand    `cmd:"" help:"Check steering files, offline."`
+	Publish  publishCommand  `cmd:"" help:"Put steering files in force."`
+	Lookup   lookupCommand   `cmd:"" help:"Ask which entry VM a caller should use."`
+	Call     callCommand     `cmd:"" help:"Send one request and print answer, outcome and decision id."`
+	Explain  explainCommand  `cmd:"" help:"Say what was decided and why."`
+	Status   statusCommand   `cmd:"" help:"Show entry VMs, zones, links, contracts, upstreams and the revision in force."`
+	Settings settingsCommand `cmd:"" help:"Print the settings in force for a settings file, defaults included."`
+	Standin  standinCommand  `cmd:"" help:"Run a stand-in of the platform or of an upstream, for tests."`
+	Demo     demoCommand     `cmd:"" help:"Run a whole deployment in one process for a short while."`
+	Load     loadCommand     `cmd:"" help:"Send open-loop load and compare it with direct calls."`
+	Version  versionCommand  `cmd:"" help:"Print the version."`
+}
+
+func main() {
+	os.Exit(run(os.Args[1:]))
+}
+
+// run parses args, runs the command and returns the exit code.
+func run(args []string) int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	var cli commands
+	parser := kong.Must(&cli,
+		kong.Name("azureflow"),
+		kong.Description("Global traffic steering. Exit codes: 0 done, 1 the input is wrong, 2 usage, 3 the system could not be reached."),
+		kong.UsageOnError(),
+		kong.BindTo(ctx, (*context.Context)(nil)),
+	)
+	command, err := parser.Parse(args)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "azureflow:", err)
+		return exitUsage
+	}
+	if err := command.Run(); err != nil {
+		fmt.Fprintln(os.Stderr, "azureflow:", err)
+		return exitCode(err)
+	}
+	return exitDone
+}
