--- /dev/null
+++ b/internal/upstream/poller.go
@@ -0,0 +1,219 @@
+package upstream
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/azureflow/azureflow/internal/request"
+	"github.com/azureflow/azureflow/internal/vm"
+)
+
+// Source reads a server's load and health endpoints.
+type Source interface {
+	// Load returns the server's report of its load.
+	Load(ctx context.Context, server vm.VM) (request.UpstreamLoad, error)
+	// Draining reports whether the server says that it leaves.
+	Draining(ctx context.Context, server vm.VM) (bool, error)
+}
+
+// PollerOptions configure a Poller. Zero fields take the defaults of NewPoller.
+type PollerOptions struct {
+	// Pools returns the pools whose servers are polled.
+	Pools  func() []*Pool
+	Source Source
+	// Interval is the time between two polls of a server, while PerSecond allows it.
+	Interval time.Duration
+	// PerSecond bounds the polls of this VM over all servers; a poll is two requests.
+	PerSecond float64
+	// Timeout bounds one poll.
+	Timeout time.Duration
+	// Concurrent bounds the polls under way.
+	Concurrent int
+}
+
+// Poller polls the servers of some pools in turn, with jitter, within a budget. A poll that fails
+// changes nothing: what requests show of a server goes before what its endpoints say.
+type Poller struct {
+	options PollerOptions
+	running chan struct{}
+}
+
+// NewPoller returns a poller; by default one poll of each server a second, 50 a second in all,
+// 8 under way, each within 500 ms.
+func NewPoller(o PollerOptions) *Poller {
+	setDefault(&o.Interval, time.Second)
+	setDefault(&o.PerSecond, 50)
+	setDefault(&o.Timeout, 500*time.Millisecond)
+	setDefault(&o.Concurrent, 8)
+	return &Poller{options: o, running: make(chan struct{}, o.Concurrent)}
+}
+
+// target is a server to poll and the pool that learns from it.
+type target struct {
+	pool   *Pool
+	server vm.VM
+}
+
+// Run polls until ctx ends and returns once no poll is under way.
+func (p *Poller) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		targets := p.targets()
+		if len(targets) == 0 {
+			wait(ctx, p.options.Interval)
+			continue
+		}
+		gap := p.gap(len(targets))
+		for _, t := range targets {
+			if !wait(ctx, jitter(gap)) {
+				break
+			}
+			p.start(ctx, t)
+		}
+	}
+	for range cap(p.running) {
+		p.running <- struct{}{}
+	}
+}
+
+// gap returns the mean time between two polls.
+func (p *Poller) gap(servers int) time.Duration {
+	least := time.Duration(float64(time.Second) / p.options.PerSecond)
+	return max(p.options.Interval/time.Duration(servers), least)
+}
+
+// targets lists the servers of all pools in random order.
+func (p *Poller) targets() []target {
+	var list []target
+	for _, pool := range p.options.Pools() {
+		for _, s := range pool.snapshot.Load().servers {
+			list = append(list, target{pool: pool, server: s.vm})
+		}
+	}
+	rand.Shuffle(len(list), func(i, k int) { list[i], list[k] = list[k], list[i] })
+	return list
+}
+
+// start polls t in the background; a poll for which there is no room is left out.
+func (p *Poller) start(ctx context.Context, t target) {
+	select {
+	case p.running <- struct{}{}:
+	default:
+		return
+	}
+	go func() {
+		defer func() { <-p.running }()
+		bounded, cancel := context.WithTimeout(ctx, p.options.Timeout)
+		defer cancel()
+		p.poll(bounded, t)
+	}()
+}
+
+func (p *Poller) poll(ctx context.Context, t target) {
+	draining, err := p.options.Source.Draining(ctx, t.server)
+	if err == nil && draining {
+		t.pool.Drain(t.server.Name, time.Now())
+	}
+	load, err := p.options.Source.Load(ctx, t.server)
+	if err == nil {
+		t.pool.Observe(t.server.Name, load, time.Now())
+	}
+}
+
+// jitter returns a time between half and one and a half of d.
+func jitter(d time.Duration) time.Duration {
+	return d/2 + time.Duration(rand.Int64N(int64(d)+1))
+}
+
+// wait waits for d and reports whether ctx was alive at its end.
+func wait(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// HTTPSource reads the endpoints over HTTP.
+type HTTPSource struct {
+	Client     *http.Client // nil: http.DefaultClient
+	LoadPath   string       // "": /load
+	HealthPath string       // "": /healthz
+}
+
+// EndpointError reports an endpoint that answered with a status it should not have.
+type EndpointError struct {
+	Server vm.Name
+	Path   string
+	Status int
+}
+
+// Error implements error.
+func (e *EndpointError) Error() string {
+	return fmt.Sprintf("server %s: %s answered %d", e.Server, e.Path, e.Status)
+}
+
+// loadBody is the JSON body of the load endpoint.
+type loadBody struct {
+	InFlight int  `json:"in_flight"`
+	Queued   int  `json:"queued"`
+	Slots    int  `json:"slots"`
+	Draining bool `json:"draining"`
+}
+
+// bodyLimit bounds what is read of an endpoint's body, bytes.
+const bodyLimit = 64 << 10
+
+// Load implements Source.
+func (h *HTTPSource) Load(ctx context.Context, server vm.VM) (request.UpstreamLoad, error) {
+	path := h.LoadPath
+	setDefault(&path, "/load")
+	resp, err := h.get(ctx, server, path)
+	if err != nil {
+		return request.UpstreamLoad{}, err
+	}
+	defer h.finish(resp)
+	if resp.StatusCode != http.StatusOK {
+		return request.UpstreamLoad{}, &EndpointError{Server: server.Name, Path: path, Status: resp.StatusCode}
+	}
+	var body loadBody
+	if err := json.NewDecoder(io.LimitReader(resp.Body, bodyLimit)).Decode(&body); err != nil {
+		return request.UpstreamLoad{}, err
+	}
+	return request.UpstreamLoad(body), nil
+}
+
+// Draining implements Source: the status 503 is the sign of a drain.
+func (h *HTTPSource) Draining(ctx context.Context, server vm.VM) (bool, error) {
+	path := h.HealthPath
+	setDefault(&path, "/healthz")
+	resp, err := h.get(ctx, server, path)
+	if err != nil {
+		return false, err
+	}
+	defer h.finish(resp)
+	return resp.StatusCode == http.StatusServiceUnavailable, nil
+}
+
+func (h *HTTPSource) get(ctx context.Context, server vm.VM, path string) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+server.Address+path, nil)
+	if err != nil {
+		return nil, err
+	}
+	client := h.Client
+	setDefault(&client, http.DefaultClient)
+	return client.Do(req)
+}
+
+// finish reads the rest of a body so that the connection can be used again.
+func (h *HTTPSource) finish(resp *http.Response) {
+	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, bodyLimit))
+	_ = resp.Body.Close()
+}
