--- /dev/null
+++ b/internal/contract/need.go
@@ -0,0 +1,61 @@
+package contract
+
+import (
+	"cmp"
+	"slices"
+)
+
+const (
+	headroomPart = 4 // a need is the peak and one part in headroomPart of it
+	decayPart    = 8 // of the distance to a lower need, taken back at each reading
+	growthFactor = 2 // by which a need grows at most in one reading
+	minGrowth    = 4 // slots by which a need may grow whatever it was
+)
+
+// need follows how many slots a VM wants of a service in a zone.
+type need struct {
+	value  float64
+	denied uint64 // last reading
+}
+
+// read takes the demand since the last reading and returns the slots wanted now.
+func (n *need) read(a *account) int64 {
+	inUse := a.inUse.Load()
+	peak := max(a.peak.Swap(inUse), inUse)
+	denied := a.denied.Load()
+	missed := denied - n.denied
+	n.denied = denied
+	want := float64(peak)
+	if peak > 0 {
+		want += max(1, float64(peak)/headroomPart)
+	}
+	if missed > 0 {
+		grown := max(float64(peak)*growthFactor, float64(peak+minGrowth))
+		want = max(want, min(grown, float64(peak)+float64(missed)))
+	}
+	if want >= n.value {
+		n.value = want
+	} else {
+		n.value += (want - n.value) / decayPart
+	}
+	if n.value < 0.5 && want == 0 {
+		n.value = 0
+	}
+	return int64(n.value + 0.5)
+}
+
+// fairShares divides total over wants: each gets what it wants up to a common level.
+func fairShares(total int64, wants []int64) []int64 {
+	order := make([]int, len(wants))
+	for i := range order {
+		order[i] = i
+	}
+	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(wants[a], wants[b]) })
+	out := make([]int64, len(wants))
+	for i, k := range order {
+		level := max(0, total) / int64(len(order)-i)
+		out[k] = min(wants[k], level)
+		total -= out[k]
+	}
+	return out
+}
--- /dev/null
+++ b/internal/region/inputs.go
@@ -0,0 +1,104 @@
+// Package region plans which regions serve the callers of each origin region. The plan of a
+// service is a pure function of recorded inputs, so a recorded plan can be computed again.
+package region
+
+import (
+	"time"
+
+	"github.com/azureflow/azureflow/internal/steering"
+)
+
+// Inputs are everything a plan depends on. Slices are sorted by name.
+type Inputs struct {
+	At       time.Time            `json:"at"`
+	Service  steering.ServiceName `json:"service"`
+	Revision steering.Revision    `json:"revision"`
+	Epoch    uint64               `json:"epoch"` // of the plan to compute
+	Cap      steering.ShiftCap    `json:"cap"`
+	Deadline steering.Duration    `json:"deadline"` // shortest one of the service's operations
+	Regions  []RegionInput        `json:"regions"`
+	Origins  []OriginInput        `json:"origins"`
+	Links    []LinkInput          `json:"links"`
+}
+
+// RegionInput is what is known of a region that may serve.
+type RegionInput struct {
+	Name      steering.RegionName `json:"name"`
+	Weight    float64             `json:"weight"`   // relative; 0 takes the region out
+	Capacity  float64             `json:"capacity"` // slots, drained zones left out
+	Carried   float64             `json:"carried"`  // slots in use lately
+	Lost      bool                `json:"lost"`
+	DrainFrom time.Time           `json:"drain_from"` // zero: no drain
+}
+
+// OriginInput is what is known of the callers in one region.
+type OriginInput struct {
+	Region      steering.RegionName          `json:"region"`
+	Demand      float64                      `json:"demand"`        // slots wanted; 0: not known
+	MbitPerSlot float64                      `json:"mbit_per_slot"` // Mbit/s a slot in use puts on a link
+	Classes     [steering.ClassCount]float64 `json:"classes"`       // share of the demand by class
+	Previous    []Share                      `json:"previous"`      // empty: all at home
+	Since       time.Time                    `json:"since"`         // of the previous plan; zero: none
+	Moves       []Move                       `json:"moves"`         // within the window
+}
+
+// LinkInput is one direction of a link.
+type LinkInput struct {
+	From     steering.RegionName `json:"from"`
+	To       steering.RegionName `json:"to"`
+	Delay    steering.Duration   `json:"delay"`     // one way
+	RoomMbit float64             `json:"room_mbit"` // Mbit/s this service may use; negative: not limited
+}
+
+// Share is the part of an origin's traffic that a region serves.
+type Share struct {
+	Region steering.RegionName `json:"region"`
+	Share  float64             `json:"share"` // 0 to 1
+}
+
+// Move is traffic that regions took on at one step.
+type Move struct {
+	At    time.Time `json:"at"`
+	Share float64   `json:"share"` // of the origin's traffic
+}
+
+// drained says whether the drain of r began.
+func (r *RegionInput) drained(at time.Time) bool {
+	return !r.DrainFrom.IsZero() && !at.Before(r.DrainFrom)
+}
+
+// leaving says whether r keeps what it serves only until that is moved.
+func (r *RegionInput) leaving(at time.Time) bool {
+	return r.drained(at) || r.Weight <= 0
+}
+
+// takes says whether r may be given traffic.
+func (r *RegionInput) takes(at time.Time) bool {
+	return !r.Lost && r.Capacity > 0 && !r.leaving(at)
+}
+
+// previous returns the share that region served before.
+func (o *OriginInput) previous(region steering.RegionName) float64 {
+	if o.Since.IsZero() && len(o.Previous) == 0 {
+		if region == o.Region {
+			return 1
+		}
+		return 0
+	}
+	for _, s := range o.Previous {
+		if s.Region == region {
+			return s.Share
+		}
+	}
+	return 0
+}
+
+// link returns the direction from one region to another, or nil.
+func (in *Inputs) link(from, to steering.RegionName) *LinkInput {
+	for i := range in.Links {
+		if in.Links[i].From == from && in.Links[i].To == to {
+			return &in.Links[i]
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/region/observation.go
@@ -0,0 +1,157 @@
+package region
+
+import (
+	"slices"
+	"time"
+
+	"github.com/azureflow/azureflow/internal/steering"
+)
+
+// Observation is what a VM knows at one moment. It need not be complete or fresh.
+type Observation struct {
+	Configuration *steering.Configuration
+	Services      []ServiceObservation
+	Links         []LinkObservation
+	// Lost lists the regions that cannot be reached or do not serve.
+	Lost []steering.RegionName
+	// Peer holds the last plans of peers; a VM that just started goes on from them.
+	Peer []Plan
+}
+
+// ServiceObservation is what is known of one service.
+type ServiceObservation struct {
+	Service steering.ServiceName
+	Zones   []ZoneCapacity
+	Regions []RegionLoad
+	Origins []OriginDemand
+}
+
+// ZoneCapacity is the number of slots of a service in a zone.
+type ZoneCapacity struct {
+	Zone  steering.ZoneName
+	Slots float64
+}
+
+// RegionLoad is what a region carries.
+type RegionLoad struct {
+	Region     steering.RegionName
+	InUse      float64 // slots
+	MeasuredAt time.Time
+}
+
+// OriginDemand is what the callers of a region want.
+type OriginDemand struct {
+	Region      steering.RegionName
+	Slots       float64 // wanted
+	MbitPerSlot float64 // Mbit/s
+	Classes     [steering.ClassCount]float64
+	MeasuredAt  time.Time
+}
+
+// LinkObservation is the room on one direction of a link.
+type LinkObservation struct {
+	From     steering.RegionName
+	To       steering.RegionName
+	RoomMbit float64 // Mbit/s; negative: not limited
+}
+
+func (o *Observation) service(name steering.ServiceName) *ServiceObservation {
+	for i := range o.Services {
+		if o.Services[i].Service == name {
+			return &o.Services[i]
+		}
+	}
+	return &ServiceObservation{Service: name}
+}
+
+func (o *Observation) peerPlan(name steering.ServiceName) *Plan {
+	var best *Plan
+	for i := range o.Peer {
+		p := &o.Peer[i]
+		if p.Service == name && (best == nil || p.At.After(best.At)) {
+			best = p
+		}
+	}
+	return best
+}
+
+func (o *Observation) room(from, to steering.RegionName) float64 {
+	for _, l := range o.Links {
+		if l.From == from && l.To == to {
+			return l.RoomMbit
+		}
+	}
+	return -1
+}
+
+func (s *ServiceObservation) load(region steering.RegionName) *RegionLoad {
+	for i := range s.Regions {
+		if s.Regions[i].Region == region {
+			return &s.Regions[i]
+		}
+	}
+	return nil
+}
+
+func (s *ServiceObservation) demand(region steering.RegionName) *OriginDemand {
+	for i := range s.Origins {
+		if s.Origins[i].Region == region {
+			return &s.Origins[i]
+		}
+	}
+	return nil
+}
+
+// capacity returns the slots of a region in zones that are not drained.
+func (s *ServiceObservation) capacity(region *steering.Region, svc *steering.Service, at time.Time) float64 {
+	sum := 0.0
+	for _, z := range s.Zones {
+		if slices.Contains(region.Zones, z.Zone) && !zoneDrained(svc, z.Zone, at) {
+			sum += z.Slots
+		}
+	}
+	return sum
+}
+
+func zoneDrained(svc *steering.Service, zone steering.ZoneName, at time.Time) bool {
+	for i := range svc.Drains {
+		if svc.Drains[i].Zone == zone && !at.Before(svc.Drains[i].Start) {
+			return true
+		}
+	}
+	return false
+}
+
+// regionDrain returns when the drain of a region starts; zero if none is planned.
+func regionDrain(svc *steering.Service, region steering.RegionName) time.Time {
+	var first time.Time
+	for i := range svc.Drains {
+		d := &svc.Drains[i]
+		if d.Region == region && d.Zone == "" && (first.IsZero() || d.Start.Before(first)) {
+			first = d.Start
+		}
+	}
+	return first
+}
+
+func weightOf(svc *steering.Service, region steering.RegionName) float64 {
+	if len(svc.Weights) == 0 {
+		return 1
+	}
+	for _, w := range svc.Weights {
+		if w.Region == region {
+			return w.Weight
+		}
+	}
+	return 0
+}
+
+func shortestDeadline(svc *steering.Service) steering.Duration {
+	var least steering.Duration
+	for i := range svc.Operations {
+		if d := svc.Operations[i].Deadline; d > 0 && (least == 0 || d < least) {
+			least = d
+		}
+	}
+	return least
+}
--- /dev/null
+++ b/internal/region/plan.go
@@ -0,0 +1,90 @@
+package region
+
+import (
+	"slices"
+	"time"
+
+	"github.com/azureflow/azureflow/internal/review"
+	"github.com/azureflow/azureflow/internal/steering"
+)
+
+// Plan says which regions serve a service's callers, by origin.
+type Plan struct {
+	At       time.Time            `json:"at"`
+	Service  steering.ServiceName `json:"service"`
+	Revision steering.Revision    `json:"revision"`
+	Epoch    uint64               `json:"epoch"`
+	Origins  []OriginPlan         `json:"origins"` // sorted by region
+}
+
+// OriginPlan is the plan for the callers of one region. Shares and Refused sum to 1.
+type OriginPlan struct {
+	Region     steering.RegionName          `json:"region"`
+	Shares     []Share                      `json:"shares"`           // sorted by region, none is 0
+	Refused    float64                      `json:"refused"`          // share that no region may serve now
+	ByClass    [steering.ClassCount]float64 `json:"refused_by_class"` // refused share of each class
+	Excess     float64                      `json:"excess"`           // share planned beyond the capacity of the origin's own region
+	Moved      float64                      `json:"moved"`            // share that regions took on with this plan
+	Constraint review.Constraint            `json:"constraint"`
+	Moves      []Move                       `json:"moves"` // within the window, this plan's included
+}
+
+// Equal says whether both plans decide the same.
+func (p *Plan) Equal(q *Plan) bool {
+	if p.Service != q.Service || p.Revision != q.Revision || p.Epoch != q.Epoch || !p.At.Equal(q.At) {
+		return false
+	}
+	return slices.EqualFunc(p.Origins, q.Origins, equalOrigins)
+}
+
+// Origin returns the plan for the callers of region, or nil.
+func (p *Plan) Origin(region steering.RegionName) *OriginPlan {
+	for i := range p.Origins {
+		if p.Origins[i].Region == region {
+			return &p.Origins[i]
+		}
+	}
+	return nil
+}
+
+// ShareOf returns the share that region serves.
+func (o *OriginPlan) ShareOf(region steering.RegionName) float64 {
+	for _, s := range o.Shares {
+		if s.Region == region {
+			return s.Share
+		}
+	}
+	return 0
+}
+
+func equalOrigins(a, b OriginPlan) bool {
+	if !slices.Equal(a.Shares, b.Shares) {
+		return false
+	}
+	return slices.EqualFunc(a.Moves, b.Moves, equalMoves) && a.Region == b.Region && a.Refused == b.Refused && a.ByClass == b.ByClass &&
+		a.Excess == b.Excess && a.Moved == b.Moved && a.Constraint == b.Constraint
+}
+
+func equalMoves(a, b Move) bool { return a.Share == b.Share && a.At.Equal(b.At) }
+
+// refusedByClass spreads a refused share over the classes, work that can wait first.
+func refusedByClass(refused float64, classes [steering.ClassCount]float64) [steering.ClassCount]float64 {
+	var out [steering.ClassCount]float64
+	known := 0.0
+	for _, part := range classes {
+		known += max(0, part)
+	}
+	if known < tiny {
+		return [steering.ClassCount]float64{refused, refused, refused}
+	}
+	refused *= known
+	for c := int(steering.ClassCount) - 1; c >= 0 && refused > 0; c-- {
+		if classes[c] <= 0 {
+			continue
+		}
+		part := min(refused, classes[c])
+		out[c] = part / classes[c]
+		refused -= part
+	}
+	return out
+}
--- /dev/null
+++ b/internal/region/shift.go
@@ -0,0 +1,118 @@
+package region
+
+import (
+	"time"
+)
+
+// defaultWindow is the window of a shift cap that names none.
+const defaultWindow = time.Minute
+
+// movesPerWindow is the number of moves kept in a window; later ones within a part are joined.
+const movesPerWindow = 32
+
+// shift moves one origin's traffic from its previous shares towards its target within the cap.
+// What a region takes on counts as moved; what leaves a lost region unserved does not.
+type shift struct {
+	in     *Inputs
+	origin *OriginInput
+	from   []float64 // shares that can stay
+	to     []float64
+	capped bool
+}
+
+func newShift(in *Inputs, origin *OriginInput, to []float64) *shift {
+	s := &shift{in: in, origin: origin, to: to, from: make([]float64, len(in.Regions))}
+	for r := range in.Regions {
+		if !in.Regions[r].Lost {
+			s.from[r] = origin.previous(in.Regions[r].Name)
+		}
+	}
+	return s
+}
+
+// apply returns the shares after this step and the share that was moved.
+func (s *shift) apply() ([]float64, float64) {
+	gain, loss := 0.0, 0.0
+	for r := range s.to {
+		gain += max(0, s.to[r]-s.from[r])
+		loss += max(0, s.from[r]-s.to[r])
+	}
+	budget := s.budget()
+	unserved := max(0, gain-loss)
+	urgent := min(unserved, budget)
+	wanted := gain - unserved
+	planned := max(0, min(wanted, budget-urgent, s.pace()))
+	moved := urgent + planned
+	s.capped = moved < gain-tiny
+	return s.between(gain, loss, moved, planned, wanted), moved
+}
+
+// between returns the shares when moved of gain were taken on and planned of wanted given up.
+func (s *shift) between(gain, loss, moved, planned, wanted float64) []float64 {
+	up, down := 1.0, 1.0
+	if s.capped {
+		up = moved / gain
+	}
+	if loss > tiny {
+		down = min(1, (planned+loss-wanted)/loss)
+	}
+	out := make([]float64, len(s.to))
+	for r := range out {
+		step := s.to[r] - s.from[r]
+		if step > 0 {
+			out[r] = s.from[r] + step*up
+		} else {
+			out[r] = s.from[r] + step*down
+		}
+	}
+	return out
+}
+
+// budget returns the share that may still be moved within the sliding window that ends now.
+func (s *shift) budget() float64 {
+	used := 0.0
+	for _, m := range s.origin.Moves {
+		if s.in.At.Sub(m.At) < s.window() {
+			used += m.Share
+		}
+	}
+	return max(0, s.in.Cap.Share-used)
+}
+
+// pace returns the share that planned moves may take in this step: they are spread over the
+// window so that a region's caches warm up meanwhile.
+func (s *shift) pace() float64 {
+	if s.origin.Since.IsZero() {
+		return 0
+	}
+	step := s.in.At.Sub(s.origin.Since)
+	return s.in.Cap.Share * min(1, max(0, step.Seconds()/s.window().Seconds()))
+}
+
+// moves returns the moves within the window, with moved added. Moves in one part of the window
+// count from the last of them, so that joining them never frees budget early.
+func (s *shift) moves(moved float64) []Move {
+	var out []Move
+	for _, m := range s.origin.Moves {
+		if s.in.At.Sub(m.At) < s.window() {
+			out = append(out, m)
+		}
+	}
+	if moved <= 0 {
+		return out
+	}
+	part := s.window() / movesPerWindow
+	last := len(out) - 1
+	if last >= 0 && out[last].At.Truncate(part).Equal(s.in.At.Truncate(part)) {
+		out[last] = Move{At: s.in.At, Share: out[last].Share + moved}
+		return out
+	}
+	return append(out, Move{At: s.in.At, Share: moved})
+}
+
+func (s *shift) window() time.Duration {
+	if w := s.in.Cap.Window.Std(); w > 0 {
+		return w
+	}
+	return defaultWindow
+}
