--- a/internal/standin/platform_test.go
+++ b/internal/standin/platform_test.go
@@ -24,7 +24,7 @@
 	})
 }
 
-func send(t *testing.T, method, url string, body any) {
+func operate(t *testing.T, method, url string, body any) {
 	t.Helper()
 	text, err := json.Marshal(body)
 	if err != nil {
@@ -99,28 +99,28 @@
 	ctx := t.Context()
 	var unavailable *platform.UnavailableError
 	var unknown *platform.EffectUnknownError
-	send(t, http.MethodPut, url+"/faults?client=zone-a", standin.PlatformFaults{Down: true})
+	operate(t, http.MethodPut, url+"/faults?client=zone-a", standin.PlatformFaults{Down: true})
 	if _, err := c.CompareAndSwap(ctx, "a", 0, []byte("1"), 0); !errors.As(err, &unavailable) {
 		t.Fatalf("down: %v", err)
 	}
-	send(t, http.MethodPut, url+"/faults?client=zone-a", standin.PlatformFaults{LoseAnswers: 1})
+	operate(t, http.MethodPut, url+"/faults?client=zone-a", standin.PlatformFaults{LoseAnswers: 1})
 	if _, err := c.CompareAndSwap(ctx, "a", 0, []byte("1"), 0); !errors.As(err, &unknown) {
 		t.Fatalf("lost answer: %v", err)
 	}
 	if entry, err := c.Get(ctx, "a"); err != nil || string(entry.Value) != "1" {
 		t.Fatalf("effect: %v %v", entry, err)
 	}
-	send(t, http.MethodPost, url+"/snapshots/old", nil)
+	operate(t, http.MethodPost, url+"/snapshots/old", nil)
 	if _, err := c.CompareAndSwap(ctx, "b", 0, []byte("1"), 0); err != nil {
 		t.Fatal(err)
 	}
-	send(t, http.MethodPut, url+"/faults", standin.PlatformFaults{Stale: "old"})
+	operate(t, http.MethodPut, url+"/faults", standin.PlatformFaults{Stale: "old"})
 	var missing *platform.NotFoundError
 	if _, err := c.Get(ctx, "b"); !errors.As(err, &missing) {
 		t.Fatalf("stale: %v", err)
 	}
-	send(t, http.MethodPut, url+"/faults", standin.PlatformFaults{})
-	send(t, http.MethodPost, url+"/snapshots/old/restore", nil)
+	operate(t, http.MethodPut, url+"/faults", standin.PlatformFaults{})
+	operate(t, http.MethodPost, url+"/snapshots/old/restore", nil)
 	if _, err := c.Get(ctx, "b"); !errors.As(err, &missing) {
 		t.Fatalf("restored: %v", err)
 	}
@@ -155,14 +155,14 @@
 
 func TestVMListLags(t *testing.T) {
 	url, c := startPlatform(t, standin.PlatformOptions{VMListLag: time.Hour, VMs: []vm.VM{{Name: "old"}}})
-	send(t, http.MethodPut, url+"/operator/vms/new", vm.VM{Kind: vm.KindEntry, Zone: "a"})
+	operate(t, http.MethodPut, url+"/operator/vms/new", vm.VM{Kind: vm.KindEntry, Zone: "a"})
 	vms, err := c.VMs(t.Context())
 	if err != nil || len(vms) != 1 || vms[0].Name != "old" {
 		t.Fatalf("got %v %v", vms, err)
 	}
-	send(t, http.MethodPost, url+"/operator/vms/new/leaving", nil)
+	operate(t, http.MethodPost, url+"/operator/vms/new/leaving", nil)
 	none := int64(0)
-	send(t, http.MethodPut, url+"/faults", standin.PlatformFaults{VMListLagMs: &none})
+	operate(t, http.MethodPut, url+"/faults", standin.PlatformFaults{VMListLagMs: &none})
 	vms, err = c.VMs(t.Context())
 	if err != nil || len(vms) != 2 || vms[0].State != vm.StateLeaving || vms[1].State != vm.StateLive {
 		t.Fatalf("got %v %v", vms, err)
--- a/internal/standin/platformoperator.go
+++ b/internal/standin/platformoperator.go
@@ -73,58 +73,58 @@
 
 func (p *Platform) listVMs(w http.ResponseWriter, r *http.Request) {
 	if p.listDown(r.Header.Get(platform.HeaderClient)) {
-		writeProblem(w, http.StatusServiceUnavailable, platform.Problem{Code: platform.CodeUnavailable})
+		writePlatformProblem(w, http.StatusServiceUnavailable, platform.Problem{Code: platform.CodeUnavailable})
 		return
 	}
-	writeJSON(w, http.StatusOK, platform.VMsAnswer{VMs: p.vms.lagged()})
+	writePlatformJSON(w, http.StatusOK, platform.VMsAnswer{VMs: p.vms.lagged()})
 }
 
 func (p *Platform) operatorVMs(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, http.StatusOK, platform.VMsAnswer{VMs: p.vms.now()})
+	writePlatformJSON(w, http.StatusOK, platform.VMsAnswer{VMs: p.vms.now()})
 }
 
 func (p *Platform) putVM(w http.ResponseWriter, r *http.Request) {
 	var v vm.VM
-	if !readBody(w, r, &v) {
+	if !readOperatorBody(w, r, &v) {
 		return
 	}
 	v.Name = vm.Name(mux.Vars(r)["name"])
 	p.PutVM(v)
-	writeJSON(w, http.StatusOK, v)
+	writePlatformJSON(w, http.StatusOK, v)
 }
 
 func (p *Platform) deleteVM(w http.ResponseWriter, r *http.Request) {
 	p.RemoveVM(vm.Name(mux.Vars(r)["name"]))
-	writeJSON(w, http.StatusOK, struct{}{})
+	writePlatformJSON(w, http.StatusOK, struct{}{})
 }
 
 func (p *Platform) leaveVM(w http.ResponseWriter, r *http.Request) {
 	name := mux.Vars(r)["name"]
 	if !p.vms.markLeaving(vm.Name(name)) {
-		writeProblem(w, http.StatusNotFound, platform.Problem{Code: platform.CodeNotFound, Key: name})
+		writePlatformProblem(w, http.StatusNotFound, platform.Problem{Code: platform.CodeNotFound, Key: name})
 		return
 	}
-	writeJSON(w, http.StatusOK, struct{}{})
+	writePlatformJSON(w, http.StatusOK, struct{}{})
 }
 
 func (p *Platform) counts(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, http.StatusOK, p.store.StoreCounts())
+	writePlatformJSON(w, http.StatusOK, p.store.StoreCounts())
 }
 
 func (p *Platform) getFaults(w http.ResponseWriter, r *http.Request) {
 	p.mu.Lock()
 	f := p.faults[r.URL.Query().Get("client")]
 	p.mu.Unlock()
-	writeJSON(w, http.StatusOK, f)
+	writePlatformJSON(w, http.StatusOK, f)
 }
 
 func (p *Platform) putFaults(w http.ResponseWriter, r *http.Request) {
 	var f PlatformFaults
-	if !readBody(w, r, &f) {
+	if !readOperatorBody(w, r, &f) {
 		return
 	}
 	p.SetFaults(r.URL.Query().Get("client"), f)
-	writeJSON(w, http.StatusOK, f)
+	writePlatformJSON(w, http.StatusOK, f)
 }
 
 func (p *Platform) takeSnapshot(w http.ResponseWriter, r *http.Request) {
@@ -132,7 +132,7 @@
 	p.mu.Lock()
 	p.snapshots[mux.Vars(r)["name"]] = snapshot
 	p.mu.Unlock()
-	writeJSON(w, http.StatusOK, platform.VersionAnswer{Version: snapshot.Version()})
+	writePlatformJSON(w, http.StatusOK, platform.VersionAnswer{Version: snapshot.Version()})
 }
 
 func (p *Platform) restoreSnapshot(w http.ResponseWriter, r *http.Request) {
@@ -141,19 +141,19 @@
 	snapshot, ok := p.snapshots[name]
 	p.mu.Unlock()
 	if !ok {
-		writeProblem(w, http.StatusNotFound, platform.Problem{Code: platform.CodeNotFound, Key: name})
+		writePlatformProblem(w, http.StatusNotFound, platform.Problem{Code: platform.CodeNotFound, Key: name})
 		return
 	}
 	p.store.Restore(snapshot)
-	writeJSON(w, http.StatusOK, platform.VersionAnswer{Version: snapshot.Version()})
+	writePlatformJSON(w, http.StatusOK, platform.VersionAnswer{Version: snapshot.Version()})
 }
 
-// readBody decodes a JSON body strictly, or answers what is wrong.
-func readBody(w http.ResponseWriter, r *http.Request, target any) bool {
+// readOperatorBody decodes a JSON body strictly, or answers what is wrong.
+func readOperatorBody(w http.ResponseWriter, r *http.Request, target any) bool {
 	d := json.NewDecoder(io.LimitReader(r.Body, maxOperatorBody))
 	d.DisallowUnknownFields()
 	if err := d.Decode(target); err != nil {
-		writeProblem(w, http.StatusBadRequest, platform.Problem{Code: platform.CodeInvalid, Detail: err.Error()})
+		writePlatformProblem(w, http.StatusBadRequest, platform.Problem{Code: platform.CodeInvalid, Detail: err.Error()})
 		return false
 	}
 	return true
--- a/internal/standin/platformstore.go
+++ b/internal/standin/platformstore.go
@@ -14,12 +14,12 @@
 
 func (p *Platform) getKey(w http.ResponseWriter, r *http.Request) {
 	entry, err := p.client(r).Get(r.Context(), r.URL.Query().Get("key"))
-	answer(w, entry, err)
+	answerPlatform(w, entry, err)
 }
 
 func (p *Platform) listKeys(w http.ResponseWriter, r *http.Request) {
 	entries, version, err := p.client(r).List(r.Context(), r.URL.Query().Get("prefix"))
-	answer(w, platform.EntriesAnswer{Entries: entries, Version: version}, err)
+	answerPlatform(w, platform.EntriesAnswer{Entries: entries, Version: version}, err)
 }
 
 func (p *Platform) putKey(w http.ResponseWriter, r *http.Request) {
@@ -28,11 +28,11 @@
 	lease, leaseErr := strconv.ParseUint(query.Get("lease"), 10, 64)
 	value, bodyErr := io.ReadAll(io.LimitReader(r.Body, kv.MaxValueBytes+1))
 	if err := errors.Join(expectErr, leaseErr, bodyErr); err != nil || query.Get("key") == "" {
-		writeProblem(w, http.StatusBadRequest, platform.Problem{Code: platform.CodeInvalid})
+		writePlatformProblem(w, http.StatusBadRequest, platform.Problem{Code: platform.CodeInvalid})
 		return
 	}
 	version, err := p.client(r).CompareAndSwap(r.Context(), query.Get("key"), kv.Version(expect), value, kv.LeaseID(lease))
-	answer(w, platform.VersionAnswer{Version: version}, err)
+	answerPlatform(w, platform.VersionAnswer{Version: version}, err)
 }
 
 func (p *Platform) deleteKey(w http.ResponseWriter, r *http.Request) {
@@ -41,7 +41,7 @@
 		return
 	}
 	err := p.client(r).Delete(r.Context(), r.URL.Query().Get("key"), kv.Version(expect))
-	answer(w, platform.VersionAnswer{}, err)
+	answerPlatform(w, platform.VersionAnswer{}, err)
 }
 
 func (p *Platform) watch(w http.ResponseWriter, r *http.Request) {
@@ -50,7 +50,7 @@
 		return
 	}
 	entries, version, err := p.client(r).Watch(r.Context(), r.URL.Query().Get("prefix"), kv.Version(after))
-	answer(w, platform.EntriesAnswer{Entries: entries, Version: version}, err)
+	answerPlatform(w, platform.EntriesAnswer{Entries: entries, Version: version}, err)
 }
 
 func (p *Platform) grantLease(w http.ResponseWriter, r *http.Request) {
@@ -59,7 +59,7 @@
 		return
 	}
 	lease, err := p.client(r).Grant(r.Context(), time.Duration(ttl)*time.Millisecond)
-	answer(w, platform.LeaseAnswer{ID: lease.ID, TTLMs: lease.TTL.Milliseconds(), Epoch: lease.Epoch}, err)
+	answerPlatform(w, platform.LeaseAnswer{ID: lease.ID, TTLMs: lease.TTL.Milliseconds(), Epoch: lease.Epoch}, err)
 }
 
 func (p *Platform) renewLease(w http.ResponseWriter, r *http.Request) {
@@ -67,7 +67,7 @@
 	if !ok {
 		return
 	}
-	answer(w, platform.VersionAnswer{}, p.client(r).KeepAlive(r.Context(), kv.LeaseID(id)))
+	answerPlatform(w, platform.VersionAnswer{}, p.client(r).KeepAlive(r.Context(), kv.LeaseID(id)))
 }
 
 func (p *Platform) endLease(w http.ResponseWriter, r *http.Request) {
@@ -75,21 +75,21 @@
 	if !ok {
 		return
 	}
-	answer(w, platform.VersionAnswer{}, p.client(r).Revoke(r.Context(), kv.LeaseID(id)))
+	answerPlatform(w, platform.VersionAnswer{}, p.client(r).Revoke(r.Context(), kv.LeaseID(id)))
 }
 
 // queryNumber returns a number of the query, or answers that it is missing.
 func queryNumber(w http.ResponseWriter, r *http.Request, name string) (uint64, bool) {
 	n, err := strconv.ParseUint(r.URL.Query().Get(name), 10, 64)
 	if err != nil {
-		writeProblem(w, http.StatusBadRequest, platform.Problem{Code: platform.CodeInvalid, Detail: name})
+		writePlatformProblem(w, http.StatusBadRequest, platform.Problem{Code: platform.CodeInvalid, Detail: name})
 		return 0, false
 	}
 	return n, true
 }
 
-// answer writes value or the error of a call; a lost call is answered by closing the connection.
-func answer(w http.ResponseWriter, value any, err error) {
+// answerPlatform writes value or the error of a call; a lost call is answered by closing the connection.
+func answerPlatform(w http.ResponseWriter, value any, err error) {
 	var unknown *kv.EffectUnknownError
 	if errors.As(err, &unknown) {
 		dropConnection(w)
@@ -97,10 +97,10 @@
 	}
 	if err != nil {
 		status, problem := problemOf(err)
-		writeProblem(w, status, problem)
+		writePlatformProblem(w, status, problem)
 		return
 	}
-	writeJSON(w, http.StatusOK, value)
+	writePlatformJSON(w, http.StatusOK, value)
 }
 
 func problemOf(err error) (int, platform.Problem) {
@@ -126,11 +126,11 @@
 	return http.StatusServiceUnavailable, platform.Problem{Code: platform.CodeUnavailable, Detail: err.Error()}
 }
 
-func writeProblem(w http.ResponseWriter, status int, problem platform.Problem) {
-	writeJSON(w, status, problem)
+func writePlatformProblem(w http.ResponseWriter, status int, problem platform.Problem) {
+	writePlatformJSON(w, status, problem)
 }
 
-func writeJSON(w http.ResponseWriter, status int, value any) {
+func writePlatformJSON(w http.ResponseWriter, status int, value any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(value)
