--- a/internal/vm/directory.go
+++ b/internal/vm/directory.go
@@ -50,6 +50,7 @@
 	Revision    steering.Revision // in force there
 	HeardAt     time.Time         // when its heartbeat last rose, by the local clock
 	Loads       []*peer.ServiceLoad
+	Origins     []*peer.OriginLoad
 }
 
 // View is an immutable snapshot of a Directory.
@@ -221,6 +222,7 @@
 		e.Incarnation = Incarnation(m.state.GetIncarnation())
 		e.Revision = steering.Revision(m.state.GetRevision())
 		e.Loads = m.state.GetLoads()
+		e.Origins = m.state.GetOrigins()
 	}
 	return e
 }
