--- /dev/null
+++ b/caller/call.go
@@ -0,0 +1,239 @@
+package caller
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/azureflow/azureflow/internal/request"
+)
+
+// call is one request on its way through one or more entry VMs.
+type call struct {
+	client   *Client
+	service  string
+	method   string
+	path     string
+	body     callBody
+	opts     CallOptions
+	key      string
+	first    bool // the key was made here: nobody has seen it
+	safe     bool // may run more than once
+	previous []string
+
+	deadline time.Time
+	results  chan *sending
+	pending  int
+	sendings int
+	unknown  *sending // a sending that may have run
+	notRun   *sending // the last that certainly did not
+}
+
+// sending is one request to one entry VM and what became of it.
+type sending struct {
+	entry    EntryVM
+	cancel   context.CancelFunc
+	answer   *Answer
+	refusal  Refusal
+	outcome  request.Outcome
+	rejected bool // the entry VM answered with a refusal of its own
+	err      error
+}
+
+// run sends the call to one entry VM after another until the outcome is certain or the time is over.
+// While a sending stays silent, the next one is started beside it.
+func (c *call) run(ctx context.Context, entries []EntryVM) (*Answer, error) {
+	ctx, cancel := c.withDeadline(ctx)
+	c.results = make(chan *sending, c.client.opts.MaxSendings)
+	var started []*sending
+	answer, err := c.loop(ctx, entries, &started)
+	if answer == nil {
+		cancel()
+	}
+	c.cancelOthers(started, answer)
+	if err != nil {
+		return nil, err
+	}
+	answer.Body = &answerBody{ReadCloser: answer.Body, cancel: cancel}
+	return answer, nil
+}
+
+func (c *call) withDeadline(ctx context.Context) (context.Context, context.CancelFunc) {
+	if deadline, ok := ctx.Deadline(); ok {
+		c.deadline = deadline
+		return context.WithCancel(ctx)
+	}
+	c.deadline = time.Now().Add(c.client.opts.Timeout)
+	return context.WithDeadline(ctx, c.deadline)
+}
+
+func (c *call) loop(ctx context.Context, entries []EntryVM, started *[]*sending) (*Answer, error) {
+	next := c.start(ctx, entries, started)
+	for c.pending > 0 {
+		silent := time.NewTimer(c.silentAfter())
+		select {
+		case s := <-c.results:
+			silent.Stop()
+			c.pending--
+			if c.take(s) {
+				return s.answer, nil
+			}
+			if next && c.pending == 0 && c.mayMove(s) {
+				next = c.start(ctx, entries, started)
+			}
+		case <-silent.C:
+			if next && ctx.Err() == nil {
+				next = c.start(ctx, entries, started)
+			}
+		case <-ctx.Done():
+			silent.Stop()
+			return nil, c.failure(ctx.Err())
+		}
+	}
+	return nil, c.failure(ctx.Err())
+}
+
+// silentAfter returns how long to wait for a sending before the next one is started beside it.
+func (c *call) silentAfter() time.Duration {
+	left := time.Until(c.deadline) / silentDeadlineParts
+	return max(time.Millisecond, min(left, c.client.opts.SilentAfter))
+}
+
+// start sends the call to the next entry VM. It returns false if there is no further one to try.
+func (c *call) start(ctx context.Context, entries []EntryVM, started *[]*sending) bool {
+	limit := min(len(entries), c.client.opts.MaxSendings)
+	if c.sendings >= limit || c.sendings > 0 && !c.body.again() {
+		return false
+	}
+	s := &sending{entry: entries[c.sendings]}
+	c.sendings++
+	c.pending++
+	ctx, s.cancel = context.WithCancel(ctx)
+	*started = append(*started, s)
+	req, err := c.request(ctx, s.entry)
+	if err != nil {
+		s.outcome, s.err = request.OutcomeNotRun, err
+		c.results <- s
+		return false
+	}
+	c.previous = append(c.previous, entryName(s.entry))
+	go c.send(req, s)
+	return c.sendings < limit
+}
+
+// take notes a finished sending. It returns true if its answer is the call's.
+func (c *call) take(s *sending) bool {
+	if s.answer != nil {
+		return true
+	}
+	if s.outcome == request.OutcomeNotRun {
+		c.notRun = s
+		c.forgetUnsent(s)
+		return false
+	}
+	c.unknown = s
+	return false
+}
+
+// forgetUnsent takes the entry VM of a sending that never reached it off the list of previous ones.
+func (c *call) forgetUnsent(s *sending) {
+	if s.rejected {
+		return
+	}
+	c.previous = slices.DeleteFunc(c.previous, func(name string) bool { return name == entryName(s.entry) })
+}
+
+// mayMove reports whether another entry VM could do better after s failed.
+func (c *call) mayMove(s *sending) bool {
+	if s.rejected {
+		return false
+	}
+	return c.safe || c.key != ""
+}
+
+// failure returns the error of a call without an answer. Not-run needs proof from every sending.
+func (c *call) failure(ctxErr error) error {
+	if c.pending == 0 && c.unknown == nil && c.notRun != nil {
+		return &NotRunError{Refusal: c.notRun.refusal, Cause: c.notRun.err}
+	}
+	e := &UnknownError{Key: c.key, Previous: c.previous, Cause: ctxErr}
+	if c.unknown != nil {
+		e.Refusal = c.unknown.refusal
+		if c.unknown.err != nil {
+			e.Cause = c.unknown.err
+		}
+	}
+	return e
+}
+
+func (c *call) cancelOthers(started []*sending, winner *Answer) {
+	for _, s := range started {
+		if s.answer != winner {
+			s.cancel()
+		}
+	}
+	if c.pending > 0 {
+		go c.closeLate(c.pending)
+	}
+}
+
+// closeLate closes the answers of sendings that lost.
+func (c *call) closeLate(pending int) {
+	for range pending {
+		if s := <-c.results; s.answer != nil {
+			_ = s.answer.Body.Close()
+		}
+	}
+}
+
+// request builds the request for one entry VM.
+func (c *call) request(ctx context.Context, entry EntryVM) (*http.Request, error) {
+	target := "http://" + entry.Address + "/" + c.service + c.path
+	req, err := http.NewRequestWithContext(ctx, c.method, target, nil)
+	if err != nil {
+		return nil, err
+	}
+	c.body.attach(req)
+	for name, values := range c.opts.Header {
+		req.Header[http.CanonicalHeaderKey(name)] = values
+	}
+	left := max(1, time.Until(c.deadline).Milliseconds())
+	req.Header.Set(request.HeaderTimeout, strconv.FormatInt(left, 10))
+	setIf(req.Header, request.HeaderOrigin, c.client.opts.Origin)
+	setIf(req.Header, request.HeaderCaller, c.client.opts.Block)
+	setIf(req.Header, request.HeaderPrevious, c.previousHeader())
+	if c.key != "" {
+		req.Header[wireIdempotency] = []string{c.key}
+	}
+	return req, nil
+}
+
+// wireIdempotency is the header's name in lower case, which servers read alike. net/http sends a
+// request a second time by itself, even to a restarted entry VM, if it finds the canonical name.
+var wireIdempotency = strings.ToLower(request.HeaderIdempotency)
+
+func (c *call) previousHeader() string {
+	switch {
+	case c.safe:
+		return ""
+	case len(c.previous) > 0:
+		return strings.Join(c.previous, ",")
+	case c.first:
+		return "none"
+	default:
+		return ""
+	}
+}
+
+func setIf(h http.Header, name, value string) {
+	if value != "" {
+		h.Set(name, value)
+	}
+}
+
+func entryName(e EntryVM) string {
+	return e.Name + "/" + strconv.FormatUint(e.Incarnation, 10)
+}
--- /dev/null
+++ b/caller/lookup.go
@@ -0,0 +1,145 @@
+package caller
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"sync"
+	"time"
+)
+
+const (
+	maxLookupBytes    = 64 << 10
+	staleRetry        = 500 * time.Millisecond // between lookups while none is answered
+	minLookupLifetime = 100 * time.Millisecond
+)
+
+// EntryVM is an entry VM as a lookup answer names it.
+type EntryVM struct {
+	Name        string `json:"name"`
+	Incarnation uint64 `json:"incarnation"`
+	Address     string `json:"address"` // host:port
+}
+
+// lookupAnswer is the body of a lookup answer.
+type lookupAnswer struct {
+	Entries        []EntryVM `json:"entries"` // best first
+	LifetimeMs     int64     `json:"lifetime_ms"`
+	Reason         string    `json:"reason"`
+	Decision       string    `json:"decision"`
+	KnowledgeAgeMs int64     `json:"knowledge_age_ms"`
+}
+
+// cachedLookup is a lookup answer and how long it may be used.
+type cachedLookup struct {
+	entries []EntryVM
+	until   time.Time
+}
+
+// lookups keeps the lookup answers of each service.
+type lookups struct {
+	client *Client
+
+	mu       sync.Mutex
+	services map[string]*serviceLookup
+}
+
+// serviceLookup is the cached answer of one service; its lock is held by the one lookup in progress.
+type serviceLookup struct {
+	mu     sync.Mutex
+	cached cachedLookup
+}
+
+// entries returns the entry VMs to use, best first, from the cache while it lives. A stale answer is
+// used when nobody answers a new lookup.
+func (l *lookups) entries(ctx context.Context, service string) ([]EntryVM, error) {
+	s := l.service(service)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if time.Now().Before(s.cached.until) {
+		return s.cached.entries, nil
+	}
+	fresh, err := l.ask(ctx, service, s.cached.entries)
+	if err == nil {
+		s.cached = fresh
+		return fresh.entries, nil
+	}
+	if len(s.cached.entries) == 0 {
+		return nil, err
+	}
+	s.cached.until = time.Now().Add(staleRetry)
+	return s.cached.entries, nil
+}
+
+// expire makes the next request of the service ask again, unless a lookup is in progress.
+func (l *lookups) expire(service string) {
+	s := l.service(service)
+	if !s.mu.TryLock() {
+		return
+	}
+	defer s.mu.Unlock()
+	s.cached.until = time.Time{}
+}
+
+func (l *lookups) service(name string) *serviceLookup {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.services[name]
+	if s == nil {
+		s = &serviceLookup{}
+		l.services[name] = s
+	}
+	return s
+}
+
+// ask asks the entry VMs known last, then the bootstrap addresses, until one answers.
+func (l *lookups) ask(ctx context.Context, service string, known []EntryVM) (cachedLookup, error) {
+	addresses := make([]string, 0, len(known)+len(l.client.opts.Entries))
+	for _, e := range known {
+		addresses = append(addresses, e.Address)
+	}
+	addresses = append(addresses, l.client.opts.Entries...)
+	failure := &LookupError{Service: service}
+	for _, address := range addresses {
+		answer, err := l.askOne(ctx, service, address)
+		if err == nil {
+			return answer, nil
+		}
+		failure.Cause = err
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	return cachedLookup{}, failure
+}
+
+func (l *lookups) askOne(ctx context.Context, service, address string) (cachedLookup, error) {
+	ctx, cancel := context.WithTimeout(ctx, l.client.opts.LookupTimeout)
+	defer cancel()
+	query := url.Values{"service": {service}, "origin": {l.client.opts.Origin}, "block": {l.client.opts.Block}}
+	target := "http://" + address + "/v1/lookup?" + query.Encode()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
+	if err != nil {
+		return cachedLookup{}, err
+	}
+	asked := time.Now()
+	resp, err := l.client.opts.HTTP.RoundTrip(req)
+	if err != nil {
+		return cachedLookup{}, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return cachedLookup{}, &StatusError{Status: resp.StatusCode}
+	}
+	var answer lookupAnswer
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxLookupBytes)).Decode(&answer); err != nil {
+		return cachedLookup{}, err
+	}
+	if len(answer.Entries) == 0 {
+		return cachedLookup{}, &LookupError{Service: service}
+	}
+	lifetime := max(minLookupLifetime, time.Duration(answer.LifetimeMs)*time.Millisecond)
+	return cachedLookup{entries: answer.Entries, until: asked.Add(lifetime)}, nil
+}
--- /dev/null
+++ b/internal/request/queue.go
@@ -0,0 +1,226 @@
+package request
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/azureflow/azureflow/internal/review"
+	"github.com/azureflow/azureflow/internal/steering"
+)
+
+// Defaults of QueueOptions.
+const (
+	defaultQueueLength     = 512
+	defaultCallerLimit     = 64
+	roomPollInterval       = 50 * time.Millisecond
+	minRetryAfter          = 50 * time.Millisecond
+	deferrableQueueShare   = 4 // deferrable work may fill one in this many places of a queue
+	interactiveTurns       = 8 // grants to interactive work before a longer class gets a turn
+	bulkTurnsPerDeferrable = 4
+)
+
+// QueueOptions configure NewQueue.
+type QueueOptions struct {
+	Length      int // waiting requests of one service
+	CallerLimit int // requests of one caller and service, waiting or in flight
+	Policy      QueuePolicy
+}
+
+// QueuePolicy says in which order waiting requests are admitted.
+type QueuePolicy uint8
+
+// The policies.
+const (
+	// PolicyClasses orders by class, fairly among callers, and refuses what cannot make its deadline.
+	PolicyClasses QueuePolicy = iota
+	// PolicyFIFO admits in order of arrival. It is the baseline of measurements.
+	PolicyFIFO
+)
+
+// Ticket asks for admission of one attempt.
+type Ticket struct {
+	Query    *PlacementQuery
+	Class    steering.Class
+	Caller   string
+	Deadline time.Time
+}
+
+// Queue admits requests to the servers of each service as Placer gives room. Safe for concurrent use.
+type Queue struct {
+	opts   QueueOptions
+	placer Placer
+
+	services sync.Map // steering.ServiceName -> *serviceQueue
+}
+
+// NewQueue returns a Queue that places with placer.
+func NewQueue(placer Placer, opts QueueOptions) *Queue {
+	if opts.Length <= 0 {
+		opts.Length = defaultQueueLength
+	}
+	if opts.CallerLimit <= 0 {
+		opts.CallerLimit = defaultCallerLimit
+	}
+	return &Queue{opts: opts, placer: placer}
+}
+
+// Admit waits for a placement. The placement's Release must be called exactly once. Errors:
+// *RefusedError, *CallerGoneError if ctx was cancelled, *UnroutableError.
+func (q *Queue) Admit(ctx context.Context, t *Ticket) (*Placement, error) {
+	return q.service(t.Query.Service).admit(ctx, t)
+}
+
+// Waiting returns the number of waiting requests of a service.
+func (q *Queue) Waiting(service steering.ServiceName) int {
+	s := q.service(service)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.waiting
+}
+
+func (q *Queue) service(name steering.ServiceName) *serviceQueue {
+	if s, ok := q.services.Load(name); ok {
+		return s.(*serviceQueue)
+	}
+	fresh := &serviceQueue{
+		name:    name,
+		opts:    q.opts,
+		placer:  q.placer,
+		callers: make(map[string]int),
+	}
+	s, _ := q.services.LoadOrStore(name, fresh)
+	return s.(*serviceQueue)
+}
+
+// serviceQueue is the queue of one service. Its lock is held while Placer decides, never over I/O.
+type serviceQueue struct {
+	name   steering.ServiceName
+	opts   QueueOptions
+	placer Placer
+
+	mu       sync.Mutex
+	classes  [steering.ClassCount]classQueue
+	waiting  int
+	callers  map[string]int // waiting or in flight
+	usage    usage
+	turns    int // grants since a longer class had its turn
+	longs    int // turns given to longer classes
+	watching bool
+}
+
+// waiter is a request that waits for room.
+type waiter struct {
+	ticket   *Ticket
+	enqueued time.Time
+	ready    chan struct{} // closed once placement or err is set
+	placed   *Placement
+	err      error
+	done     bool // granted, refused or gone
+}
+
+func (s *serviceQueue) admit(ctx context.Context, t *Ticket) (*Placement, error) {
+	now := time.Now()
+	s.mu.Lock()
+	if s.callers[t.Caller] >= s.opts.CallerLimit {
+		s.mu.Unlock()
+		return nil, s.refusal(review.ConstraintCaller, minRetryAfter)
+	}
+	p, err := s.placeAtOnce(t, now)
+	if p != nil || err != nil {
+		s.mu.Unlock()
+		return p, err
+	}
+	w, refused := s.enqueue(t, now)
+	s.mu.Unlock()
+	if refused != nil {
+		return nil, refused
+	}
+	return s.wait(ctx, w)
+}
+
+// placeAtOnce places t if nothing waits that goes before it. It returns neither value if t has to wait.
+func (s *serviceQueue) placeAtOnce(t *Ticket, now time.Time) (*Placement, error) {
+	s.usage.arrive(t.Class, now)
+	if s.mustWait(t) {
+		return nil, nil
+	}
+	t.Query.Now = now
+	p, err := s.placer.Place(t.Query)
+	if err == nil {
+		return s.grant(p, t, now), nil
+	}
+	if _, full := err.(*NoRoomError); full {
+		s.usage.full()
+		return nil, nil
+	}
+	return nil, err
+}
+
+func (s *serviceQueue) mustWait(t *Ticket) bool {
+	if s.opts.Policy == PolicyFIFO {
+		return s.waiting > 0
+	}
+	for c := steering.ClassInteractive; c <= t.Class; c++ {
+		if s.classes[c].holds(t.Query.Origin) {
+			return true
+		}
+	}
+	return !s.usage.admitsLong(t.Class)
+}
+
+// grant counts a placement and wraps its Release.
+func (s *serviceQueue) grant(p *Placement, t *Ticket, now time.Time) *Placement {
+	s.usage.start(t.Class)
+	s.callers[t.Caller]++
+	release := p.Release
+	p.Release = func(r AttemptResult) {
+		release(r)
+		s.released(t, now)
+	}
+	return p
+}
+
+func (s *serviceQueue) released(t *Ticket, start time.Time) {
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.usage.end(t.Class, now.Sub(start))
+	s.leave(t.Caller)
+	s.pump(now)
+}
+
+func (s *serviceQueue) leave(caller string) {
+	if s.callers[caller] <= 1 {
+		delete(s.callers, caller)
+		return
+	}
+	s.callers[caller]--
+}
+
+// wait blocks until w is granted or refused, or ctx ends.
+func (s *serviceQueue) wait(ctx context.Context, w *waiter) (*Placement, error) {
+	select {
+	case <-w.ready:
+		return w.placed, w.err
+	case <-ctx.Done():
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if w.done {
+		return w.placed, w.err
+	}
+	s.remove(w)
+	if ctx.Err() == context.DeadlineExceeded {
+		return nil, s.refusal(review.ConstraintDeadline, s.retryAfter(w.ticket.Class))
+	}
+	return nil, &CallerGoneError{}
+}
+
+func (s *serviceQueue) refusal(c review.Constraint, after time.Duration) *RefusedError {
+	return &RefusedError{Service: s.name, Constraint: c, RetryAfter: max(after, minRetryAfter)}
+}
+
+func (s *serviceQueue) retryAfter(c steering.Class) time.Duration {
+	return s.usage.expectedWait(c, s.ahead(c))
+}
