--- a/internal/request/errors.go
+++ b/internal/request/errors.go
@@ -67,6 +67,13 @@
 	return "crossed answer: sent attempt " + e.Sent + ", echoed " + e.Echoed
 }
 
+// UnframedAnswerError reports an HTTP/1 answer that only ends with its connection, so that nobody could
+// tell whether it is whole.
+type UnframedAnswerError struct{}
+
+// Error implements error.
+func (*UnframedAnswerError) Error() string { return "answer without length or chunks" }
+
 // StatusError reports an answer whose status says that the server failed.
 type StatusError struct{ Status int }
 
--- a/internal/request/exchange.go
+++ b/internal/request/exchange.go
@@ -190,11 +190,8 @@
 // run sends the request until an attempt brings an answer or no further one is allowed.
 func (x *exchange) run() (*attempt, error) {
 	x.route.budget.payIn(x.route.service.Budgets.Retries + x.route.service.Budgets.Hedges)
-	for {
-		p, err := x.admit()
-		if err != nil {
-			return nil, err
-		}
+	p, err := x.admit(nil)
+	for err == nil {
 		a, failed := x.race(p)
 		if failed == nil {
 			return a, nil
@@ -202,14 +199,16 @@
 		if !x.mayRetry(failed) {
 			return nil, failed
 		}
+		p, err = x.admitRetry(failed)
 	}
+	return nil, err
 }
 
 // admit waits for the right to send an attempt.
-func (x *exchange) admit() (*Placement, error) {
+func (x *exchange) admit(exclude []vm.Name) (*Placement, error) {
 	began := time.Now()
 	t := &Ticket{
-		Query:    x.query(false),
+		Query:    x.query(exclude),
 		Class:    x.route.operation.Class,
 		Caller:   x.caller,
 		Deadline: x.deadline,
@@ -222,16 +221,37 @@
 	return p, nil
 }
 
-func (x *exchange) query(hedge bool) *PlacementQuery {
+// admitRetry returns the right to send to a server not tried yet, if there is room at once. After an
+// attempt that sent nothing the request waits its turn again; else failed stands.
+func (x *exchange) admitRetry(failed error) (*Placement, error) {
+	p, err := x.h.queue.TryAdmit(&Ticket{
+		Query:    x.query(x.triedServers()),
+		Class:    x.route.operation.Class,
+		Caller:   x.caller,
+		Deadline: x.deadline,
+	})
+	if err == nil {
+		return p, nil
+	}
+	if e, ok := failed.(*AttemptError); !ok || e.Failure == FailureShed || !e.NotRun {
+		return nil, failed
+	}
+	return x.admit(nil)
+}
+
+func (x *exchange) triedServers() []vm.Name {
 	x.mu.Lock()
 	defer x.mu.Unlock()
+	return x.tried[:len(x.tried):len(x.tried)]
+}
+
+func (x *exchange) query(exclude []vm.Name) *PlacementQuery {
 	return &PlacementQuery{
 		Service:   x.route.service.Name,
 		Operation: x.route.operation,
 		Origin:    x.origin,
 		Key:       x.spread,
-		Exclude:   x.tried[:len(x.tried):len(x.tried)],
-		Hedge:     hedge,
+		Exclude:   exclude,
 		Now:       time.Now(),
 	}
 }
--- a/internal/request/queue.go
+++ b/internal/request/queue.go
@@ -71,6 +71,12 @@
 	return q.service(t.Query.Service).admit(ctx, t)
 }
 
+// TryAdmit is Admit without waiting and past the queue, for a request that was admitted before. Errors:
+// *NoRoomError, *UnroutableError.
+func (q *Queue) TryAdmit(t *Ticket) (*Placement, error) {
+	return q.service(t.Query.Service).tryAdmit(t)
+}
+
 // Waiting returns the number of waiting requests of a service.
 func (q *Queue) Waiting(service steering.ServiceName) int {
 	s := q.service(service)
@@ -139,6 +145,16 @@
 	return s.wait(ctx, w)
 }
 
+func (s *serviceQueue) tryAdmit(t *Ticket) (*Placement, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p, err := s.placer.Place(t.Query)
+	if err != nil {
+		return nil, err
+	}
+	return s.grant(p, t, t.Query.Now), nil
+}
+
 // placeAtOnce places t if nothing waits that goes before it. It returns neither value if t has to wait.
 func (s *serviceQueue) placeAtOnce(t *Ticket, now time.Time) (*Placement, error) {
 	s.usage.arrive(t.Class, now)
--- a/internal/request/race.go
+++ b/internal/request/race.go
@@ -79,7 +79,9 @@
 	if !x.route.takeExtra(x.route.service.Budgets.Hedges) {
 		return nil
 	}
-	p, err := x.h.opts.Placer.Place(x.query(true))
+	q := x.query(x.triedServers())
+	q.Hedge = true
+	p, err := x.h.opts.Placer.Place(q)
 	if err != nil {
 		x.route.budget.putBack()
 		return nil
--- a/internal/request/refusal.go
+++ b/internal/request/refusal.go
@@ -93,9 +93,12 @@
 	k := refusalKind{kind: "attempt-" + e.Failure.String(), title: "Server failed", status: http.StatusBadGateway,
 		proxyStatus: "connection_terminated", constraint: review.ConstraintNone}
 	var crossed *CrossedAnswerError
+	var unframed *UnframedAnswerError
 	switch {
 	case errors.As(e, &crossed):
 		k.kind, k.proxyStatus = "crossed-answer", "http_protocol_error"
+	case errors.As(e, &unframed):
+		k.kind, k.proxyStatus = "unframed-answer", "http_response_incomplete"
 	case e.Failure == FailureDial:
 		k.proxyStatus, k.status = "destination_unavailable", http.StatusServiceUnavailable
 		k.retryAfter = minRetryAfter
--- a/internal/request/send.go
+++ b/internal/request/send.go
@@ -175,6 +175,10 @@
 		a.dropConn()
 		return nil, x.reject(a, FailureServer, false, &StatusError{Status: status})
 	}
+	if unframed(a.response) {
+		a.dropConn()
+		return nil, x.reject(a, FailureServer, false, &UnframedAnswerError{})
+	}
 	if echo != "" && status >= http.StatusBadRequest && header.Get(HeaderNotRun) == "1" {
 		return nil, x.reject(a, FailureShed, true, &StatusError{Status: status})
 	}
@@ -190,6 +194,11 @@
 	return a, nil
 }
 
+// unframed reports an HTTP/1 answer whose body only ends with its connection.
+func unframed(r *http.Response) bool {
+	return r.ProtoMajor == 1 && r.ContentLength < 0 && len(r.TransferEncoding) == 0 && r.Body != http.NoBody
+}
+
 func (x *exchange) retryableStatus(status int) bool {
 	return x.route.operation.Idempotent && status >= http.StatusBadGateway && status <= http.StatusGatewayTimeout
 }
