--- /dev/null
+++ b/internal/zone/elector.go
@@ -0,0 +1,260 @@
+package zone
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/azureflow/azureflow/internal/contract"
+	"github.com/azureflow/azureflow/internal/peer"
+	"github.com/azureflow/azureflow/internal/platform"
+	"github.com/azureflow/azureflow/internal/steering"
+	"github.com/azureflow/azureflow/internal/vm"
+)
+
+// VouchFunc calls AskGrant at one VM; see Elector.AnswerVouch.
+type VouchFunc func(ctx context.Context, to vm.Name, req *peer.AskGrantRequest) (*peer.AskGrantReply, error)
+
+// ElectorOptions configure an Elector; Store, Zone and Self are needed.
+type ElectorOptions struct {
+	Store       platform.Store
+	Zone        steering.ZoneName
+	Self        vm.Name
+	Incarnation vm.Incarnation
+	Home        bool // Self stands in Zone
+
+	// The functions below are called with a lock held; they must not block or call the Elector.
+
+	// Members returns the entry VMs of the zone that are known, Self included if Home.
+	Members func() []vm.Name
+	// Heirs returns the VMs that may take the zone over from Self, preferred ones first: its other
+	// members, then entry VMs of the region's other zones.
+	Heirs func() []vm.Name
+	// Heard returns when this VM last heard from another one; zero: never.
+	Heard func(name vm.Name) time.Time
+	// Listed says whether the platform's VM list holds a VM, as far as is known.
+	Listed func(name vm.Name) bool
+	// OnChange is called when another VM leads or the epoch changed.
+	OnChange func(State)
+
+	// Vouch asks an heir not to take the zone over for a time. It may block.
+	Vouch VouchFunc
+
+	TTL       time.Duration // of the store lease
+	VouchTTL  time.Duration // of an heir's promise
+	Interval  time.Duration // between two renewals of the leader
+	GoneAfter time.Duration // a VM that is not listed for so long is gone
+	MaxHeirs  int           // most heirs that a record names
+	Drift     float64       // part by which clocks may run apart
+	Seed      uint64        // of the jitter
+	Now       func() time.Time
+
+	ignorePromises bool // a defect, for tests of the checks
+	reviveByVouch  bool // a defect, for tests of the checks
+}
+
+func (o *ElectorOptions) setDefaults() {
+	if o.TTL <= 0 {
+		o.TTL = 8 * time.Second
+	}
+	if o.VouchTTL <= 0 {
+		o.VouchTTL = 4 * time.Second
+	}
+	if o.Interval <= 0 {
+		o.Interval = o.TTL / 4
+	}
+	if o.GoneAfter <= 0 {
+		o.GoneAfter = time.Minute
+	}
+	if o.MaxHeirs <= 0 {
+		o.MaxHeirs = 4
+	}
+	if o.Drift <= 0 {
+		o.Drift = contract.DefaultDrift
+	}
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	if o.Members == nil {
+		self := []vm.Name{o.Self}
+		o.Members = func() []vm.Name { return self }
+	}
+	if o.Heirs == nil {
+		o.Heirs = func() []vm.Name { return nil }
+	}
+	if o.Heard == nil {
+		o.Heard = func(vm.Name) time.Time { return time.Time{} }
+	}
+	if o.Listed == nil {
+		o.Listed = func(vm.Name) bool { return true }
+	}
+	if o.OnChange == nil {
+		o.OnChange = func(State) {}
+	}
+}
+
+// State is who leads a zone, as one VM knows it.
+type State struct {
+	VM    vm.Name   // empty: not known
+	Epoch uint64    // fencing
+	Until time.Time // the leadership may lapse then
+	Held  bool      // this VM leads and may use what is above the floor
+}
+
+// Stats count the store calls of an Elector.
+type Stats struct {
+	Reads    uint64
+	Writes   uint64
+	Vouches  uint64 // calls of Vouch
+	Elected  uint64 // times that this VM became leader
+	Takeover uint64 // of those, from another VM
+}
+
+// Elector follows who leads one zone and runs for it. It is safe for concurrent use.
+type Elector struct {
+	opt     ElectorOptions
+	started time.Time
+
+	mu       sync.Mutex
+	state    State
+	lease    platform.Lease
+	leaseTo  time.Time // the store lease is good until then
+	vouchTo  time.Time // all heirs keep off until then
+	record   Record
+	version  platform.Version // of record; 0: not read or absent
+	hasRead  bool             // record is known as the store holds it
+	everRead bool             // record was known once
+	promised time.Time        // this VM keeps off until then
+	trying   bool             // a candidacy is under way
+	running  time.Time        // a candidacy that ended may still succeed until then
+	resign   time.Time        // this VM does not run or renew until then
+	absent   time.Time        // since when the leader's key was seen absent; zero: it is held
+	looked   time.Time        // last look at the leader's key; zero: never
+	unlisted map[vm.Name]time.Time
+	part     float64 // of the floor, this VM's
+	stats    Stats
+	random   *rand.Rand
+}
+
+// NewElector returns an Elector that has not asked the store yet.
+func NewElector(opt ElectorOptions) *Elector {
+	opt.setDefaults()
+	e := &Elector{
+		opt:      opt,
+		started:  opt.Now(),
+		unlisted: make(map[vm.Name]time.Time),
+		random:   rand.New(rand.NewPCG(opt.Seed, uint64(opt.Incarnation))),
+	}
+	if opt.Home {
+		e.state.VM = opt.Self
+	}
+	return e
+}
+
+// Run renews, watches and runs for the leadership until ctx ends; then it gives the leadership up.
+func (e *Elector) Run(ctx context.Context) {
+	var loops sync.WaitGroup
+	loops.Go(func() { e.loop(ctx, e.opt.Interval, e.StepStore) })
+	loops.Go(func() { e.loop(ctx, e.opt.VouchTTL/4, e.StepVouch) })
+	loops.Wait()
+}
+
+func (e *Elector) loop(ctx context.Context, interval time.Duration, step func(context.Context)) {
+	for ctx.Err() == nil {
+		step(ctx)
+		select {
+		case <-ctx.Done():
+		case <-time.After(e.jitter(interval)):
+		}
+	}
+}
+
+// jitter returns d, up to a quarter shorter.
+func (e *Elector) jitter(d time.Duration) time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return d - time.Duration(e.random.Int64N(int64(d/4)+1))
+}
+
+// Leader returns who leads the zone, the fencing epoch and when that may lapse. A zone's only VM
+// is its own leader also without the store; it then holds only the floor.
+func (e *Elector) Leader() (vm.Name, uint64, time.Time) {
+	s := e.State(e.opt.Now())
+	return s.VM, s.Epoch, s.Until
+}
+
+// State returns who leads the zone at now.
+func (e *Elector) State(now time.Time) State {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.stateAt(now)
+}
+
+func (e *Elector) stateAt(now time.Time) State {
+	s := e.state
+	if s.VM != e.opt.Self {
+		return s
+	}
+	s.Until = e.until()
+	s.Held = before(now, s.Until)
+	return s
+}
+
+// Leadership returns the right to what is above the floor, for contract.GrantorOptions.
+func (e *Elector) Leadership(now time.Time) contract.Leadership {
+	s := e.State(now)
+	return contract.Leadership{Epoch: s.Epoch, Until: s.Until, Held: s.Held}
+}
+
+// FloorPart returns the part of the zone's floor that this VM keeps without any lease, 0 to 1.
+func (e *Elector) FloorPart() float64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.part
+}
+
+// Stats returns the counts so far.
+func (e *Elector) Stats() Stats {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.stats
+}
+
+// until returns when this VM must stop leading.
+func (e *Elector) until() time.Time {
+	if e.vouchTo.After(e.leaseTo) {
+		return e.vouchTo
+	}
+	return e.leaseTo
+}
+
+// leads says whether this VM leads at now.
+func (e *Elector) leads(now time.Time) bool {
+	return e.state.VM == e.opt.Self && before(now, e.until())
+}
+
+// before says whether now is before until on the monotonic and on the wall clock; a VM that was
+// suspended may find that only the latter went on.
+func before(now, until time.Time) bool {
+	return now.Before(until) && now.Round(0).Before(until.Round(0))
+}
+
+// shorten returns d as the fastest clock must count it.
+func (e *Elector) shorten(d time.Duration) time.Duration {
+	return d - time.Duration(2*e.opt.Drift*float64(d))
+}
+
+// stretch returns d as the slowest clock may count it.
+func (e *Elector) stretch(d time.Duration) time.Duration {
+	return d + time.Duration(2*e.opt.Drift*float64(d))
+}
+
+// setState notes who leads and tells OnChange if that is another VM or epoch than before.
+func (e *Elector) setState(s State) {
+	changed := s.VM != e.state.VM || s.Epoch != e.state.Epoch
+	e.state = s
+	if changed {
+		e.opt.OnChange(s)
+	}
+}
--- /dev/null
+++ b/internal/zone/record.go
@@ -0,0 +1,92 @@
+// Package zone elects the leader of an availability zone and keeps the zone's record: who may take
+// the zone over, and which VM holds which part of the floor. Only the leader talks to the store in
+// regular operation, so store calls grow with zones and not with VMs.
+package zone
+
+import (
+	"encoding/json"
+	"slices"
+
+	"github.com/azureflow/azureflow/internal/steering"
+	"github.com/azureflow/azureflow/internal/vm"
+)
+
+// leaderKey is the key that vanishes with the leader's lease.
+func leaderKey(zone steering.ZoneName) string { return "zones/" + string(zone) + "/leader" }
+
+// recordKey is the key of a zone's Record; it hangs on no lease.
+func recordKey(zone steering.ZoneName) string { return "zones/" + string(zone) + "/record" }
+
+// claim is the value at leaderKey.
+type claim struct {
+	VM          vm.Name        `json:"vm"`
+	Incarnation vm.Incarnation `json:"incarnation"`
+	Epoch       uint64         `json:"epoch"`
+}
+
+// Record is what outlives a leader. Only a leader writes it.
+type Record struct {
+	Leader vm.Name     `json:"leader"`
+	Epoch  uint64      `json:"epoch"`
+	Heirs  []vm.Name   `json:"heirs"` // VMs that may take the zone over; sorted
+	Parts  []FloorPart `json:"parts"` // of the floor; they sum to 1
+}
+
+// FloorPart is the part of a zone's floor that one VM keeps without any lease.
+type FloorPart struct {
+	VM   vm.Name `json:"vm"`
+	Part float64 `json:"part"` // 0 to 1
+}
+
+func (r *Record) part(name vm.Name) float64 {
+	for _, p := range r.Parts {
+		if p.VM == name {
+			return p.Part
+		}
+	}
+	return 0
+}
+
+// add changes the part of a VM by part; a part of 0 is removed.
+func (r *Record) add(name vm.Name, part float64) {
+	i := slices.IndexFunc(r.Parts, func(p FloorPart) bool { return p.VM == name })
+	if i < 0 {
+		r.Parts = append(r.Parts, FloorPart{VM: name})
+		i = len(r.Parts) - 1
+	}
+	r.Parts[i].Part += part
+	if r.Parts[i].Part <= 0 {
+		r.Parts = slices.Delete(r.Parts, i, i+1)
+	}
+}
+
+func (r *Record) clone() Record {
+	out := *r
+	out.Heirs = slices.Clone(r.Heirs)
+	out.Parts = slices.Clone(r.Parts)
+	return out
+}
+
+func (r *Record) equal(o *Record) bool {
+	return r.Leader == o.Leader && r.Epoch == o.Epoch &&
+		slices.Equal(r.Heirs, o.Heirs) && slices.Equal(r.Parts, o.Parts)
+}
+
+// DecodeError reports a value of the store that is not what its key should hold.
+type DecodeError struct {
+	Key   string
+	Cause error
+}
+
+// Error implements error.
+func (e *DecodeError) Error() string { return "value of " + e.Key + ": " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *DecodeError) Unwrap() error { return e.Cause }
+
+func decode(key string, value []byte, into any) error {
+	if err := json.Unmarshal(value, into); err != nil {
+		return &DecodeError{Key: key, Cause: err}
+	}
+	return nil
+}
