review: keep, mirror, digest and explain decision records

Records lie in sharded rings without locks; changes and refusals have rings of their own so that routine records do not push them out. Explain and ExplainRange join what VMs, mirrors and digests hold and say what is missing. Not yet tested: the digester. Not yet measured: cost of records.

--- /dev/null
+++ b/internal/review/explain.go
@@ -0,0 +1,286 @@
+package review
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"github.com/azureflow/azureflow/internal/steering"
+	"github.com/azureflow/azureflow/internal/vm"
+)
+
+// Bounds of an explanation.
+const (
+	lookBack      = 2 * time.Hour    // in digests, for an id
+	planLookBack  = 5 * time.Minute  // for the plan that a request followed
+	eventSlack    = 2 * time.Second  // around a request, for changes that bear on it
+	mirrorSlack   = time.Second      // around a request, for what is missing
+	maxRelatedIDs = 32               // followed from one id
+	maxContext    = 20               // changes told in a story
+	familyLimit   = 500              // records of one id
+	contextLimit  = maxFetchLimit    // records searched for context
+	minAnswered   = time.Millisecond // shortest time of a story
+)
+
+// Role says why a record is told in a story.
+type Role string
+
+// The roles.
+const (
+	RoleSubject Role = "subject" // the decision asked for
+	RolePart    Role = "part"    // belongs to it: its request, attempts, lookup, promise
+	RoleBasis   Role = "basis"   // what it rested on: plan, grant
+	RoleContext Role = "context" // changed how the system steered at that time
+)
+
+// Step is one record in a story.
+type Step struct {
+	At     time.Time     `json:"at"`
+	Offset time.Duration `json:"offset_ns"` // since the subject began
+	Role   Role          `json:"role"`
+	Text   string        `json:"text"`
+	Record *Record       `json:"record"`
+}
+
+// Recomputation says whether a recorded plan comes out the same when computed again.
+type Recomputation struct {
+	Decision ID     `json:"decision"`
+	Agrees   bool   `json:"agrees"`
+	Detail   string `json:"detail,omitempty"`
+}
+
+// Story explains one decision.
+type Story struct {
+	ID         ID                     `json:"id"`
+	Service    steering.ServiceName   `json:"service,omitempty"`
+	Operation  steering.OperationName `json:"operation,omitempty"`
+	Origin     steering.RegionName    `json:"origin,omitempty"`
+	Outcome    string                 `json:"outcome,omitempty"`
+	Constraint Constraint             `json:"constraint"`
+	Revision   steering.Revision      `json:"revision"`
+	Began      time.Time              `json:"began"`
+	Took       time.Duration          `json:"took_ns"`
+	VMs        []vm.Name              `json:"vms"` // that took part
+	Steps      []Step                 `json:"steps"`
+	Recomputed []Recomputation        `json:"recomputed"`
+	Missing    Missing                `json:"missing"`
+}
+
+// UnknownDecisionError reports a decision of which no record is left.
+type UnknownDecisionError struct {
+	ID           ID
+	SearchedFrom time.Time // in digests
+	Missing      Missing   // what is known of the VM that took it
+}
+
+// Error implements error.
+func (e *UnknownDecisionError) Error() string {
+	return "no record is left of decision " + string(e.ID)
+}
+
+// Explain tells the decision id in time order over all entry VMs that took part. Errors:
+// *MalformedIDError, *UnknownDecisionError.
+func Explain(ctx context.Context, sources Sources, id ID) (*Story, error) {
+	parsed, err := id.Parse()
+	if err != nil {
+		return nil, err
+	}
+	now := time.Now()
+	found := sources.followed(ctx, id, now)
+	subject := found.find(id)
+	if subject == nil {
+		missing := found.missing([]vm.Name{parsed.VM}, now.Add(-lookBack), now)
+		return nil, &UnknownDecisionError{ID: id, SearchedFrom: now.Add(-lookBack), Missing: missing}
+	}
+	parts := len(found.records)
+	began, ended := extent(found.records)
+	around := sources.context(ctx, subject, began, ended)
+	story := newStory(subject, found.records, began, ended)
+	story.addContext(around.records)
+	found.join(around)
+	story.VMs = vmsOf(found.records, story.Steps)
+	story.recompute(sources.Recompute)
+	story.Missing = found.missing(story.VMs, began.Add(-mirrorSlack), laterOf(ended, began.Add(minAnswered)))
+	story.Missing.Truncated = parts >= familyLimit
+	return story, nil
+}
+
+// followed gathers the records of id and of the ids that they name. Digests are read only where
+// no VM holds the record.
+func (s *Sources) followed(ctx context.Context, id ID, now time.Time) *evidence {
+	all := s.family(ctx, id, now)
+	done := map[ID]bool{id: true}
+	for todo := relatedIDs(all.records, done); len(todo) > 0; todo = relatedIDs(all.records, done) {
+		for _, next := range todo {
+			if len(done) >= maxRelatedIDs {
+				return all
+			}
+			done[next] = true
+			all.join(s.gather(ctx, fetchQuery{id: next, limit: familyLimit}, false))
+		}
+	}
+	return all
+}
+
+func (s *Sources) family(ctx context.Context, id ID, now time.Time) *evidence {
+	q := fetchQuery{id: id, limit: familyLimit, from: now.Add(-lookBack), to: now}
+	found := s.gather(ctx, q, false)
+	if found.find(id) != nil || s.Digests == nil {
+		return found
+	}
+	return s.gather(ctx, q, true)
+}
+
+// relatedIDs returns the ids that records name as parent or input and that are not yet done.
+func relatedIDs(records []*Record, done map[ID]bool) []ID {
+	var ids []ID
+	for _, r := range records {
+		if r.Parent != "" && !done[r.Parent] {
+			ids = append(ids, r.Parent)
+		}
+		for _, input := range r.Inputs {
+			id := ID(input.Value)
+			if _, err := id.Parse(); err == nil && !done[id] && !isNumberText(input.Value) {
+				ids = append(ids, id)
+			}
+		}
+	}
+	return distinct(ids)
+}
+
+// isNumberText tells whether text is made of digits and dots alone, such as an address.
+func isNumberText(text string) bool {
+	for _, c := range text {
+		if c != '.' && (c < '0' || c > '9') {
+			return false
+		}
+	}
+	return true
+}
+
+// context gathers what changed the steering of the subject's service around its time, and the
+// plan and grant that it names.
+func (s *Sources) context(ctx context.Context, subject *Record, began, ended time.Time) *evidence {
+	around := s.gather(ctx, fetchQuery{
+		service: subject.Service,
+		from:    began.Add(-planLookBack),
+		to:      ended.Add(eventSlack),
+		limit:   contextLimit,
+	}, false)
+	around.counts = nil
+	around.truncated = false
+	around.records = slices.DeleteFunc(around.records, func(r *Record) bool {
+		return roleInContext(r, subject, began, ended) == ""
+	})
+	return around
+}
+
+func roleInContext(r, subject *Record, began, ended time.Time) Role {
+	samePlan := subject.PlanEpoch != 0 && r.PlanEpoch == subject.PlanEpoch
+	switch r.Kind {
+	case KindPlan:
+		if samePlan && r.VM == subject.VM && r.Service == subject.Service {
+			return RoleBasis
+		}
+	case KindGrant:
+		if subject.Grant != 0 && r.Grant == subject.Grant {
+			return RoleBasis
+		}
+	case KindShift, KindDrain, KindLeader, KindRevision, KindStop:
+		if r.At.After(began.Add(-eventSlack)) && r.At.Before(ended.Add(eventSlack)) {
+			return RoleContext
+		}
+	}
+	return ""
+}
+
+func extent(records []*Record) (began, ended time.Time) {
+	for i, r := range records {
+		if i == 0 || r.At.Before(began) {
+			began = r.At
+		}
+		if end := r.At.Add(r.Took); end.After(ended) {
+			ended = end
+		}
+	}
+	return began, ended
+}
+
+func newStory(subject *Record, parts []*Record, began, ended time.Time) *Story {
+	story := &Story{
+		ID: subject.ID, Service: subject.Service, Operation: subject.Operation, Origin: subject.Origin,
+		Outcome: subject.Outcome, Constraint: subject.Constraint, Revision: subject.Revision,
+		Began: began, Took: ended.Sub(began),
+	}
+	for _, r := range parts {
+		role := RolePart
+		if r.ID == subject.ID {
+			role = RoleSubject
+		}
+		story.add(r, role)
+	}
+	return story
+}
+
+func (s *Story) add(r *Record, role Role) {
+	s.Steps = append(s.Steps, Step{At: r.At, Offset: r.At.Sub(s.Began), Role: role, Text: sentence(r), Record: r})
+}
+
+func (s *Story) addContext(records []*Record) {
+	told := make(map[ID]bool)
+	var subject *Record
+	for _, step := range s.Steps {
+		told[step.Record.ID] = true
+		if step.Role == RoleSubject {
+			subject = step.Record
+		}
+	}
+	changes := 0
+	for _, r := range records {
+		role := roleInContext(r, subject, s.Began, s.Began.Add(s.Took))
+		if told[r.ID] || role == "" || changes >= maxContext {
+			continue
+		}
+		if role == RoleContext {
+			changes++
+		}
+		s.add(r, role)
+	}
+	slices.SortStableFunc(s.Steps, func(a, b Step) int {
+		return cmp.Or(a.At.Compare(b.At), cmp.Compare(depth(a.Record), depth(b.Record)))
+	})
+}
+
+func (s *Story) recompute(compute func(*Record) (bool, string)) {
+	var plans []*Record
+	for _, step := range s.Steps {
+		plans = append(plans, step.Record)
+	}
+	s.Recomputed = recomputeAll(plans, compute)
+}
+
+func recomputeAll(records []*Record, compute func(*Record) (bool, string)) []Recomputation {
+	var results []Recomputation
+	for _, r := range records {
+		if r.Kind != KindPlan || compute == nil {
+			continue
+		}
+		agrees, detail := compute(r)
+		results = append(results, Recomputation{Decision: r.ID, Agrees: agrees, Detail: detail})
+	}
+	return results
+}
+
+// vmsOf returns the VMs whose records are told as more than context.
+func vmsOf(_ []*Record, steps []Step) []vm.Name {
+	var names []vm.Name
+	for _, step := range steps {
+		if step.Role != RoleContext {
+			names = append(names, step.Record.VM)
+		}
+	}
+	names = distinct(names)
+	slices.Sort(names)
+	return names
+}
--- /dev/null
+++ b/internal/review/explain_test.go
@@ -0,0 +1,122 @@
+package review
+
+import (
+	"encoding/json"
+	"errors"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+func TestExplainTellsTheRequestOverAllVMs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(3)
+		e1, e2 := f.nodes[0].log, f.nodes[1].log
+		e1.Record(&Record{Kind: KindPlan, Service: "certdesk", PlanEpoch: 88, Revision: 12, Constraint: ConstraintCap, Result: "batinah 0.6, muscat 0.4"})
+		time.Sleep(20 * time.Second)
+		lookup := e2.NextID()
+		e2.Record(&Record{ID: lookup, Kind: KindLookup, Service: "certdesk", Origin: "batinah", Revision: 12, Constraint: ConstraintNone, Result: "e1"})
+		time.Sleep(3 * time.Millisecond)
+		id := request(e1, "certdesk", "u1", outcomeDone, 12*time.Millisecond)
+		e1.Record(&Record{Kind: KindAttempt, Parent: id, Service: "certdesk", Constraint: ConstraintNone, Result: "u2", Inputs: []Input{{Name: "lookup", Value: string(lookup)}}})
+		time.Sleep(time.Second)
+		sources := f.sources(nil)
+		sources.Recompute = func(r *Record) (bool, string) { return r.PlanEpoch == 88, "" }
+		story, err := Explain(t.Context(), sources, id)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var kinds []Kind
+		for i, step := range story.Steps {
+			kinds = append(kinds, step.Record.Kind)
+			if i > 0 && step.At.Before(story.Steps[i-1].At) {
+				t.Errorf("step %d is out of order", i)
+			}
+		}
+		if len(story.Steps) != 5 || kinds[0] != KindPlan || kinds[1] != KindLookup {
+			t.Fatalf("steps %v", kinds)
+		}
+		if len(story.VMs) != 2 || len(story.Recomputed) != 1 || !story.Recomputed[0].Agrees {
+			t.Fatalf("VMs %v, recomputed %+v", story.VMs, story.Recomputed)
+		}
+		if !story.Missing.Nothing() {
+			t.Errorf("missing %+v", story.Missing)
+		}
+		var text strings.Builder
+		if err := story.WriteText(&text); err != nil {
+			t.Fatal(err)
+		}
+		t.Log("\n" + text.String())
+		if _, err := json.Marshal(story); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
+// The mirror holds what a killed VM did until a second before its end.
+func TestExplainAfterLosingAVM(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(4)
+		f.start(t)
+		time.Sleep(5 * time.Second)
+		from := time.Now()
+		id := request(f.nodes[1].log, "certdesk", "u1", outcomeUnknown, 12*time.Millisecond)
+		for range 30 {
+			refusal(f.nodes[1].log, "certdesk", ConstraintCap)
+			refusal(f.nodes[2].log, "certdesk", ConstraintContract)
+			request(f.nodes[1].log, "certdesk", "u1", outcomeDone, time.Millisecond)
+		}
+		time.Sleep(time.Second)
+		killed := time.Now()
+		f.kill(1)
+		time.Sleep(10 * time.Second)
+		story, err := Explain(t.Context(), f.sources(nil), id)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(story.Steps) != 2 || story.Outcome != outcomeUnknown {
+			t.Fatalf("story %+v", story)
+		}
+		incident, err := ExplainRange(t.Context(), f.sources(nil), "certdesk", from, time.Now())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if incident.Refused != 60 || incident.Unknown != 1 || incident.Done != 30 {
+			t.Errorf("%d refused, %d unknown, %d done", incident.Refused, incident.Unknown, incident.Done)
+		}
+		var gap *Gap
+		for i, g := range incident.Missing.Gaps {
+			if g.VM == "e2" {
+				gap = &incident.Missing.Gaps[i]
+			}
+		}
+		if gap == nil || killed.Sub(gap.From) > 4*time.Second || !strings.Contains(gap.Note, "does not answer") {
+			t.Errorf("gaps %+v, killed at %v", incident.Missing.Gaps, killed)
+		}
+		var text strings.Builder
+		if err := incident.WriteText(&text); err != nil {
+			t.Fatal(err)
+		}
+		t.Log("\n" + text.String())
+	})
+}
+
+func TestExplainUnknownDecision(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(2)
+		f.start(t)
+		time.Sleep(5 * time.Second)
+		f.kill(1)
+		_, err := Explain(t.Context(), f.sources(nil), "e2.1.999")
+		var unknown *UnknownDecisionError
+		if !errors.As(err, &unknown) || len(unknown.Missing.Gaps) == 0 {
+			t.Fatalf("error %v", err)
+		}
+		_, err = ExplainRange(t.Context(), f.sources(nil), "", time.Now(), time.Now())
+		var empty *TimeRangeError
+		if !errors.As(err, &empty) {
+			t.Fatalf("error %v", err)
+		}
+	})
+}
--- /dev/null
+++ b/internal/review/fleet_test.go
@@ -0,0 +1,114 @@
+package review
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/azureflow/azureflow/internal/peer"
+	"github.com/azureflow/azureflow/internal/platform"
+	"github.com/azureflow/azureflow/internal/steering"
+	"github.com/azureflow/azureflow/internal/vm"
+)
+
+// node is an entry VM as far as records go.
+type node struct {
+	log    *Log
+	dead   atomic.Bool
+	cancel context.CancelFunc
+}
+
+// fleet is a set of nodes that mirror to the next one.
+type fleet struct {
+	nodes []*node
+}
+
+type goneError struct{ name vm.Name }
+
+func (e *goneError) Error() string { return string(e.name) + ": connection refused" }
+
+func newFleet(n int) *fleet {
+	f := &fleet{}
+	for i := range n {
+		name := vm.Name(fmt.Sprintf("e%d", i+1))
+		f.nodes = append(f.nodes, &node{log: NewLog(LogOptions{Self: name, Incarnation: 1})})
+	}
+	return f
+}
+
+// start runs the mirror of every node.
+func (f *fleet) start(t *testing.T) {
+	for i, n := range f.nodes {
+		ctx, cancel := context.WithCancel(t.Context())
+		n.cancel = cancel
+		target := f.nodes[(i+1)%len(f.nodes)]
+		mirror := NewMirror(MirrorOptions{Log: n.log, Send: func(ctx context.Context, r *peer.MirrorRequest) error {
+			if n.dead.Load() || target.dead.Load() {
+				return &goneError{target.log.self}
+			}
+			_, err := target.log.MirrorRecords(ctx, r)
+			return err
+		}})
+		go func() { _ = mirror.Run(ctx) }()
+	}
+}
+
+func (f *fleet) kill(i int) {
+	f.nodes[i].dead.Store(true)
+	f.nodes[i].cancel()
+}
+
+// sources asks all nodes from the first living one.
+func (f *fleet) sources(store platform.Store, zones ...steering.ZoneName) Sources {
+	var s Sources
+	for _, n := range f.nodes {
+		if s.Local == nil && !n.dead.Load() {
+			s.Local = n.log
+			continue
+		}
+		s.Peers = append(s.Peers, PeerSource{VM: n.log.self, Fetch: n.fetch})
+	}
+	if store != nil {
+		s.Digests = &DigestReader{Store: store, Zones: zones}
+	}
+	return s
+}
+
+func (n *node) fetch(ctx context.Context, r *peer.FetchRecordsRequest) (*peer.FetchRecordsReply, error) {
+	if n.dead.Load() {
+		return nil, &goneError{n.log.self}
+	}
+	return n.log.FetchRecords(ctx, r)
+}
+
+// request records a request with one attempt, as the request path does, and returns its id.
+func request(l *Log, service steering.ServiceName, server, outcome string, took time.Duration) ID {
+	id := l.NextID()
+	at := time.Now()
+	l.Record(&Record{
+		Parent: id, Kind: KindAttempt, At: at, Took: took - took/10, Service: service, Operation: "lookup",
+		Origin: "batinah", Revision: 12, PlanEpoch: 88, Constraint: ConstraintNone, Result: server,
+		Outcome: outcome, TraceID: "4bf92f3577b34da6a3ce929d0e0e4736",
+		Candidates: []Candidate{
+			{Name: server, Taken: true, Reason: "least busy", Score: 0.41},
+			{Name: "u7", Reason: "busier", Score: 0.77},
+		},
+	})
+	l.Record(&Record{
+		ID: id, Kind: KindRequest, At: at, Took: took, Service: service, Operation: "lookup",
+		Origin: "batinah", Revision: 12, PlanEpoch: 88, Constraint: ConstraintNone,
+		Result: server, Outcome: outcome, TraceID: "4bf92f3577b34da6a3ce929d0e0e4736",
+	})
+	return id
+}
+
+func refusal(l *Log, service steering.ServiceName, bound Constraint) ID {
+	id := l.NextID()
+	l.Record(&Record{
+		ID: id, Kind: KindRequest, Took: time.Millisecond, Service: service, Operation: "stamp",
+		Origin: "batinah", Revision: 12, PlanEpoch: 88, Constraint: bound, Result: "no room", Outcome: outcomeNotRun,
+	})
+	return id
+}
--- /dev/null
+++ b/internal/review/log.go
@@ -0,0 +1,293 @@
+package review
+
+import (
+	"cmp"
+	"context"
+	"math/bits"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/azureflow/azureflow/internal/steering"
+	"github.com/azureflow/azureflow/internal/vm"
+)
+
+// Defaults of LogOptions.
+const (
+	defaultCapacity      = 16384    // records
+	defaultMirroredBytes = 16 << 20 // compressed batches of other VMs
+	shardCount           = 16       // of routine records, a power of two
+	importantShards      = 4        // of changes and refusals, a power of two
+	importantShare       = 4        // one part of so many of the capacity is kept for those
+	lineInterval         = 200 * time.Millisecond
+	linesPerInterval     = 4096 // records
+)
+
+// Metrics counts what becomes of records. *telemetry.Metrics implements it.
+type Metrics interface {
+	RecordsKept(kind Kind, n int)
+	RecordsDropped(stage string, n int)
+	RecordsMirrored(n int)
+	DigestWritten(bytes int)
+}
+
+// LogOptions configure a Log.
+type LogOptions struct {
+	Self          vm.Name
+	Incarnation   vm.Incarnation
+	Capacity      int                // records of this VM kept in memory; default 16384
+	MirroredBytes int                // compressed records of other VMs kept in memory; default 16 MiB
+	Logger        logrus.FieldLogger // lines of records; nil writes none
+	Metrics       Metrics            // nil counts nothing
+}
+
+// Log keeps the latest records of this VM in memory, and those that other VMs mirror to it. It
+// implements Recorder; Record costs a few atomic operations and never waits.
+type Log struct {
+	self        vm.Name
+	incarnation vm.Incarnation
+	prefix      string
+	shards      []*shard // routine records first, then changes and refusals
+	started     time.Time
+	mirrored    *mirroredBatches
+	inbox       digestInbox
+	logger      logrus.FieldLogger
+	metrics     Metrics
+	lines       *cursor
+}
+
+// NewLog returns an empty Log.
+func NewLog(o LogOptions) *Log {
+	if o.Capacity <= 0 {
+		o.Capacity = defaultCapacity
+	}
+	if o.MirroredBytes <= 0 {
+		o.MirroredBytes = defaultMirroredBytes
+	}
+	if o.Metrics == nil {
+		o.Metrics = noMetrics{}
+	}
+	l := &Log{
+		self:        o.Self,
+		incarnation: o.Incarnation,
+		prefix:      idPrefix(o.Self, o.Incarnation),
+		shards:      newShards(o.Capacity),
+		started:     time.Now(),
+		mirrored:    &mirroredBatches{limit: o.MirroredBytes},
+		logger:      o.Logger,
+		metrics:     o.Metrics,
+	}
+	l.lines = l.cursor()
+	return l
+}
+
+func newShards(capacity int) []*shard {
+	important := capacity / importantShare
+	var shards []*shard
+	for range shardCount {
+		shards = append(shards, newShard((capacity-important)/shardCount))
+	}
+	for range importantShards {
+		shards = append(shards, newShard(important/importantShards))
+	}
+	return shards
+}
+
+// newShard returns a shard for at least capacity records.
+func newShard(capacity int) *shard {
+	size := 1 << bits.Len(uint(max(1, capacity)-1))
+	return &shard{slots: make([]slot, size)}
+}
+
+// NextID implements Recorder.
+func (l *Log) NextID() ID {
+	i := rand.Uint64() & (shardCount - 1)
+	sequence := l.shards[i].ids.Add(1)*shardCount + i
+	var buffer [96]byte
+	text := append(buffer[:0], l.prefix...)
+	return ID(strconv.AppendUint(text, sequence, 10))
+}
+
+// Record implements Recorder. It fills in ID, VM, Incarnation and At where they are empty.
+func (l *Log) Record(r *Record) {
+	if r.ID == "" {
+		r.ID = l.NextID()
+	}
+	if r.VM == "" {
+		r.VM = l.self
+		r.Incarnation = l.incarnation
+	}
+	if r.At.IsZero() {
+		r.At = time.Now()
+	}
+	l.shardOf(r).put(r)
+}
+
+// shardOf returns the shard for r: changes and refusals have their own, so that they outlive
+// routine records.
+func (l *Log) shardOf(r *Record) *shard {
+	sequence, _ := sequenceOf(r.ID, l.prefix)
+	if rank(r) == rankRoutine {
+		return l.shards[sequence&(shardCount-1)]
+	}
+	return l.shards[shardCount+int(sequence&(importantShards-1))]
+}
+
+func (l *Log) cursor() *cursor {
+	c := &cursor{shards: l.shards, next: make([]uint64, len(l.shards))}
+	for i, s := range l.shards {
+		c.next[i] = s.oldest()
+	}
+	return c
+}
+
+// Find returns the record with id, of this VM or mirrored to it, or nil.
+func (l *Log) Find(id ID) *Record {
+	if _, own := sequenceOf(id, l.prefix); own {
+		return l.findOwn(id)
+	}
+	for _, r := range l.mirrored.family(id) {
+		if r.ID == id {
+			return r
+		}
+	}
+	return nil
+}
+
+func (l *Log) findOwn(id ID) *Record {
+	var found *Record
+	for _, s := range l.shards {
+		s.each(func(r *Record) {
+			if r.ID == id {
+				found = r
+			}
+		})
+	}
+	return found
+}
+
+// family returns the records that are id, have it as parent or name it among their inputs.
+func (l *Log) family(id ID) []*Record {
+	var found []*Record
+	for _, s := range l.shards {
+		s.each(func(r *Record) {
+			if related(r, id) {
+				found = append(found, r)
+			}
+		})
+	}
+	return append(found, l.mirrored.family(id)...)
+}
+
+func related(r *Record, id ID) bool {
+	if r.ID == id || r.Parent == id {
+		return true
+	}
+	for i := range r.Inputs {
+		if r.Inputs[i].Value == string(id) {
+			return true
+		}
+	}
+	return false
+}
+
+// Range returns up to limit records of this VM with from <= At < to, oldest first. An empty
+// service means all. Where there are more than limit, changes and refusals go before the rest,
+// and truncated is true.
+func (l *Log) Range(service steering.ServiceName, from, to time.Time, limit int) (records []*Record, truncated bool) {
+	for _, s := range l.shards {
+		s.each(func(r *Record) {
+			if inRange(r, service, from, to) {
+				records = append(records, r)
+			}
+		})
+	}
+	return limitRecords(records, limit)
+}
+
+func inRange(r *Record, service steering.ServiceName, from, to time.Time) bool {
+	if service != "" && r.Service != "" && r.Service != service {
+		return false
+	}
+	return !r.At.Before(from) && r.At.Before(to)
+}
+
+// limitRecords sorts records by time and cuts them to limit, routine ones first.
+func limitRecords(records []*Record, limit int) ([]*Record, bool) {
+	truncated := len(records) > limit
+	if truncated {
+		slices.SortStableFunc(records, func(a, b *Record) int {
+			return cmp.Or(cmp.Compare(rank(a), rank(b)), a.At.Compare(b.At))
+		})
+		records = records[:limit]
+	}
+	sortByTime(records)
+	return records, truncated
+}
+
+func sortByTime(records []*Record) {
+	slices.SortStableFunc(records, func(a, b *Record) int {
+		return cmp.Or(a.At.Compare(b.At), cmp.Compare(depth(a), depth(b)), cmp.Compare(a.ID, b.ID))
+	})
+}
+
+// depth orders a request before what belongs to it.
+func depth(r *Record) int {
+	if r.Parent == "" {
+		return 0
+	}
+	return 1
+}
+
+// coverage says which time the records of this VM in memory stand for.
+func (l *Log) coverage(now time.Time) Coverage {
+	from := l.started
+	for _, s := range l.shards[:shardCount] {
+		oldest := s.oldest()
+		if oldest == 0 {
+			continue
+		}
+		if r, state := s.read(oldest); state == readWhole && r.At.After(from) {
+			from = r.At
+		}
+	}
+	return Coverage{VM: l.self, Incarnation: l.incarnation, From: from, To: now, Source: SourceVM}
+}
+
+// Run writes the line of each record and counts it, until ctx ends.
+func (l *Log) Run(ctx context.Context) error {
+	ticker := time.NewTicker(lineInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			l.writeLines()
+			return nil
+		case <-ticker.C:
+			l.writeLines()
+		}
+	}
+}
+
+func (l *Log) writeLines() {
+	records, lost := l.lines.read(nil, linesPerInterval*shardCount)
+	if lost > 0 {
+		l.metrics.RecordsDropped("memory", int(lost))
+	}
+	sortByTime(records)
+	for _, r := range records {
+		l.metrics.RecordsKept(r.Kind, 1)
+		writeLine(l.logger, r)
+	}
+}
+
+// noMetrics counts nothing.
+type noMetrics struct{}
+
+func (noMetrics) RecordsKept(Kind, int)      {}
+func (noMetrics) RecordsDropped(string, int) {}
+func (noMetrics) RecordsMirrored(int)        {}
+func (noMetrics) DigestWritten(int)          {}
