--- /dev/null
+++ b/internal/lookup/sites.go
@@ -0,0 +1,174 @@
+package lookup
+
+import (
+	"encoding/csv"
+	"errors"
+	"io"
+	"iter"
+	"math/bits"
+	"slices"
+	"strconv"
+
+	"github.com/azureflow/azureflow/internal/steering"
+)
+
+// MaxSites is the number of sites that a table can hold.
+const MaxSites = 1 << 16
+
+// Site is a place of callers and the zone nearest to it.
+type Site struct {
+	Name string
+	Zone steering.ZoneName
+}
+
+// Placed says at which site a block is.
+type Placed struct {
+	Block Block
+	Site  uint16 // index into the sites of the table
+}
+
+// Sites maps caller blocks to sites: a bitmap of the blocks that are listed, the number of listed
+// blocks before each word of it, and a site for each listed block. It is immutable.
+type Sites struct {
+	sites  []Site
+	listed []uint64 // one bit for each block
+	before []uint32 // blocks listed before each word of listed
+	site   []uint16 // by rank among the listed blocks
+}
+
+// SitesError reports a table that cannot be built or read.
+type SitesError struct {
+	Line   int // of the file, 0 for none
+	Reason string
+	Cause  error // may be nil
+}
+
+// Error implements error.
+func (e *SitesError) Error() string {
+	text := "sites: "
+	if e.Line > 0 {
+		text += "line " + strconv.Itoa(e.Line) + ": "
+	}
+	text += e.Reason
+	if e.Cause != nil {
+		text += ": " + e.Cause.Error()
+	}
+	return text
+}
+
+// Unwrap returns the cause.
+func (e *SitesError) Unwrap() error { return e.Cause }
+
+// NewSites builds a table. blocks is gone through twice; where a block comes twice its last site
+// counts. Errors: *SitesError.
+func NewSites(sites []Site, blocks iter.Seq[Placed]) (*Sites, error) {
+	if len(sites) > MaxSites {
+		return nil, &SitesError{Reason: "more than " + strconv.Itoa(MaxSites) + " sites"}
+	}
+	const wordBits = 64
+	s := &Sites{
+		sites:  slices.Clone(sites),
+		listed: make([]uint64, ListedBlocks/wordBits),
+		before: make([]uint32, ListedBlocks/wordBits),
+	}
+	for p := range blocks {
+		if p.Block >= ListedBlocks {
+			return nil, &SitesError{Reason: "block " + strconv.FormatUint(uint64(p.Block), 10) + " is not an IPv4 /24 prefix"}
+		}
+		if int(p.Site) >= len(sites) {
+			return nil, &SitesError{Reason: "site " + strconv.Itoa(int(p.Site)) + " is not one of the sites"}
+		}
+		s.listed[p.Block/wordBits] |= 1 << (p.Block % wordBits)
+	}
+	total := uint32(0)
+	for i, word := range s.listed {
+		s.before[i] = total
+		total += uint32(bits.OnesCount64(word))
+	}
+	s.site = make([]uint16, total)
+	for p := range blocks {
+		s.site[s.rank(p.Block)] = p.Site
+	}
+	return s, nil
+}
+
+// rank returns the number of listed blocks below b.
+func (s *Sites) rank(b Block) uint32 {
+	const wordBits = 64
+	word := s.listed[b/wordBits]
+	below := word & (1<<(b%wordBits) - 1)
+	return s.before[b/wordBits] + uint32(bits.OnesCount64(below))
+}
+
+// find returns the site of b, and whether b is listed.
+func (s *Sites) find(b Block) (uint16, bool) {
+	const wordBits = 64
+	if s == nil || b >= ListedBlocks || s.listed[b/wordBits]&(1<<(b%wordBits)) == 0 {
+		return 0, false
+	}
+	return s.site[s.rank(b)], true
+}
+
+// Find returns the site of b, and whether b is listed.
+func (s *Sites) Find(b Block) (Site, bool) {
+	i, listed := s.find(b)
+	if !listed {
+		return Site{}, false
+	}
+	return s.sites[i], true
+}
+
+// Len returns the number of listed blocks.
+func (s *Sites) Len() int { return len(s.site) }
+
+// Bytes returns the memory that the table takes.
+func (s *Sites) Bytes() int {
+	const siteBytes = 32
+	return len(s.listed)*8 + len(s.before)*4 + len(s.site)*2 + len(s.sites)*siteBytes
+}
+
+// blocksBySite returns the number of listed blocks of each site.
+func (s *Sites) blocksBySite() []int {
+	counts := make([]int, len(s.sites))
+	for _, i := range s.site {
+		counts[i]++
+	}
+	return counts
+}
+
+// ReadSites reads lines of comma-separated values: block, site, zone nearest to the site. The
+// block is an IPv4 /24 prefix. Errors: *SitesError.
+func ReadSites(r io.Reader) (*Sites, error) {
+	reader := csv.NewReader(r)
+	reader.ReuseRecord = true
+	reader.FieldsPerRecord = 3
+	var placed []Placed
+	var sites []Site
+	index := make(map[Site]uint16)
+	for {
+		fields, err := reader.Read()
+		if errors.Is(err, io.EOF) {
+			return NewSites(sites, slices.Values(placed))
+		}
+		if err != nil {
+			return nil, &SitesError{Reason: "read", Cause: err}
+		}
+		line, _ := reader.FieldPos(0)
+		block, err := ParseBlock(fields[0])
+		if err != nil || block >= ListedBlocks {
+			return nil, &SitesError{Line: line, Reason: strconv.Quote(fields[0]) + " is not an IPv4 /24 prefix"}
+		}
+		site := Site{Name: fields[1], Zone: steering.ZoneName(fields[2])}
+		i, known := index[site]
+		if !known {
+			if len(sites) >= MaxSites {
+				return nil, &SitesError{Line: line, Reason: "more than " + strconv.Itoa(MaxSites) + " sites"}
+			}
+			i = uint16(len(sites))
+			site.Name, site.Zone = string([]byte(site.Name)), steering.ZoneName([]byte(site.Zone))
+			index[site] = i
+			sites = append(sites, site)
+		}
+		placed = append(placed, Placed{Block: block, Site: i})
+	}
+}
