--- /dev/null
+++ b/internal/entry/daemon.go
@@ -0,0 +1,162 @@
+package entry
+
+import (
+	"context"
+	"io"
+	stdlog "log"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"go.uber.org/fx"
+
+	"github.com/azureflow/azureflow/internal/contract"
+	"github.com/azureflow/azureflow/internal/peer"
+	"github.com/azureflow/azureflow/internal/platform"
+	"github.com/azureflow/azureflow/internal/request"
+	"github.com/azureflow/azureflow/internal/review"
+	"github.com/azureflow/azureflow/internal/steering"
+	"github.com/azureflow/azureflow/internal/upstream"
+	"github.com/azureflow/azureflow/internal/vm"
+)
+
+// Daemon is the running daemon of an entry VM.
+type Daemon struct {
+	parts daemonParts
+	stop  context.CancelFunc
+	loops sync.WaitGroup
+}
+
+// daemonParts is what a Daemon runs.
+type daemonParts struct {
+	fx.In
+
+	Settings  *steering.Settings
+	Options   Options
+	Self      Identity
+	Store     platform.Store
+	VMList    platform.VMList
+	Directory *vm.Directory
+	Exchanger *vm.Exchanger
+	Follower  *steering.Follower
+	Pokes     *pokes
+	Domains   *domains
+	Leaders   *leaders
+	Peers     *peers
+	PeerPool  *peer.Pool
+	Book      *contract.Book
+	Pools     *pools
+	Topology  *topology
+	Handler   *request.Handler
+	Records   *review.Log
+	Recorder  review.Recorder
+	Servers   *servers
+	Log       logrus.FieldLogger
+}
+
+func newDaemon(lc fx.Lifecycle, parts daemonParts) *Daemon {
+	d := &Daemon{parts: parts}
+	lc.Append(fx.Hook{OnStart: d.start, OnStop: d.end})
+	return d
+}
+
+// start begins every loop and then the servers.
+func (d *Daemon) start(context.Context) error {
+	p := &d.parts
+	ctx, stop := context.WithCancel(context.Background())
+	d.stop = stop
+	p.Pokes.fn = p.Topology.poke
+	d.loop(func() { pollVMs(ctx, p.VMList, p.Directory, p.Settings.Limits.PollVMList.Std(), p.Topology.poke) })
+	d.loop(func() { p.Exchanger.Run(ctx) })
+	d.loop(func() { _ = p.Follower.Run(ctx) })
+	d.loop(func() { p.Domains.run(ctx) })
+	d.loop(func() { p.Topology.run(ctx) })
+	d.loop(func() { d.notice(ctx) })
+	d.loop(func() { d.borrower().Run(ctx) })
+	d.loop(func() { providePoller(p.Options, p.Pools).Run(ctx) })
+	d.loop(func() { p.Records.Run(ctx) })
+	d.loop(func() { review.NewMirror(review.MirrorOptions{Log: p.Records, Send: p.Peers.mirror}).Run(ctx) })
+	d.loop(func() { d.digester().Run(ctx) })
+	p.Servers.start(ctx)
+	p.Log.WithFields(logrus.Fields{"event": "started", "incarnation": p.Self.Incarnation}).Info("entry VM")
+	return nil
+}
+
+func (d *Daemon) loop(fn func()) { d.loops.Go(fn) }
+
+// notice tells the follower of revisions that heartbeats carry.
+func (d *Daemon) notice(ctx context.Context) {
+	const interval = 250 * time.Millisecond
+	tick := time.NewTicker(interval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		view := d.parts.Directory.View()
+		for i := range view.Entries {
+			if r := view.Entries[i].Revision; r > d.parts.Follower.Revision() {
+				d.parts.Follower.Notice(r)
+			}
+		}
+	}
+}
+
+func (d *Daemon) borrower() *contract.Borrower {
+	return contract.NewBorrower(contract.BorrowerOptions{
+		Book:   d.parts.Book,
+		Ask:    d.parts.Peers.askGrant,
+		Return: d.parts.Peers.returnGrant,
+		Leads:  d.parts.Domains.leads,
+	})
+}
+
+func (d *Daemon) digester() *review.Digester {
+	return review.NewDigester(review.DigesterOptions{
+		Log:      d.parts.Records,
+		Store:    d.parts.Store,
+		Zone:     d.parts.Self.Zone,
+		Leader:   func() bool { return d.parts.Domains.leads(d.parts.Self.Zone) },
+		ToLeader: d.parts.Peers.toLeader,
+	})
+}
+
+// end is the planned stop: lookups stop naming this VM, what still arrives is served, nothing in
+// flight is cut. Only then the servers and the loops end.
+func (d *Daemon) end(ctx context.Context) error {
+	began := time.Now()
+	p := &d.parts
+	p.Recorder.Record(&review.Record{Kind: review.KindStop, Constraint: review.ConstraintDrain, Result: "begun"})
+	p.Handler.BeginStop()
+	p.Topology.poke()
+	select {
+	case <-p.Handler.Drained():
+	case <-ctx.Done():
+	}
+	p.Recorder.Record(&review.Record{
+		Kind: review.KindStop, Constraint: review.ConstraintDrain, Result: "drained", Took: time.Since(began),
+	})
+	p.Log.WithFields(logrus.Fields{
+		"event": "drained", "took_ms": time.Since(began).Milliseconds(), "in_flight": p.Handler.InFlight(),
+	}).Info("planned stop")
+	return d.shutdown(ctx)
+}
+
+// shutdown ends the servers and loops; what follows the drain has its own short limit.
+func (d *Daemon) shutdown(ctx context.Context) error {
+	const limit = 3 * time.Second
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), limit)
+	defer cancel()
+	err := d.parts.Servers.requests.Shutdown(ctx)
+	d.stop()
+	d.loops.Wait()
+	_ = d.parts.Servers.admin.Shutdown(ctx)
+	_ = d.parts.PeerPool.Close()
+	return err
+}
+
+// discardLog drops net/http's own lines: each failure of a connection is counted and recorded
+// where it matters.
+func discardLog() *stdlog.Logger { return stdlog.New(io.Discard, "", 0) }
--- /dev/null
+++ b/internal/entry/follow.go
@@ -0,0 +1,94 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"go.uber.org/fx"
+
+	"github.com/azureflow/azureflow/internal/contract"
+	"github.com/azureflow/azureflow/internal/peer"
+	"github.com/azureflow/azureflow/internal/platform"
+	"github.com/azureflow/azureflow/internal/review"
+	"github.com/azureflow/azureflow/internal/steering"
+	"github.com/azureflow/azureflow/internal/telemetry"
+	"github.com/azureflow/azureflow/internal/vm"
+	"github.com/azureflow/azureflow/internal/zone"
+)
+
+// pokes holds what is called when something changed that the topology depends on. The parts that
+// call it are built before the topology is.
+type pokes struct{ fn func() }
+
+func (p *pokes) poke() {
+	if p.fn != nil {
+		p.fn()
+	}
+}
+
+// followed is the follower with what it depends on built late.
+type followed struct {
+	fx.Out
+
+	Follower *steering.Follower
+	Pokes    *pokes
+	Alarms   *alarms
+}
+
+func provideFollower(
+	s *steering.Settings, self Identity, store platform.Store, p *peers, l *leaders,
+	recorder review.Recorder, m *telemetry.Metrics, log logrus.FieldLogger,
+) followed {
+	out := followed{Pokes: &pokes{}, Alarms: &alarms{}}
+	out.Follower = steering.NewFollower(steering.FollowerOptions{
+		Store:          store,
+		WatchStore:     func() bool { return l.is(self.Zone, self.Name) },
+		FetchFromPeers: p.fetchRevision,
+		OnRevision: func(cfg *steering.Configuration) {
+			m.RevisionInForce(cfg.Revision)
+			recorder.Record(&review.Record{
+				Kind: review.KindRevision, Revision: cfg.Revision, Constraint: review.ConstraintNone, Result: "in force",
+			})
+			log.WithFields(logrus.Fields{"event": "revision_in_force", "revision": cfg.Revision}).Info("configuration taken up")
+			out.Pokes.poke()
+		},
+		OnAlarm: func(a steering.Alarm) {
+			m.RevisionDenied(string(a.Kind))
+			out.Alarms.add(a, time.Now())
+			recorder.Record(&review.Record{
+				Kind: review.KindRevision, Revision: a.InForce, Constraint: review.ConstraintNone, Result: string(a.Kind),
+			})
+			log.WithFields(logrus.Fields{"event": "revision_alarm", "kind": a.Kind, "in_force": a.InForce, "other": a.Other}).Warn(a.Reason)
+		},
+		StoreCallsPerMin: s.Limits.StoreCallsPerMin,
+	})
+	return out
+}
+
+func provideDomains(
+	self Identity, store platform.Store, d *vm.Directory, book *contract.Book, l *leaders, p *peers, rooms *rooms,
+	recorder review.Recorder, log logrus.FieldLogger,
+) *domains {
+	return newDomains(domainDeps{
+		self: self, store: store, directory: d, book: book, leaders: l, peers: p, onChange: rooms.signalAll,
+		onLeader: func(name steering.ZoneName, s zone.State) {
+			l.learn([]*peer.LeaderState{{Zone: string(name), Vm: string(s.VM), Epoch: s.Epoch}})
+			recorder.Record(&review.Record{
+				Kind: review.KindLeader, Constraint: review.ConstraintNone, Result: string(s.VM),
+				Inputs: []review.Input{{Name: "zone", Value: string(name)}},
+			})
+			log.WithFields(logrus.Fields{"event": "leader_changed", "zone": name, "leader": s.VM, "epoch": s.Epoch}).Info("zone leader")
+		},
+	})
+}
+
+func provideExchanger(d *vm.Directory, state *selfState, l *leaders, pool *peer.Pool) *vm.Exchanger {
+	return vm.NewExchanger(vm.ExchangerOptions{
+		Directory: d,
+		Self:      state.next,
+		Leaders:   l.list,
+		Learn:     l.learn,
+		Pool:      pool,
+		IsLeader:  l.is,
+	})
+}
--- a/internal/entry/options.go
+++ b/internal/entry/options.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"strconv"
 	"time"
@@ -26,6 +27,7 @@
 	Settings  *steering.Settings
 	Listeners *Listeners // nil: opened from the settings
 	Dial      Dial       // nil: TCP; used towards upstreams, peers and the platform
+	LogTo     io.Writer  // nil: standard error
 }
 
 // Identity says which life of which VM a daemon is.
@@ -51,6 +53,14 @@
 	}
 }
 
+// provideListeners returns the sockets given, or opens those of the settings.
+func provideListeners(opts Options) (*Listeners, error) {
+	if opts.Listeners != nil {
+		return opts.Listeners, nil
+	}
+	return open(&opts.Settings.Listen)
+}
+
 // open opens the sockets that the settings name.
 func open(s *steering.ListenSettings) (*Listeners, error) {
 	var l Listeners
--- /dev/null
+++ b/internal/entry/servers.go
@@ -0,0 +1,103 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/sirupsen/logrus"
+
+	"github.com/azureflow/azureflow/internal/lookup"
+	"github.com/azureflow/azureflow/internal/peer"
+	"github.com/azureflow/azureflow/internal/request"
+	"github.com/azureflow/azureflow/internal/review"
+	"github.com/azureflow/azureflow/internal/steering"
+	"github.com/azureflow/azureflow/internal/telemetry"
+	"github.com/azureflow/azureflow/internal/vm"
+)
+
+const (
+	readHeaderTimeout = 5 * time.Second
+	callerIdleTimeout = 2 * time.Minute // of a caller's connection
+)
+
+// peerService is what this VM answers to other entry VMs, joined from the parts that answer.
+type peerService struct {
+	exchange
+	*steering.Follower
+	*domains
+	*request.Journal
+	*review.Log
+}
+
+// exchange keeps the rest of the Exchanger's methods out of peerService.
+type exchange struct{ exchanger *vm.Exchanger }
+
+// Exchange implements peer.DRPCPeerServer.
+func (e exchange) Exchange(ctx context.Context, req *peer.ExchangeRequest) (*peer.ExchangeReply, error) {
+	return e.exchanger.Exchange(ctx, req)
+}
+
+var _ peer.DRPCPeerServer = peerService{}
+
+// servers are the three servers of a daemon.
+type servers struct {
+	listeners *Listeners
+	requests  *http.Server
+	admin     *http.Server
+	peers     peer.DRPCPeerServer
+	log       logrus.FieldLogger
+}
+
+func newServers(
+	l *Listeners, h *request.Handler, table *lookup.Table, recorder review.Recorder, m *telemetry.Metrics, admin adminHandler,
+	x *vm.Exchanger, f *steering.Follower, d *domains, j *request.Journal, records *review.Log, log logrus.FieldLogger,
+) *servers {
+	lookups := lookup.NewHandler(lookup.HandlerOptions{
+		Table: table, Recorder: recorder, Metrics: m,
+		Known: func(service steering.ServiceName) bool {
+			cfg := f.Current()
+			return cfg == nil || cfg.ServiceByName(service) != nil
+		},
+	})
+	return &servers{
+		listeners: l,
+		requests:  &http.Server{Handler: callerRoutes(lookups, h), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout},
+		admin:     &http.Server{Handler: admin, ReadHeaderTimeout: readHeaderTimeout},
+		peers:     peerService{exchange: exchange{x}, Follower: f, domains: d, Journal: j, Log: records},
+		log:       log,
+	}
+}
+
+// callerRoutes sends lookups to their handler and everything else to the path of a request.
+func callerRoutes(lookups, requests http.Handler) http.Handler {
+	r := mux.NewRouter().SkipClean(true).UseEncodedPath()
+	r.Handle(lookup.Path, lookups)
+	r.NotFoundHandler = requests
+	r.MethodNotAllowedHandler = requests
+	return r
+}
+
+// start serves until ctx ends (peers) or the HTTP servers are shut down.
+func (s *servers) start(ctx context.Context) {
+	s.serveHTTP("requests", s.requests, s.listeners.Requests)
+	s.serveHTTP("admin", s.admin, s.listeners.Admin)
+	go func() {
+		err := peer.Serve(ctx, s.listeners.Peer, s.peers)
+		if err != nil && ctx.Err() == nil {
+			s.log.WithFields(logrus.Fields{"event": "server_failed", "server": "peer"}).Error(err.Error())
+		}
+	}()
+}
+
+func (s *servers) serveHTTP(name string, server *http.Server, l net.Listener) {
+	server.ErrorLog = discardLog()
+	go func() {
+		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			s.log.WithFields(logrus.Fields{"event": "server_failed", "server": name}).Error(err.Error())
+		}
+	}()
+}
--- /dev/null
+++ b/internal/entry/topology.go
@@ -0,0 +1,271 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/azureflow/azureflow/internal/contract"
+	"github.com/azureflow/azureflow/internal/lookup"
+	"github.com/azureflow/azureflow/internal/platform"
+	"github.com/azureflow/azureflow/internal/region"
+	"github.com/azureflow/azureflow/internal/review"
+	"github.com/azureflow/azureflow/internal/steering"
+	"github.com/azureflow/azureflow/internal/vm"
+)
+
+// planInterval is the time between two plans.
+const planInterval = time.Second
+
+// topology keeps what the path of a request reads in step with the configuration, the VM list and the
+// heartbeats. Its methods run on one goroutine.
+type topology struct {
+	self      Identity
+	config    func() *steering.Configuration
+	directory *vm.Directory
+	pools     *pools
+	domains   *domains
+	links     *links
+	book      *contract.Book
+	flows     *flows
+	rooms     *rooms
+	table     *region.Table
+	lookups   *lookup.Table
+	recorder  review.Recorder
+	log       logrus.FieldLogger
+
+	planner *region.Planner
+	changed chan struct{}
+	ready   atomic.Bool
+}
+
+// poke asks for a step soon.
+func (t *topology) poke() {
+	select {
+	case t.changed <- struct{}{}:
+	default:
+	}
+}
+
+// run steps every planInterval and after each poke until ctx ends.
+func (t *topology) run(ctx context.Context) {
+	tick := time.NewTicker(planInterval)
+	defer tick.Stop()
+	for {
+		t.step(time.Now())
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		case <-t.changed:
+		}
+	}
+}
+
+// step brings everything in step with what is known at now.
+func (t *topology) step(now time.Time) {
+	cfg := t.config()
+	view := t.directory.View()
+	t.lookups.Update(lookupView(cfg, view, t.self.Name))
+	if cfg == nil {
+		return
+	}
+	t.pools.update(view.Upstreams, now)
+	t.domains.ensure(zonesOf(cfg, t.self.Region))
+	t.domains.setCapacity(cfg, zoneSlots(view), now)
+	t.links.update(cfg, view)
+	plans, inputs := t.planner.Step(now, observe(cfg, view, t.links.observe(now)))
+	t.recordChanges(plans, inputs)
+	t.table.Replace(plans)
+	t.rooms.signalAll()
+	if !t.ready.Swap(true) {
+		t.log.WithFields(logrus.Fields{"event": "ready", "revision": cfg.Revision}).Info("serving")
+	}
+}
+
+// recordChanges records each plan that moved traffic or is the first, with its inputs.
+func (t *topology) recordChanges(plans []region.Plan, inputs []region.Inputs) {
+	known := make(map[steering.ServiceName]*region.Plan)
+	old := t.table.Plans()
+	for i := range old {
+		known[old[i].Service] = &old[i]
+	}
+	for i := range plans {
+		before := known[plans[i].Service]
+		if before == nil || changed(before, &plans[i]) {
+			t.recordPlan(&plans[i], &inputs[i], before == nil)
+		}
+	}
+}
+
+// changed reports whether a plan gives some region another share than the one before.
+func changed(before, after *region.Plan) bool {
+	for i := range after.Origins {
+		o := &after.Origins[i]
+		was := before.Origin(o.Region)
+		if was == nil || o.Moved > 0 || was.Refused != o.Refused {
+			return true
+		}
+	}
+	return false
+}
+
+func (t *topology) recordPlan(p *region.Plan, in *region.Inputs, first bool) {
+	kind := review.KindShift
+	if first {
+		kind = review.KindPlan
+	}
+	t.recorder.Record(&review.Record{
+		Kind:       kind,
+		At:         p.At,
+		Service:    p.Service,
+		Revision:   p.Revision,
+		PlanEpoch:  p.Epoch,
+		Constraint: boundBy(p),
+		Result:     planText(p),
+		Inputs:     []review.Input{jsonInput(inputPlanInputs, in), jsonInput(inputPlan, p)},
+	})
+}
+
+// Names of the inputs of a plan's record.
+const (
+	inputPlanInputs = "plan_inputs"
+	inputPlan       = "plan"
+)
+
+func jsonInput(name string, v any) review.Input {
+	text, err := json.Marshal(v)
+	if err != nil {
+		text = []byte("null")
+	}
+	return review.Input{Name: name, Value: string(text)}
+}
+
+// recompute computes a recorded plan again; see review.Sources.
+func recompute(r *review.Record) (agrees bool, detail string) {
+	var in region.Inputs
+	var recorded region.Plan
+	for _, input := range r.Inputs {
+		var err error
+		switch input.Name {
+		case inputPlanInputs:
+			err = json.Unmarshal([]byte(input.Value), &in)
+		case inputPlan:
+			err = json.Unmarshal([]byte(input.Value), &recorded)
+		}
+		if err != nil {
+			return false, "the record cannot be read: " + err.Error()
+		}
+	}
+	if in.Service == "" {
+		return false, "the record holds no inputs"
+	}
+	again := region.Compute(in)
+	if !again.Equal(&recorded) {
+		return false, "computed again: " + planText(&again)
+	}
+	return true, "the same inputs give the same plan"
+}
+
+// boundBy returns the first constraint that bound a plan.
+func boundBy(p *region.Plan) review.Constraint {
+	for i := range p.Origins {
+		if c := p.Origins[i].Constraint; c != review.ConstraintNone && c != "" {
+			return c
+		}
+	}
+	return review.ConstraintNone
+}
+
+// planText writes a plan for people: origin to region share, ...
+func planText(p *region.Plan) string {
+	text := ""
+	for i := range p.Origins {
+		o := &p.Origins[i]
+		for _, s := range o.Shares {
+			text += fmt.Sprintf("%s>%s %.3f ", o.Region, s.Region, s.Share)
+		}
+		if o.Refused > 0 {
+			text += fmt.Sprintf("%s refused %.3f ", o.Region, o.Refused)
+		}
+	}
+	return text
+}
+
+func zonesOf(cfg *steering.Configuration, name steering.RegionName) []steering.ZoneName {
+	for i := range cfg.Platform.Regions {
+		if cfg.Platform.Regions[i].Name == name {
+			return cfg.Platform.Regions[i].Zones
+		}
+	}
+	return nil
+}
+
+// lookupView is what lookups are answered from. Before a configuration is in force only the VMs
+// themselves are known.
+func lookupView(cfg *steering.Configuration, view *vm.View, self vm.Name) lookup.View {
+	out := lookup.View{LearnedAt: view.ListAt}
+	if cfg != nil {
+		out.Revision = cfg.Revision
+		out.Platform = cfg.Platform
+	}
+	for i := range view.Entries {
+		e := &view.Entries[i]
+		if e.VM.Name != self && e.HeardAt.After(out.LearnedAt) {
+			out.LearnedAt = e.HeardAt
+		}
+		out.VMs = append(out.VMs, lookup.VMView{
+			Name:        e.VM.Name,
+			Incarnation: e.Incarnation,
+			Zone:        e.VM.Zone,
+			Address:     e.VM.Address,
+			Leaving:     e.Liveness == vm.Leaving,
+			Silent:      e.Liveness == vm.Dead || e.Liveness == vm.Suspect,
+			Utilization: utilization(e),
+			Carried:     carried(e),
+		})
+	}
+	return out
+}
+
+// utilization returns the share of the slots a VM holds that are in use.
+func utilization(e *vm.Entry) float64 {
+	inFlight, held := 0.0, 0.0
+	for _, l := range e.Loads {
+		inFlight += float64(l.GetInFlight())
+		held += float64(l.GetHeldSlots())
+	}
+	if held == 0 {
+		return 0
+	}
+	return inFlight / held
+}
+
+func carried(e *vm.Entry) float64 {
+	sum := 0.0
+	for _, l := range e.Loads {
+		sum += float64(l.GetCarriedPerS())
+	}
+	return sum
+}
+
+// pollVMs reads the VM list until ctx ends. While the list cannot be read the last one stays.
+func pollVMs(ctx context.Context, list platform.VMList, d *vm.Directory, every time.Duration, onChange func()) {
+	tick := time.NewTicker(every)
+	defer tick.Stop()
+	for {
+		if rows, err := list.VMs(ctx); err == nil {
+			d.UpdateList(rows, time.Now())
+			onChange()
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+	}
+}
--- a/internal/vm/directory.go
+++ b/internal/vm/directory.go
@@ -51,6 +51,7 @@
 	HeardAt     time.Time         // when its heartbeat last rose, by the local clock
 	Loads       []*peer.ServiceLoad
 	Origins     []*peer.OriginLoad
+	Listed      bool // in the VM list when that was last read
 }
 
 // View is an immutable snapshot of a Directory.
@@ -171,6 +172,19 @@
 	}
 }
 
+// UpdateSelf notes what this VM says of itself.
+func (d *Directory) UpdateSelf(state *peer.VMState, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	m := d.members[d.opts.Self]
+	m.state = state
+	m.heardAt = now
+	if state.GetLeaving() {
+		m.row.State = StateLeaving
+	}
+	d.publish(now)
+}
+
 // Refresh ages the beliefs at now.
 func (d *Directory) Refresh(now time.Time) {
 	d.mu.Lock()
@@ -217,7 +231,7 @@
 }
 
 func (d *Directory) entry(m *member, now time.Time) Entry {
-	e := Entry{VM: m.row, HeardAt: m.heardAt, Liveness: d.liveness(m, now)}
+	e := Entry{VM: m.row, HeardAt: m.heardAt, Liveness: d.liveness(m, now), Listed: m.inList}
 	if m.state != nil {
 		e.Incarnation = Incarnation(m.state.GetIncarnation())
 		e.Revision = steering.Revision(m.state.GetRevision())
