--- a/internal/steering/check_platform.go
+++ b/internal/steering/check_platform.go
@@ -32,6 +32,9 @@
 
 // given reports whether the file holds a value of the right type at path.
 func (c *checker) given(path string) bool {
+	if c.source.offsets == nil {
+		return true // not from a file
+	}
 	_, ok := c.source.offsets[path]
 	return ok && !c.source.unfit[path]
 }
--- a/internal/steering/configuration.go
+++ b/internal/steering/configuration.go
@@ -4,10 +4,11 @@
 
 // Configuration is what one revision puts in force. It is immutable once built.
 type Configuration struct {
-	Revision    Revision  `json:"revision"`
-	PublishedAt time.Time `json:"published_at"`
-	Platform    Platform  `json:"platform"`
-	Services    []Service `json:"services"` // sorted by name
+	Revision    Revision      `json:"revision"`
+	Publication PublicationID `json:"publication"` // the publication that made the revision
+	PublishedAt time.Time     `json:"published_at"`
+	Platform    Platform      `json:"platform"`
+	Services    []Service     `json:"services"` // sorted by name
 }
 
 // Platform is the content of the platform file: where things are and who owns what.
--- /dev/null
+++ b/internal/steering/follower.go
@@ -0,0 +1,160 @@
+package steering
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"golang.org/x/sync/errgroup"
+	"golang.org/x/time/rate"
+
+	"github.com/azureflow/azureflow/internal/platform/kv"
+)
+
+// Defaults of FollowerOptions.
+const (
+	defaultStoreCallsPerMin = 240
+	defaultGuardPoll        = 2 * time.Second
+	defaultPeerPoll         = 2 * time.Second
+	defaultStoreFallback    = 10 * time.Second
+	defaultPeerTimeout      = 2 * time.Second
+	defaultStoreTimeout     = 3 * time.Second
+	storeBurst              = 20 // calls
+	unreadableRetry         = 30 * time.Second
+	jitterShare             = 0.25
+)
+
+// FollowerOptions configure a Follower. None is required; without Store and FetchFromPeers it only
+// takes what it is offered.
+type FollowerOptions struct {
+	Store kv.Store
+	// WatchStore says whether this VM follows the store itself, as the leader of its zone does; by
+	// default it always does. Others follow their peers, and read the store if these fail.
+	WatchStore func() bool
+	// FetchFromPeers returns the highest configuration above a revision that a peer has, as
+	// FetchRevision answers it; revision 0: none. above 0 asks for the whole.
+	FetchFromPeers func(ctx context.Context, above Revision) ([]byte, Revision, error)
+	// OnRevision is called for each configuration taken up, in order, one call at a time. It must
+	// not call Offer.
+	OnRevision func(*Configuration)
+	// OnAlarm is called when a condition begins that an operator has to know.
+	OnAlarm func(Alarm)
+
+	StoreCallsPerMin int           // budget; default 240
+	GuardPoll        time.Duration // between reads of the head beside the watch; default 2 s
+	PeerPoll         time.Duration // between questions to peers; default 2 s
+	StoreFallback    time.Duration // without a peer's answer before the store is read; default 10 s
+}
+
+func (o *FollowerOptions) setDefaults() {
+	if o.WatchStore == nil {
+		o.WatchStore = func() bool { return true }
+	}
+	if o.OnRevision == nil {
+		o.OnRevision = func(*Configuration) {}
+	}
+	if o.OnAlarm == nil {
+		o.OnAlarm = func(Alarm) {}
+	}
+	setDefault(&o.StoreCallsPerMin, defaultStoreCallsPerMin)
+	setDefault(&o.GuardPoll, defaultGuardPoll)
+	setDefault(&o.PeerPoll, defaultPeerPoll)
+	setDefault(&o.StoreFallback, defaultStoreFallback)
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// Follower keeps the configuration in force on one entry VM. It never takes a lower revision than it
+// has, whoever offers it. Its methods are safe for concurrent use.
+type Follower struct {
+	options FollowerOptions
+	budget  *rate.Limiter
+	notice  chan struct{} // wakes the peer loop
+
+	inForce atomic.Pointer[state]
+	taking  sync.Mutex // held while a state is put in force
+
+	mu       sync.Mutex // guards what follows
+	status   Status
+	failed   PublicationID // the last that could not be read
+	failedAt time.Time
+}
+
+// NewFollower returns a Follower that has nothing in force yet.
+func NewFollower(o FollowerOptions) *Follower {
+	o.setDefaults()
+	perSecond := rate.Limit(float64(o.StoreCallsPerMin) / time.Minute.Seconds())
+	return &Follower{
+		options: o,
+		budget:  rate.NewLimiter(perSecond, storeBurst),
+		notice:  make(chan struct{}, 1),
+	}
+}
+
+// Current returns the configuration in force, or nil before the first.
+func (f *Follower) Current() *Configuration {
+	if s := f.inForce.Load(); s != nil {
+		return s.configuration
+	}
+	return nil
+}
+
+// Revision returns the revision in force, 0 before the first.
+func (f *Follower) Revision() Revision {
+	if c := f.Current(); c != nil {
+		return c.Revision
+	}
+	return 0
+}
+
+// Notice tells the follower that a peer has a revision in force, as heartbeats carry it. A higher one
+// is fetched at once.
+func (f *Follower) Notice(revision Revision) {
+	if revision <= f.Revision() {
+		return
+	}
+	select {
+	case f.notice <- struct{}{}:
+	default:
+	}
+}
+
+// Run follows store and peers until ctx ends and then returns nil.
+func (f *Follower) Run(ctx context.Context) error {
+	f.fetchFromPeers(ctx)
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { f.followPeers(ctx); return nil })
+	if f.options.Store != nil {
+		group.Go(func() error { f.followStore(ctx); return nil })
+		group.Go(func() error { f.guardStore(ctx); return nil })
+	}
+	return group.Wait()
+}
+
+// pause waits for about d, jittered, or until ctx ends, and reports whether ctx goes on.
+func pause(ctx context.Context, d time.Duration) bool {
+	spread := 1 + jitterShare*(2*rand.Float64()-1)
+	timer := time.NewTimer(time.Duration(float64(d) * spread))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// newWaits returns the waits between calls that fail.
+func newWaits() *backoff.ExponentialBackOff {
+	waits := backoff.NewExponentialBackOff()
+	waits.InitialInterval, waits.MaxInterval = defaultRetryMin, defaultRetryMax
+	return waits
+}
--- /dev/null
+++ b/internal/steering/publish_test.go
@@ -0,0 +1,388 @@
+package steering_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/azureflow/azureflow/internal/peer"
+	"github.com/azureflow/azureflow/internal/platform/platformtest"
+	"github.com/azureflow/azureflow/internal/standin/memkv"
+	"github.com/azureflow/azureflow/internal/steering"
+)
+
+// mustLoad returns the tree of files, name and content in turn.
+func mustLoad(t testing.TB, files ...string) *steering.Tree {
+	t.Helper()
+	dir := writeTree(t, files...)
+	tree, report := steering.LoadTree([]string{dir})
+	if err := report.Err(); err != nil {
+		t.Fatal(err)
+	}
+	return tree
+}
+
+// serviceFile returns a steering file whose weight in region north is given.
+func serviceFile(service, team string, north int) string {
+	return fmt.Sprintf(`{"service": %q, "team": %q,
+  "operations": [{"name": "get", "method": "GET", "path": "/x", "idempotent": true, "class": "interactive",
+    "expected_bytes": 10000, "peak_requests_s": 100}],
+  "regions": [{"region": "north", "weight": %d}, {"region": "south", "weight": 1}]}`, service, team, north)
+}
+
+func alpha(t testing.TB, north int) *steering.Tree {
+	return mustLoad(t, "alpha.steering.jsonc", serviceFile("alpha", "red", north))
+}
+
+func beta(t testing.TB, north int) *steering.Tree {
+	return mustLoad(t, "beta.steering.jsonc", serviceFile("beta", "blue", north))
+}
+
+func newPublisher(store *platformtest.Client) *steering.Publisher {
+	return steering.NewPublisher(steering.PublisherOptions{Store: store})
+}
+
+func mustPublish(t testing.TB, p *steering.Publisher, tree *steering.Tree) steering.PublishResult {
+	t.Helper()
+	result, err := p.Publish(context.Background(), tree, steering.PublishOptions{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return result
+}
+
+// publishBase publishes the platform and both services, revision 1.
+func publishBase(t testing.TB, store *platformtest.Client) {
+	t.Helper()
+	mustPublish(t, newPublisher(store), mustLoad(t, "platform.jsonc", testPlatform,
+		"alpha.steering.jsonc", serviceFile("alpha", "red", 1),
+		"beta.steering.jsonc", serviceFile("beta", "blue", 1)))
+}
+
+func northWeight(c *steering.Configuration, service steering.ServiceName) float64 {
+	return c.ServiceByName(service).Weights[0].Weight
+}
+
+func TestPublishRaisesRevision(t *testing.T) {
+	store := platformtest.NewStore(platformtest.StoreOptions{})
+	publishBase(t, store.Client)
+	p := newPublisher(store.Client)
+	for want := 2; want <= 200; want++ {
+		if r := mustPublish(t, p, alpha(t, want)); r.Revision != steering.Revision(want) {
+			t.Fatalf("revision %d, want %d", r.Revision, want)
+		}
+	}
+	c, err := p.InForce(t.Context())
+	if err != nil || northWeight(c, "alpha") != 200 || northWeight(c, "beta") != 1 {
+		t.Fatalf("got %+v %v", c, err)
+	}
+	if r := mustPublish(t, p, alpha(t, 200)); !r.Unchanged || r.Revision != 200 {
+		t.Fatalf("got %+v", r)
+	}
+	entries, _, _ := store.List(t.Context(), "steering/")
+	if len(entries) > 64+4 {
+		t.Errorf("%d keys are left in the store", len(entries))
+	}
+}
+
+func TestPublishersOfTwoServicesBothSucceed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := platformtest.NewStore(platformtest.StoreOptions{})
+		publishBase(t, store.Client)
+		store.SetStoreFaults(platformtest.Faults{Delay: 10 * time.Millisecond})
+		trees := []*steering.Tree{alpha(t, 7), beta(t, 9)}
+		done := make(chan error, len(trees))
+		for i, tree := range trees {
+			client := store.NewClient(fmt.Sprint(i))
+			go func() {
+				_, err := newPublisher(client).Publish(t.Context(), tree, steering.PublishOptions{})
+				done <- err
+			}()
+		}
+		if err := errors.Join(<-done, <-done); err != nil {
+			t.Fatal(err)
+		}
+		c, err := newPublisher(store.Client).InForce(t.Context())
+		if err != nil || c.Revision != 3 || northWeight(c, "alpha") != 7 || northWeight(c, "beta") != 9 {
+			t.Fatalf("got %+v %v", c, err)
+		}
+	})
+}
+
+func TestLoserOnSameServiceIsToldWhoCameFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := platformtest.NewStore(platformtest.StoreOptions{})
+		publishBase(t, store.Client)
+		store.SetStoreFaults(platformtest.Faults{Delay: 10 * time.Millisecond})
+		trees := []*steering.Tree{alpha(t, 7), alpha(t, 9)}
+		done := make(chan error, len(trees))
+		for i, tree := range trees {
+			client := store.NewClient(fmt.Sprint(i))
+			go func() {
+				_, err := newPublisher(client).Publish(t.Context(), tree, steering.PublishOptions{})
+				done <- err
+			}()
+		}
+		err := errors.Join(<-done, <-done)
+		var conflict *steering.ConflictError
+		if !errors.As(err, &conflict) || conflict.Service != "alpha" || conflict.Revision != 2 {
+			t.Fatalf("got %v", err)
+		}
+	})
+}
+
+func TestStaleFilesAreRefusedByBase(t *testing.T) {
+	store := platformtest.NewStore(platformtest.StoreOptions{})
+	publishBase(t, store.Client)
+	p := newPublisher(store.Client)
+	mustPublish(t, p, alpha(t, 5))
+	var conflict *steering.ConflictError
+	_, err := p.Publish(t.Context(), alpha(t, 1), steering.PublishOptions{Base: 1})
+	if !errors.As(err, &conflict) || conflict.Revision != 2 {
+		t.Fatalf("got %v", err)
+	}
+	if _, err := p.Publish(t.Context(), beta(t, 2), steering.PublishOptions{Base: 1}); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestTeamCannotChangeAnothersService(t *testing.T) {
+	store := platformtest.NewStore(platformtest.StoreOptions{})
+	publishBase(t, store.Client)
+	tree := mustLoad(t, "alpha.steering.jsonc", serviceFile("alpha", "blue", 3))
+	_, err := newPublisher(store.Client).Publish(t.Context(), tree, steering.PublishOptions{})
+	var faults *steering.FaultsError
+	if !errors.As(err, &faults) || !strings.Contains(err.Error(), `"red", which owns the service`) {
+		t.Fatalf("got %v", err)
+	}
+}
+
+func TestPlatformCannotTakeARegionInUse(t *testing.T) {
+	store := platformtest.NewStore(platformtest.StoreOptions{})
+	publishBase(t, store.Client)
+	tree := mustLoad(t, "platform.jsonc", strings.ReplaceAll(testPlatform, `"south"`, `"east"`))
+	_, err := newPublisher(store.Client).Publish(t.Context(), tree, steering.PublishOptions{})
+	var faults *steering.FaultsError
+	if !errors.As(err, &faults) || len(faults.Faults) != 2 {
+		t.Fatalf("got %v", err)
+	}
+}
+
+func TestDryRunWritesNothing(t *testing.T) {
+	store := platformtest.NewStore(platformtest.StoreOptions{})
+	publishBase(t, store.Client)
+	before := store.StoreCounts().Writes()
+	result, err := newPublisher(store.Client).Publish(t.Context(), alpha(t, 3), steering.PublishOptions{DryRun: true})
+	if err != nil || store.StoreCounts().Writes() != before {
+		t.Fatalf("%v, %d writes", err, store.StoreCounts().Writes()-before)
+	}
+	want := `difference to revision 1:
+  alpha: changed
+    regions[north].weight: 1 -> 3
+  alpha moves in north: 50.0% -> 75.0%, +2.0 Mbit/s, 3 window(s) of the shift cap
+  alpha moves in south: 50.0% -> 25.0%, -2.0 Mbit/s, 3 window(s) of the shift cap
+`
+	if got := result.Difference.Text(); got != want {
+		t.Errorf("got\n%s", got)
+	}
+}
+
+// failAt makes the n-th write of a client meet a verdict.
+func failAt(store *platformtest.Store, n int, v platformtest.Verdict) {
+	writes := 0
+	store.SetHook(func(c platformtest.Call) platformtest.Verdict {
+		if c.Client != "publisher" || (c.Op != memkv.OpSwap && c.Op != memkv.OpDelete) {
+			return memkv.VerdictPass
+		}
+		if writes++; writes == n {
+			return v
+		}
+		return memkv.VerdictPass
+	})
+}
+
+func TestLostAnswerAtEachWriteIsSettled(t *testing.T) {
+	for _, verdict := range []platformtest.Verdict{memkv.VerdictLoseAnswer, memkv.VerdictLoseRequest, memkv.VerdictRefuse} {
+		for n := 1; n <= 4; n++ {
+			synctest.Test(t, func(t *testing.T) {
+				store := platformtest.NewStore(platformtest.StoreOptions{})
+				publishBase(t, store.Client)
+				failAt(store, n, verdict)
+				result := mustPublish(t, newPublisher(store.NewClient("publisher")), alpha(t, 5))
+				if result.Revision != 2 || result.Unchanged {
+					t.Errorf("verdict %d at write %d: %+v", verdict, n, result)
+				}
+			})
+		}
+	}
+}
+
+func TestKilledAtEachStepLeavesOneRevisionOrTheNext(t *testing.T) {
+	for calls := range 12 {
+		synctest.Test(t, func(t *testing.T) {
+			store := platformtest.NewStore(platformtest.StoreOptions{})
+			publishBase(t, store.Client)
+			ctx, kill := context.WithCancel(t.Context())
+			made := 0
+			store.SetHook(func(c platformtest.Call) platformtest.Verdict {
+				if c.Client == "publisher" {
+					if made++; made > calls {
+						kill()
+						return memkv.VerdictRefuse
+					}
+				}
+				return memkv.VerdictPass
+			})
+			_, err := newPublisher(store.NewClient("publisher")).Publish(ctx, alpha(t, 5), steering.PublishOptions{})
+			c, readErr := newPublisher(store.Client).InForce(t.Context())
+			if readErr != nil {
+				t.Fatalf("killed after %d calls: %v", calls, readErr)
+			}
+			moved := c.Revision == 2 && northWeight(c, "alpha") == 5
+			kept := c.Revision == 1 && northWeight(c, "alpha") == 1
+			if !moved && !kept || (err == nil) != moved {
+				t.Errorf("killed after %d calls: %v, in force %+v", calls, err, c)
+			}
+			if r := mustPublish(t, newPublisher(store.Client), alpha(t, 6)); r.Revision != c.Revision+1 {
+				t.Errorf("killed after %d calls: next revision %d", calls, r.Revision)
+			}
+			kill()
+		})
+	}
+}
+
+func TestUnknownIsSaidAndSettled(t *testing.T) {
+	for _, verdict := range []platformtest.Verdict{memkv.VerdictLoseAnswer, memkv.VerdictLoseRequest} {
+		synctest.Test(t, func(t *testing.T) {
+			store := platformtest.NewStore(platformtest.StoreOptions{})
+			publishBase(t, store.Client)
+			down := false
+			store.SetHook(func(c platformtest.Call) platformtest.Verdict {
+				if c.Client == "publisher" && down {
+					return memkv.VerdictRefuse
+				}
+				if c.Client == "publisher" && c.Key == steering.HeadKey && c.Op == memkv.OpSwap {
+					down = true
+					return verdict
+				}
+				return memkv.VerdictPass
+			})
+			p := newPublisher(store.NewClient("publisher"))
+			_, err := p.Publish(t.Context(), alpha(t, 5), steering.PublishOptions{})
+			var unknown *steering.UnknownError
+			if !errors.As(err, &unknown) {
+				t.Fatalf("got %v", err)
+			}
+			if _, err := p.Settle(t.Context(), unknown.Publication); !errors.As(err, &unknown) {
+				t.Fatalf("settled while the store is down: %v", err)
+			}
+			settlement, err := newPublisher(store.Client).Settle(t.Context(), unknown.Publication)
+			if err != nil || settlement.Accepted != (verdict == memkv.VerdictLoseAnswer) {
+				t.Fatalf("got %+v %v", settlement, err)
+			}
+			for north := 6; north < 80; north++ {
+				mustPublish(t, newPublisher(store.Client), alpha(t, north))
+			}
+			again, err := newPublisher(store.Client).Settle(t.Context(), unknown.Publication)
+			if err != nil || again.Accepted != settlement.Accepted {
+				t.Fatalf("later: got %+v %v", again, err)
+			}
+		})
+	}
+}
+
+func TestSettleStopsAWriteThatIsOnItsWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := platformtest.NewStore(platformtest.StoreOptions{})
+		publishBase(t, store.Client)
+		slow := store.NewClient("slow")
+		held := make(chan struct{})
+		store.SetHook(func(c platformtest.Call) platformtest.Verdict {
+			if c.Client == "slow" && c.Key == steering.HeadKey && c.Op == memkv.OpSwap {
+				slow.SetFaults(platformtest.Faults{Delay: time.Minute})
+				close(held)
+			}
+			return memkv.VerdictPass
+		})
+		done := make(chan error)
+		go func() {
+			_, err := newPublisher(slow).Publish(t.Context(), alpha(t, 5), steering.PublishOptions{})
+			done <- err
+		}()
+		<-held
+		var unknown *steering.UnknownError
+		if err := <-done; !errors.As(err, &unknown) {
+			t.Fatalf("got %v", err)
+		}
+		settlement, err := newPublisher(store.Client).Settle(t.Context(), unknown.Publication)
+		if err != nil || settlement.Accepted {
+			t.Fatalf("got %+v %v", settlement, err)
+		}
+		time.Sleep(2 * time.Minute)
+		c, err := newPublisher(store.Client).InForce(t.Context())
+		if err != nil || c.Revision != 1 {
+			t.Fatalf("the write took effect after all: %+v %v", c, err)
+		}
+	})
+}
+
+func TestStoreDownIsNotAccepted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := platformtest.NewStore(platformtest.StoreOptions{})
+		publishBase(t, store.Client)
+		store.SetStoreFaults(platformtest.Faults{Down: true})
+		_, err := newPublisher(store.Client).Publish(t.Context(), alpha(t, 5), steering.PublishOptions{})
+		var refused *steering.NotAcceptedError
+		if !errors.As(err, &refused) {
+			t.Fatalf("got %v", err)
+		}
+	})
+}
+
+func TestPublishAfterRestoreGoesOnAboveTheVMs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := platformtest.NewStore(platformtest.StoreOptions{})
+		publishBase(t, store.Client)
+		old := store.Snapshot()
+		mustPublish(t, newPublisher(store.Client), beta(t, 4))
+		mustPublish(t, newPublisher(store.Client), beta(t, 5))
+		highest, err := newPublisher(store.Client).InForce(t.Context())
+		if err != nil {
+			t.Fatal(err)
+		}
+		store.Restore(old)
+		p := steering.NewPublisher(steering.PublisherOptions{
+			Store:          store,
+			HighestInForce: func(context.Context) (*steering.Configuration, error) { return highest, nil },
+		})
+		result := mustPublish(t, p, alpha(t, 8))
+		if result.Revision != 4 || result.StoreWasBehind == nil || *result.StoreWasBehind != 1 {
+			t.Fatalf("got %+v", result)
+		}
+		c, err := p.InForce(t.Context())
+		if err != nil || northWeight(c, "beta") != 5 || northWeight(c, "alpha") != 8 {
+			t.Fatalf("got %+v %v", c, err)
+		}
+	})
+}
+
+// peersOf returns a FetchFromPeers that asks the given followers.
+func peersOf(followers ...*steering.Follower) func(context.Context, steering.Revision) ([]byte, steering.Revision, error) {
+	return func(ctx context.Context, above steering.Revision) ([]byte, steering.Revision, error) {
+		var best *peer.FetchRevisionReply
+		for _, f := range followers {
+			reply, err := f.FetchRevision(ctx, &peer.FetchRevisionRequest{Above: uint64(above)})
+			if err != nil {
+				return nil, 0, err
+			}
+			if best == nil || reply.GetRevision() > best.GetRevision() {
+				best = reply
+			}
+		}
+		return best.GetConfiguration(), steering.Revision(best.GetRevision()), nil
+	}
+}
--- a/internal/steering/tree.go
+++ b/internal/steering/tree.go
@@ -223,3 +223,18 @@
 func (t *Tree) has(name ServiceName) bool {
 	return slices.ContainsFunc(t.services, func(s loadedService) bool { return s.Name == name })
 }
+
+// filePlatform returns p as a platform file with one row for each direction.
+func filePlatform(p *Platform) *platformFile {
+	out := &platformFile{
+		Deployment:  p.Deployment,
+		ZoneDelay:   p.ZoneDelay,
+		ClientDelay: p.ClientDelay,
+		Regions:     p.Regions,
+		Teams:       p.Teams,
+	}
+	for _, l := range p.Links {
+		out.Links = append(out.Links, fileLink{From: l.From, To: l.To, CapacityMbit: l.CapacityMbit, Delay: l.Delay})
+	}
+	return out
+}
--- a/internal/steering/tree_test.go
+++ b/internal/steering/tree_test.go
@@ -35,7 +35,7 @@
 }
 
 // writeTree writes files, name and content in turn, and returns their directory.
-func writeTree(t *testing.T, files ...string) string {
+func writeTree(t testing.TB, files ...string) string {
 	t.Helper()
 	dir := t.TempDir()
 	for i := 0; i < len(files); i += 2 {
