--- a/internal/admin/problem/problem.go
+++ b/internal/admin/problem/problem.go
@@ -22,6 +22,7 @@
 	KindNotFound     Kind = "not-found"     // 404: no such object
 	KindMethod       Kind = "method"        // 405: the interface is read-only
 	KindTooLong      Kind = "too-long"      // 414: the request is too long
+	KindBusy         Kind = "busy"          // 429: enough of this kind is under way
 	KindNotReady     Kind = "not-ready"     // 503: this VM cannot answer yet
 	KindSourceFailed Kind = "source-failed" // 502: what the answer needs could not be reached
 )
--- a/internal/lookup/handler_test.go
+++ b/internal/lookup/handler_test.go
@@ -47,7 +47,7 @@
 		"service=%zz":                        400,
 		"service=certdesk&origin=" + strings.Repeat("r", 129): 400,
 		"service=certdesk&block=" + strings.Repeat("b", 129):  400,
-		"service=unheard":                                     404,
+		"service=unheard": 404,
 		"service=certdesk&block=" + strings.Repeat("b", 4000): 414,
 	} {
 		w := httptest.NewRecorder()
--- a/internal/review/explain.go
+++ b/internal/review/explain.go
@@ -79,6 +79,16 @@
 	return "no record is left of decision " + string(e.ID)
 }
 
+// Detail returns the error with what is known of the VM that took the decision.
+func (e *UnknownDecisionError) Detail() string {
+	text := e.Error() + "; searched the VMs' memory and digests since " + e.SearchedFrom.UTC().Format(timeFormat)
+	for _, gap := range e.Missing.Gaps {
+		text += "; " + string(gap.VM) + " from " + gap.From.UTC().Format(timeFormat) +
+			" to " + gap.To.UTC().Format(timeFormat) + ": " + gap.Note
+	}
+	return text
+}
+
 // Explain tells the decision id in time order over all entry VMs that took part. Errors:
 // *MalformedIDError, *UnknownDecisionError.
 func Explain(ctx context.Context, sources Sources, id ID) (*Story, error) {
