--- a/internal/request/answer.go
+++ b/internal/request/answer.go
@@ -63,6 +63,7 @@
 		header["Content-Length"] = length
 	}
 	header[HeaderOutcome] = outcomeValues[outcome]
+	x.answerEarly()
 	x.w.WriteHeader(a.response.StatusCode)
 }
 
--- a/internal/request/body.go
+++ b/internal/request/body.go
@@ -48,6 +48,18 @@
 	return s.err != nil && s.err != io.EOF
 }
 
+// ended reports whether the caller's body was read to its end.
+func (s *bodySource) ended() bool {
+	if s == nil {
+		return true
+	}
+	if !s.mu.TryLock() {
+		return false
+	}
+	defer s.mu.Unlock()
+	return s.err == io.EOF
+}
+
 // reading reports whether a read from the caller is in progress.
 func (s *bodySource) reading() bool {
 	if s == nil {
--- a/internal/request/exchange.go
+++ b/internal/request/exchange.go
@@ -21,6 +21,9 @@
 // spread is an odd constant whose multiples fill the range of a uint64 evenly.
 const spread = 0x9E3779B97F4A7C15
 
+// uploadMargin is how long after the deadline of an upload its connection may still be read.
+const uploadMargin = time.Second
+
 // exchange is one request of a caller and its answer.
 type exchange struct {
 	h        *Handler
@@ -117,12 +120,27 @@
 	return nil
 }
 
-// prepareUpload lets an answer begin before the upload ends, and ends reads from the caller at the
-// deadline. Writers that support neither are used as they are.
+// prepareUpload bounds the wait for the caller's next byte. The margin keeps the end of the deadline from
+// looking like a caller that went away. Writers without deadlines are used as they are.
 func (x *exchange) prepareUpload() {
-	control := http.NewResponseController(x.w)
-	_ = control.EnableFullDuplex()
-	_ = control.SetReadDeadline(x.deadline)
+	_ = http.NewResponseController(x.w).SetReadDeadline(x.deadline.Add(uploadMargin))
+}
+
+// answerEarly prepares an answer that begins before the upload ended. The connection is not used again:
+// net/http cannot tell where the next request begins.
+func (x *exchange) answerEarly() {
+	if x.body.ended() {
+		return
+	}
+	_ = http.NewResponseController(x.w).EnableFullDuplex()
+	x.w.Header().Set("Connection", "close")
+}
+
+// stopReading ends a read from the caller that is in progress.
+func (x *exchange) stopReading() {
+	if x.body.reading() {
+		_ = http.NewResponseController(x.w).SetReadDeadline(time.Now())
+	}
 }
 
 func (x *exchange) startSpan() (context.Context, trace.Span) {
@@ -136,9 +154,7 @@
 // close ends what open began.
 func (x *exchange) close() {
 	x.span.End()
-	if x.body.reading() {
-		_ = http.NewResponseController(x.w).SetReadDeadline(time.Now())
-	}
+	x.stopReading()
 	if x.cancel != nil {
 		x.cancel()
 	}
@@ -283,6 +299,7 @@
 	outcome := x.refusalOutcome(err)
 	p := &Problem{Detail: err.Error(), Outcome: outcome, Decision: x.id}
 	x.span.SetStatus(codes.Error, k.kind)
+	x.stopReading()
 	writeRefusal(x.w, x.h.opts.Self.Name, &k, p)
 	x.finish(&k, outcome, k.kind)
 }
--- a/internal/request/key.go
+++ b/internal/request/key.go
@@ -140,7 +140,7 @@
 }
 
 // claim claims the key at its home entry VMs and returns the entry VMs that claimed it before. It is a
-// *KeyError if no home can tell.
+// *KeyError if a home does not answer or none knows enough.
 func (x *exchange) claim() ([]previousEntry, error) {
 	homes := x.homes()
 	replies := make([]*peer.ClaimReply, len(homes))
@@ -151,6 +151,11 @@
 		wait.Go(func() { replies[i] = x.claimAt(ctx, homes[i]) })
 	}
 	wait.Wait()
+	for i, reply := range replies {
+		if reply == nil {
+			return nil, &KeyError{Key: x.key, Verdict: KeyUnknown, Entry: homes[i]}
+		}
+	}
 	return x.judgeClaims(replies)
 }
 
@@ -180,9 +185,6 @@
 	var earlier []previousEntry
 	known := false
 	for _, reply := range replies {
-		if reply == nil {
-			continue
-		}
 		known = known || reply.Verdict != peer.ClaimReply_UNKNOWN
 		if reply.Holder == "" {
 			continue
