--- a/caller/caller.go
+++ b/caller/caller.go
@@ -92,7 +92,9 @@
 	// from an UnknownError. With a Key of your own and no Previous, the entry VM looks for an earlier
 	// sending where it can; see docs/operators/callers.md for what that does not promise.
 	Previous []string
-	Header   http.Header // further headers
+	// First says that Key was never sent before, as with a key that was just made.
+	First  bool
+	Header http.Header // further headers
 	// Size is the length of the body in bytes; 0: unknown, unless the body has a method Len.
 	Size int64
 }
@@ -123,6 +125,7 @@
 		body:     newCallBody(body, opts.Size),
 		opts:     opts,
 		key:      opts.Key,
+		first:    opts.First && len(opts.Previous) == 0,
 		previous: append([]string(nil), opts.Previous...),
 		safe:     opts.Idempotent || isSafe(method),
 	}
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -16,7 +16,6 @@
 	"github.com/azureflow/azureflow/internal/request"
 	"github.com/azureflow/azureflow/internal/review"
 	"github.com/azureflow/azureflow/internal/steering"
-	"github.com/azureflow/azureflow/internal/upstream"
 	"github.com/azureflow/azureflow/internal/vm"
 )
 
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -121,6 +121,11 @@
 // server and down for all servers together.
 func (p *Pool) SetShare(share float64) { p.share.store(min(max(share, 0), 1)) }
 
+// Serves returns the service and the zone of the pool's servers.
+func (p *Pool) Serves() (steering.ServiceName, steering.ZoneName) {
+	return p.options.Service, p.options.Zone
+}
+
 // Slots returns the slots that this VM may use now over all servers in use.
 func (p *Pool) Slots() int {
 	total := 0
