--- a/cmd/azureflow/e2e_test.go
+++ b/cmd/azureflow/e2e_test.go
@@ -314,9 +314,37 @@
 		"--key", key, "--first", "--timeout", "30s", "--header", fmt.Sprintf("Standin-Service-Ms: %d", ms))
 }
 
+// lookup returns the names of the entry VMs that callers of origin should use, best first.
+func (s *system) lookup(entry, service, origin string) []string {
+	s.t.Helper()
+	out, problems, _ := s.run("lookup", service, "--format", "json", "--entry", entry, "--origin", origin)
+	var answer struct{ Entries []struct{ Name string } }
+	if err := json.Unmarshal([]byte(out), &answer); err != nil {
+		s.t.Fatalf("lookup: %v\n%s\n%s", err, out, problems)
+	}
+	var names []string
+	for _, e := range answer.Entries {
+		names = append(names, e.Name)
+	}
+	return names
+}
+
+// serves returns the entry VM that callers of origin send stamps to.
+func (s *system) serves(origin string) *entryProcess {
+	s.t.Helper()
+	best := s.lookup(s.entries[0].address, "stampbook", origin)[0]
+	for _, e := range s.entries {
+		if e.name == best {
+			return e
+		}
+	}
+	s.t.Fatalf("no process for entry VM %s", best)
+	return nil
+}
+
 func killEntryMidRequest(t *testing.T, s *system) {
 	const key = "stamp-entry-kill"
-	victim := s.entries[3] // the only one in muscat-a
+	victim := s.serves("muscat")
 	done := make(chan callReport)
 	go func() { done <- slowStamp(s, victim.address, "muscat", key, 20000) }()
 	s.await("stamp started", func() error {
@@ -334,17 +362,13 @@
 		t.Errorf("ran %d times", n)
 	}
 	s.await("lookups stop naming the dead entry VM", func() error {
-		out, _, _ := s.run("lookup", "certdesk", "--format", "json", "--entry", s.entries[4].address, "--origin", "muscat")
-		var answer struct{ Entries []struct{ Name string } }
-		if err := json.Unmarshal([]byte(out), &answer); err != nil {
-			return err
-		}
-		if len(answer.Entries) == 0 || answer.Entries[0].Name == victim.name {
+		names := s.lookup(s.entries[0].address, "stampbook", "muscat")
+		if len(names) == 0 || names[0] == victim.name {
 			return io.ErrNoProgress
 		}
 		return nil
 	})
-	if r := s.call(s.entries[4].address, "certdesk", "/certificates/8", "--origin", "muscat"); r.Outcome != "done" {
+	if r := s.call(s.entries[0].address, "certdesk", "/certificates/8", "--origin", "muscat"); r.Outcome != "done" {
 		t.Errorf("after the kill: %+v", r)
 	}
 }
@@ -375,7 +399,7 @@
 
 func stopEntryMidRequest(t *testing.T, s *system) {
 	const key = "stamp-planned-stop"
-	leaving := s.entries[6]
+	leaving := s.serves("dhofar")
 	done := make(chan callReport)
 	go func() { done <- slowStamp(s, leaving.address, "dhofar", key, 3000) }()
 	s.await("stamp started", func() error {
--- a/cmd/azureflow/main.go
+++ b/cmd/azureflow/main.go
@@ -25,6 +25,7 @@
 	Status   statusCommand   `cmd:"" help:"Show entry VMs, zones, links, contracts, upstreams and the revision in force."`
 	Settings settingsCommand `cmd:"" help:"Print the settings in force for a settings file, defaults included."`
 	Standin  standinCommand  `cmd:"" help:"Run a stand-in of the platform or of an upstream, for tests."`
+	Demo     demoCommand     `cmd:"" help:"Run a whole deployment in one process for a short while."`
 	Version  versionCommand  `cmd:"" help:"Print the version."`
 }
 
--- a/internal/demo/network.go
+++ b/internal/demo/network.go
@@ -7,6 +7,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/azureflow/azureflow/internal/steering"
@@ -17,12 +18,12 @@
 	region steering.RegionName
 	zone   steering.ZoneName
 	caller bool
+	host   string // tells processes at one place apart
 }
 
 // delays are the one-way delays of a deployment.
 type delays struct {
 	zones   time.Duration // between availability zones of a region
-	regions time.Duration
 	callers time.Duration // between a caller and its region's entry VMs
 }
 
@@ -34,7 +35,8 @@
 	mu     sync.RWMutex
 	places map[string]place // by host:port
 	cut    map[steering.ZoneName]bool
-	silent map[*conn]bool
+	dead   map[string]bool // hosts whose processes were killed
+	open   map[*conn]bool
 }
 
 type linkKey struct{ from, to steering.RegionName }
@@ -42,6 +44,7 @@
 // wire is one direction of a link: it serialises bytes at its rate and keeps the peak use.
 type wire struct {
 	bytesPerS float64
+	delay     time.Duration // one way
 
 	mu      sync.Mutex
 	freeAt  time.Time
@@ -59,10 +62,11 @@
 		links:  make(map[linkKey]*wire),
 		places: make(map[string]place),
 		cut:    make(map[steering.ZoneName]bool),
-		silent: make(map[*conn]bool),
+		dead:   make(map[string]bool),
+		open:   make(map[*conn]bool),
 	}
 	for _, l := range p.Links {
-		n.links[linkKey{l.From, l.To}] = &wire{bytesPerS: l.CapacityMbit * bitsPerMbit / 8}
+		n.links[linkKey{l.From, l.To}] = &wire{bytesPerS: l.CapacityMbit * bitsPerMbit / 8, delay: l.Delay.Std()}
 	}
 	return n
 }
@@ -85,17 +89,44 @@
 func (n *network) silence() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	for c := range n.silent {
+	for c := range n.open {
 		c.muted.Store(true)
 	}
 }
 
+// kill breaks the connections of the processes on hosts and refuses new ones.
+func (n *network) kill(hosts ...string) {
+	n.mu.Lock()
+	var broken []*conn
+	for _, h := range hosts {
+		n.dead[h] = true
+	}
+	for c := range n.open {
+		if n.dead[c.from.host] || n.dead[c.to.host] {
+			broken = append(broken, c)
+		}
+	}
+	n.mu.Unlock()
+	for _, c := range broken {
+		c.breakOff()
+	}
+}
+
+func (n *network) isDead(from, to place) bool {
+	n.mu.RLock()
+	defer n.mu.RUnlock()
+	return n.dead[from.host] || n.dead[to.host]
+}
+
 // dialer returns a dial function for a process at from.
 func (n *network) dialer(from place) func(ctx context.Context, network, address string) (net.Conn, error) {
 	return func(ctx context.Context, proto, address string) (net.Conn, error) {
 		n.mu.RLock()
 		to := n.places[address]
 		n.mu.RUnlock()
+		if n.isDead(from, to) {
+			return nil, &net.OpError{Op: "dial", Net: proto, Err: syscall.ECONNREFUSED}
+		}
 		if n.isCut(from, to) {
 			<-ctx.Done()
 			return nil, ctx.Err()
@@ -127,9 +158,10 @@
 	if from.caller {
 		d += n.delays.callers
 	}
+	link := n.links[linkKey{from.region, to.region}]
 	switch {
-	case from.region != to.region:
-		d += n.delays.regions
+	case link != nil:
+		d += link.delay
 	case from.zone != to.zone && !from.caller:
 		d += n.delays.zones
 	}
@@ -142,7 +174,7 @@
 	c.out = newPipe(d, n.links[linkKey{from.region, to.region}])
 	c.in = newPipe(d, n.links[linkKey{to.region, from.region}])
 	n.mu.Lock()
-	n.silent[c] = true
+	n.open[c] = true
 	n.mu.Unlock()
 	go c.pumpOut()
 	go c.pumpIn()
@@ -211,7 +243,7 @@
 func (c *conn) Close() error {
 	c.once.Do(func() {
 		c.network.mu.Lock()
-		delete(c.network.silent, c)
+		delete(c.network.open, c)
 		c.network.mu.Unlock()
 		c.out.close()
 		c.in.close()
@@ -229,6 +261,13 @@
 // SetWriteDeadline does nothing, as SetDeadline.
 func (c *conn) SetWriteDeadline(time.Time) error { return nil }
 
+// breakOff ends the connection as the death of one end does.
+func (c *conn) breakOff() {
+	c.in.close()
+	_ = c.Close()
+	_ = c.Conn.Close()
+}
+
 func (c *conn) lost() bool { return c.muted.Load() || c.network.isCut(c.from, c.to) }
 
 func (c *conn) pumpOut() {
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -77,7 +77,7 @@
 	d.loop(func() { review.NewMirror(review.MirrorOptions{Log: p.Records, Send: p.Peers.mirror}).Run(ctx) })
 	d.loop(func() { d.digester().Run(ctx) })
 	p.Servers.start(ctx)
-	p.Log.WithFields(logrus.Fields{"event": "started", "incarnation": p.Self.Incarnation}).Info("entry VM")
+	p.Log.WithFields(logrus.Fields{"incarnation": p.Self.Incarnation}).Info("started")
 	return nil
 }
 
@@ -137,9 +137,7 @@
 	p.Recorder.Record(&review.Record{
 		Kind: review.KindStop, Constraint: review.ConstraintDrain, Result: "drained", Took: time.Since(began),
 	})
-	p.Log.WithFields(logrus.Fields{
-		"event": "drained", "took_ms": time.Since(began).Milliseconds(), "in_flight": p.Handler.InFlight(),
-	}).Info("planned stop")
+	p.Log.WithFields(logrus.Fields{"took_ms": time.Since(began).Milliseconds(), "in_flight": p.Handler.InFlight()}).Info("drained")
 	return d.shutdown(ctx)
 }
 
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -49,7 +49,7 @@
 			recorder.Record(&review.Record{
 				Kind: review.KindRevision, Revision: cfg.Revision, Constraint: review.ConstraintNone, Result: "in force",
 			})
-			log.WithFields(logrus.Fields{"event": "revision_in_force", "revision": cfg.Revision}).Info("configuration taken up")
+			log.WithFields(logrus.Fields{"revision": cfg.Revision}).Info("revision_in_force")
 			out.Pokes.poke()
 		},
 		OnAlarm: func(a steering.Alarm) {
@@ -58,7 +58,7 @@
 			recorder.Record(&review.Record{
 				Kind: review.KindRevision, Revision: a.InForce, Constraint: review.ConstraintNone, Result: string(a.Kind),
 			})
-			log.WithFields(logrus.Fields{"event": "revision_alarm", "kind": a.Kind, "in_force": a.InForce, "other": a.Other}).Warn(a.Reason)
+			log.WithFields(logrus.Fields{"kind": a.Kind, "in_force": a.InForce, "other": a.Other, "reason": a.Reason}).Warn("revision_alarm")
 		},
 		StoreCallsPerMin: s.Limits.StoreCallsPerMin,
 	})
@@ -77,7 +77,7 @@
 				Kind: review.KindLeader, Constraint: review.ConstraintNone, Result: string(s.VM),
 				Inputs: []review.Input{{Name: "zone", Value: string(name)}},
 			})
-			log.WithFields(logrus.Fields{"event": "leader_changed", "zone": name, "leader": s.VM, "epoch": s.Epoch}).Info("zone leader")
+			log.WithFields(logrus.Fields{"zone": name, "leader": s.VM, "epoch": s.Epoch}).Info("leader_changed")
 		},
 	})
 }
--- a/internal/entry/servers.go
+++ b/internal/entry/servers.go
@@ -88,7 +88,7 @@
 	go func() {
 		err := peer.Serve(ctx, s.listeners.Peer, s.peers)
 		if err != nil && ctx.Err() == nil {
-			s.log.WithFields(logrus.Fields{"event": "server_failed", "server": "peer"}).Error(err.Error())
+			s.log.WithFields(logrus.Fields{"server": "peer", "reason": err.Error()}).Error("server_failed")
 		}
 	}()
 }
@@ -97,7 +97,7 @@
 	server.ErrorLog = discardLog()
 	go func() {
 		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-			s.log.WithFields(logrus.Fields{"event": "server_failed", "server": name}).Error(err.Error())
+			s.log.WithFields(logrus.Fields{"server": name, "reason": err.Error()}).Error("server_failed")
 		}
 	}()
 }
--- a/internal/entry/topology.go
+++ b/internal/entry/topology.go
@@ -83,7 +83,7 @@
 	t.table.Replace(plans)
 	t.rooms.signalAll()
 	if !t.ready.Swap(true) {
-		t.log.WithFields(logrus.Fields{"event": "ready", "revision": cfg.Revision}).Info("serving")
+		t.log.WithFields(logrus.Fields{"revision": cfg.Revision}).Info("ready")
 	}
 }
 
