Count waiting requests as wanted slots; keep callers in their region

Cause: the demo showed uploads and archive work waiting for seconds with 5 of 30 slots in use. The queue kept room for interactive work from a capacity that it inferred once, and what it held back asked for no slot, so no grant grew. Waiting requests now count as demand in the zones of the region, and the placer reports its capacity.

--- a/internal/contract/book.go
+++ b/internal/contract/book.go
@@ -113,6 +113,12 @@
 	return int(a.rights.Load().usable(b.instant(now)))
 }
 
+// Miss notes that n requests for service in zone wait without having asked for a slot, so that the
+// Borrower counts them as wanted.
+func (b *Book) Miss(service steering.ServiceName, zone steering.ZoneName, n int) {
+	b.account(Key{service, zone}).denied.Add(uint64(max(0, n)))
+}
+
 // Demand returns what was wanted of service in zone; it does not reset what Borrower reads.
 func (b *Book) Demand(service steering.ServiceName, zone steering.ZoneName) Demand {
 	a := (*b.accounts.Load())[Key{service, zone}]
--- a/internal/demo/upstreams.go
+++ b/internal/demo/upstreams.go
@@ -84,7 +84,7 @@
 	go func() { _ = server.Serve(listener) }()
 	row := vm.VM{
 		Name: vm.Name(name), Kind: vm.KindUpstream, Region: g.region, Zone: zone, Address: listener.Addr().String(),
-		Service: size.service, Slots: size.slots, State: vm.StateLive, Since: time.Now(),
+		Service: size.service, Slots: size.slots, State: vm.StateLive, Since: time.Now().Add(-time.Hour), // warm
 	}
 	w.platform.PutVM(row)
 	w.upstreams = append(w.upstreams, &upstreamVM{row: row, standin: u, server: server})
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -83,7 +83,7 @@
 
 func (d *Daemon) loop(fn func()) { d.loops.Go(fn) }
 
-// notice tells the follower of revisions that heartbeats carry.
+// notice tells the follower of revisions that heartbeats carry, and the book of requests that wait.
 func (d *Daemon) notice(ctx context.Context) {
 	const interval = 250 * time.Millisecond
 	tick := time.NewTicker(interval)
@@ -94,6 +94,7 @@
 			return
 		case <-tick.C:
 		}
+		d.parts.Topology.noteWaiting(d.parts.Handler.Queue().Waiting)
 		view := d.parts.Directory.View()
 		for i := range view.Entries {
 			if r := view.Entries[i].Revision; r > d.parts.Follower.Revision() {
--- a/internal/entry/module.go
+++ b/internal/entry/module.go
@@ -115,9 +115,15 @@
 func provideTable() *region.Table { return region.NewTable() }
 
 func provideLookups(self Identity, l *Listeners) *lookup.Table {
-	return lookup.NewTable(lookup.Options{Self: lookup.VMView{
-		Name: self.Name, Incarnation: self.Incarnation, Zone: self.Zone, Address: l.Requests.Addr().String(),
-	}})
+	// Callers stay in their region unless a VM there would carry more than this multiple of the mean:
+	// links are narrower than VMs.
+	const spread = 1.25
+	return lookup.NewTable(lookup.Options{
+		Spread: spread,
+		Self: lookup.VMView{
+			Name: self.Name, Incarnation: self.Incarnation, Zone: self.Zone, Address: l.Requests.Addr().String(),
+		},
+	})
 }
 
 func provideTopology(
--- a/internal/entry/placer.go
+++ b/internal/entry/placer.go
@@ -56,6 +56,18 @@
 // Room implements request.Placer.
 func (p *placer) Room(service steering.ServiceName) <-chan struct{} { return p.rooms.wait(service) }
 
+// Capacity implements request.CapacityReporter: the slots that this VM may use now.
+func (p *placer) Capacity(service steering.ServiceName) int {
+	now := time.Now()
+	sum := 0
+	for _, key := range p.book.Keys() {
+		if key.Service == service {
+			sum += p.book.Usable(key.Service, key.Zone, now)
+		}
+	}
+	return sum
+}
+
 func (p *placer) noRoom(q *request.PlacementQuery, bound review.Constraint, c []review.Candidate) error {
 	return &request.NoRoomError{Service: q.Service, Constraint: bound, RetryAfter: refusalRetryAfter, Candidates: c}
 }
--- a/internal/entry/topology.go
+++ b/internal/entry/topology.go
@@ -87,6 +87,22 @@
 	}
 }
 
+// noteWaiting counts what waits as wanted in every zone of this VM's region: a queue that keeps room
+// for interactive work asks for no slot on behalf of the rest.
+func (t *topology) noteWaiting(waiting func(steering.ServiceName) int) {
+	cfg := t.config()
+	if cfg == nil {
+		return
+	}
+	zones := zonesOf(cfg, t.self.Region)
+	for i := range cfg.Services {
+		n := waiting(cfg.Services[i].Name)
+		for _, zone := range zones {
+			t.book.Miss(cfg.Services[i].Name, zone, (n+len(zones)-1)/len(zones))
+		}
+	}
+}
+
 // recordChanges records each plan that moved traffic or is the first, with its inputs.
 func (t *topology) recordChanges(plans []region.Plan, inputs []region.Inputs) {
 	known := make(map[steering.ServiceName]*region.Plan)
