--- a/internal/link/pacer.go
+++ b/internal/link/pacer.go
@@ -6,16 +6,19 @@
 	"context"
 	"io"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/azureflow/azureflow/internal/steering"
 )
 
 const (
-	quantum   = 16 << 10             // bytes granted at a time
-	minBurst  = 64 << 10             // bytes the bucket holds at least
-	burstTime = 2 * time.Millisecond // time at full rate that the bucket holds
-	mbit      = 1e6 / 8              // bytes
+	minQuantum  = 4 << 10                // bytes granted at a time at least
+	maxQuantum  = 64 << 10               // bytes granted at a time at most
+	quantumTime = 125 * time.Microsecond // time at full rate that a quantum takes
+	minBurst    = 64 << 10               // bytes the bucket holds at least
+	burstTime   = 2 * time.Millisecond   // time at full rate that the bucket holds
+	mbit        = 1e6 / 8                // bytes
 )
 
 // Options configure a Pacer. Zero fields take the defaults of NewPacer.
@@ -32,6 +35,7 @@
 type Pacer struct {
 	options Options
 	epoch   time.Time
+	quantum atomic.Int64 // bytes granted at a time
 
 	mu       sync.Mutex
 	schedule scheduler
@@ -59,10 +63,17 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.capacity = max(capacityMbit, minMbit)
-	p.schedule.setRate(p.capacity*mbit*p.options.MaxShare, p.now())
+	rate := p.capacity * mbit * p.options.MaxShare
+	p.schedule.setRate(rate, p.now())
+	p.quantum.Store(int64(quantumAt(rate)))
 	p.pump()
 }
 
+// quantumAt returns the bytes granted at a time at a rate in bytes a second.
+func quantumAt(rate float64) int {
+	return min(max(int(rate*quantumTime.Seconds()), minQuantum), maxQuantum)
+}
+
 func (p *Pacer) now() int64 { return int64(time.Since(p.epoch)) }
 
 // Reserve takes the right to send bytes at once and reports whether there was room. It never waits.
@@ -82,7 +93,7 @@
 // transfer does not hold up shorter ones. Error: *InterruptedError if ctx ended first.
 func (p *Pacer) Wait(ctx context.Context, class steering.Class, bytes int) error {
 	for sent := 0; sent < bytes; {
-		part := min(bytes-sent, quantum)
+		part := min(bytes-sent, int(p.quantum.Load()))
 		if err := p.waitPart(ctx, class, part); err != nil {
 			return &InterruptedError{Sent: sent, Bytes: bytes, Cause: err}
 		}
@@ -167,7 +178,7 @@
 
 // Read implements io.Reader. The bytes were read before they wait, so their count is known.
 func (r *pacedReader) Read(buffer []byte) (int, error) {
-	n, err := r.source.Read(buffer[:min(len(buffer), quantum)])
+	n, err := r.source.Read(buffer[:min(len(buffer), int(r.pacer.quantum.Load()))])
 	if n > 0 {
 		if waitErr := r.pacer.Wait(r.ctx, r.class, n); waitErr != nil {
 			return 0, waitErr
--- a/internal/link/scheduler.go
+++ b/internal/link/scheduler.go
@@ -82,7 +82,7 @@
 }
 
 // owedLimit bounds what a waiting class is owed, bytes.
-const owedLimit = 2 * quantum
+const owedLimit = 2 * maxQuantum
 
 // setRate sets the bound of bytes in any window of one second. The bucket's burst counts against
 // it, so that no window exceeds it.
