--- a/internal/review/explain.go
+++ b/internal/review/explain.go
@@ -15,7 +15,6 @@
 	lookBack      = 2 * time.Hour    // in digests, for an id
 	planLookBack  = 5 * time.Minute  // for the plan that a request followed
 	eventSlack    = 2 * time.Second  // around a request, for changes that bear on it
-	mirrorSlack   = time.Second      // around a request, for what is missing
 	maxRelatedIDs = 32               // followed from one id
 	maxContext    = 20               // changes told in a story
 	familyLimit   = 500              // records of one id
@@ -111,7 +110,7 @@
 	found.join(around)
 	story.VMs = vmsOf(found.records, story.Steps)
 	story.recompute(sources.Recompute)
-	story.Missing = found.missing(story.VMs, began.Add(-mirrorSlack), laterOf(ended, began.Add(minAnswered)))
+	story.Missing = found.missing(story.VMs, began, laterOf(ended, began.Add(minAnswered)))
 	story.Missing.Truncated = parts >= familyLimit
 	return story, nil
 }
--- a/internal/review/fleet_test.go
+++ b/internal/review/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -112,3 +113,38 @@
 	})
 	return id
 }
+
+// countingMetrics counts what was dropped by stage.
+type countingMetrics struct {
+	mu       sync.Mutex
+	dropped  map[string]int
+	mirrored int
+}
+
+func (m *countingMetrics) RecordsKept(Kind, int) {}
+func (m *countingMetrics) DigestWritten(int)     {}
+
+func (m *countingMetrics) RecordsMirrored(n int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.mirrored += n
+}
+
+func (m *countingMetrics) RecordsDropped(stage string, n int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.dropped == nil {
+		m.dropped = make(map[string]int)
+	}
+	m.dropped[stage] += n
+}
+
+func zoneNames(names []string) []steering.ZoneName {
+	var zones []steering.ZoneName
+	for _, n := range names {
+		zones = append(zones, steering.ZoneName(n))
+	}
+	return zones
+}
+
+func vmNumber(i int) vm.Name { return vm.Name(fmt.Sprintf("%02d", i)) }
--- a/internal/review/incident.go
+++ b/internal/review/incident.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"math"
 	"slices"
 	"time"
 
@@ -62,6 +63,7 @@
 	Refused    uint64               `json:"refused"` // requests that did not run
 	Unknown    uint64               `json:"unknown"` // requests that may have run
 	Tallies    []Tally              `json:"tallies"` // of what was refused or unknown
+	About      bool                 `json:"about"`   // counts of digests reach over the ends of the time
 	Recomputed []Recomputation      `json:"recomputed"`
 	Basis      []Basis              `json:"basis"`
 	Missing    Missing              `json:"missing"`
@@ -76,10 +78,7 @@
 		return nil, &TimeRangeError{From: from, To: to, Limit: maxIncident}
 	}
 	q := fetchQuery{service: service, from: from, to: to, limit: maxFetchLimit}
-	found := sources.gather(ctx, q, false)
-	if sources.Digests != nil && found.incomplete(from, to) {
-		found = sources.gather(ctx, q, true)
-	}
+	found := sources.gather(ctx, q, true) // digests alone know of VMs that are long gone
 	incident := &Incident{Service: service, From: from, To: to}
 	incident.tell(found.records)
 	counts := incident.chooseCounts(found)
@@ -89,12 +88,6 @@
 	return incident, nil
 }
 
-// incomplete tells whether the VMs and mirrors leave anything open.
-func (e *evidence) incomplete(from, to time.Time) bool {
-	missing := e.missing(e.allNames(), from, to)
-	return !missing.Nothing()
-}
-
 // allNames returns the VMs that were asked or of which something is covered.
 func (e *evidence) allNames() []vm.Name {
 	names := slices.Clone(e.names)
@@ -142,12 +135,29 @@
 	var counts []Count
 	for _, c := range e.counts {
 		if best[life{c.VM, c.Incarnation}].Source == c.Source {
-			counts = append(counts, c)
+			counts = append(counts, i.within(c))
 		}
 	}
 	return counts
 }
 
+// within returns c with the part of its records that falls into the time of the incident, if these
+// came evenly.
+func (i *Incident) within(c Count) Count {
+	length := c.To.Sub(c.From)
+	from, to := laterOf(c.From, i.From), c.To
+	if i.To.Before(to) {
+		to = i.To
+	}
+	inside := to.Sub(from)
+	if length <= 0 || inside >= length {
+		return c
+	}
+	i.About = true
+	c.Records = uint64(math.Round(float64(c.Records) * float64(max(0, inside)) / float64(length)))
+	return c
+}
+
 func (e *evidence) joinedCoverage() []Coverage {
 	joined := newSpans()
 	joined.add(e.coverage...)
--- a/internal/review/render.go
+++ b/internal/review/render.go
@@ -83,7 +83,12 @@
 		name = "all services"
 	}
 	p.line("%s from %s to %s", name, i.From.UTC().Format(timeFormat), i.To.UTC().Format(timeFormat))
-	p.line("Requests: %d done, %d refused (did not run), %d unknown (may have run).", i.Done, i.Refused, i.Unknown)
+	about := ""
+	if i.About {
+		about = "about "
+	}
+	p.line("Requests: %s%d done, %s%d refused (did not run), %s%d unknown (may have run).",
+		about, i.Done, about, i.Refused, about, i.Unknown)
 	p.steps("What changed", i.Changes)
 	p.steps("What shifted", i.Shifts)
 	p.bounds(i.Bounds)
