--- a/internal/review/digest_test.go
+++ b/internal/review/digest_test.go
@@ -134,7 +134,7 @@
 		const pending, perSecond = 32 << 10, 5
 		store := platformtest.NewStore(platformtest.StoreOptions{})
 		m := &countingMetrics{}
-		l := NewLog(LogOptions{Self: "e1", Incarnation: 1, Metrics: m})
+		l := NewLog(LogOptions{Self: "e1", Incarnation: 1, Capacity: 1024, Metrics: m})
 		d := NewDigester(DigesterOptions{Log: l, Store: store, Zone: "batinah-a", PendingBytes: pending})
 		go func() { _ = d.Run(t.Context()) }()
 		start := time.Now()
--- a/internal/review/digestqueue.go
+++ b/internal/review/digestqueue.go
@@ -45,7 +45,10 @@
 			q.push(c)
 		}
 	}
-	for q.bytes > q.limit && len(q.chunks) > 1 {
+	if q.bytes <= q.limit {
+		return dropped
+	}
+	for q.bytes > q.limit*3/4 && len(q.chunks) > 1 {
 		dropped += q.coarsen()
 	}
 	return dropped
