--- a/internal/review/codec.go
+++ b/internal/review/codec.go
@@ -1,6 +1,7 @@
 package review
 
 import (
+	"slices"
 	"strconv"
 
 	"github.com/klauspost/compress/zstd"
@@ -15,17 +16,17 @@
 	maxBatchBytes    = 1 << 20   // compressed, as read
 	maxEncodedBytes  = 900 << 10 // compressed, as written
 	maxDecodedBytes  = 4 << 20
-	maxBatchElements = 64 << 10 // records, inputs, candidates, counts and coverages
+	maxBatchElements = 64 << 10 // records, inputs, candidates, texts, counts and coverages
 	zstdWindowBytes  = 256 << 10
 	recordElements   = 8 // elements of a typical record, for sizing
 	maxBatchRecords  = maxBatchElements / recordElements
 )
 
-// BatchError reports a batch that cannot be read.
+// BatchError reports a batch that cannot be read or written.
 type BatchError struct {
 	Reason string // "too large", "compression", "too many elements" or "encoding"
-	Bytes  int    // compressed
-	Cause  error  // nil for a bound
+	Bytes  int
+	Cause  error // nil for a bound
 }
 
 // Error implements error.
@@ -48,7 +49,7 @@
 func mustEncoder() *zstd.Encoder {
 	encoder, err := zstd.NewWriter(nil,
 		zstd.WithEncoderConcurrency(2),
-		zstd.WithEncoderLevel(zstd.SpeedDefault),
+		zstd.WithEncoderLevel(zstd.SpeedFastest),
 		zstd.WithWindowSize(zstdWindowBytes),
 		zstd.WithLowerEncoderMem(true))
 	if err != nil {
@@ -73,64 +74,134 @@
 // EncodeBatch returns b compressed. Batches encoded one after the other decode as one. Errors:
 // *BatchError if b is beyond the bounds of a batch.
 func EncodeBatch(b *Batch) ([]byte, error) {
-	plain, err := proto.Marshal(batchToProto(b))
+	message := batchToProto(b)
+	if elementsOf(b)+len(message.GetTexts()) > maxBatchElements {
+		return nil, &BatchError{Reason: "too many elements"}
+	}
+	plain, err := proto.Marshal(message)
 	if err != nil {
 		return nil, &BatchError{Reason: "encoding", Cause: err}
 	}
 	if len(plain) > maxDecodedBytes {
 		return nil, &BatchError{Reason: "too large", Bytes: len(plain)}
 	}
-	data := batchEncoder.EncodeAll(plain, make([]byte, 0, len(plain)/8+64))
+	body := batchEncoder.EncodeAll(plain, make([]byte, 0, len(plain)/2+64))
+	envelope := &recordpb.Envelope{Digest: b.Digest, Coverage: coverageToProto(b.Coverage)}
+	if len(b.Records)+len(b.Counts) > 0 {
+		envelope.Bodies = []*recordpb.Body{{Data: body, Records: uint32(len(b.Records))}}
+	}
+	data, err := proto.Marshal(envelope)
+	if err != nil {
+		return nil, &BatchError{Reason: "encoding", Cause: err}
+	}
 	if len(data) > maxEncodedBytes {
 		return nil, &BatchError{Reason: "too large", Bytes: len(data)}
 	}
 	return data, nil
 }
 
+// envelope is a batch of which the records are not yet read.
+type envelope struct {
+	coverage []Coverage
+	digest   bool
+	bodies   []*recordpb.Body
+	records  int // as the writer says
+}
+
+// openEnvelope reads data but for its records. Errors: *BatchError.
+func openEnvelope(data []byte) (*envelope, error) {
+	if len(data) > maxBatchBytes {
+		return nil, &BatchError{Reason: "too large", Bytes: len(data)}
+	}
+	if countFields(data) > maxBatchElements {
+		return nil, &BatchError{Reason: "too many elements", Bytes: len(data)}
+	}
+	message := &recordpb.Envelope{}
+	if err := proto.Unmarshal(data, message); err != nil {
+		return nil, &BatchError{Reason: "encoding", Bytes: len(data), Cause: err}
+	}
+	e := &envelope{
+		coverage: coverageFromProto(message.GetCoverage()),
+		digest:   message.GetDigest(),
+		bodies:   message.GetBodies(),
+	}
+	for _, body := range e.bodies {
+		e.records += int(body.GetRecords())
+	}
+	return e, nil
+}
+
 // DecodeBatch reads what EncodeBatch wrote. It spends bounded memory on any input. Errors:
 // *BatchError.
 func DecodeBatch(data []byte) (*Batch, error) {
-	if len(data) > maxBatchBytes {
-		return nil, &BatchError{Reason: "too large", Bytes: len(data)}
+	e, err := openEnvelope(data)
+	if err != nil {
+		return nil, err
+	}
+	b := &Batch{Coverage: e.coverage, Digest: e.digest}
+	left := readBudget{bytes: maxDecodedBytes, elements: maxBatchElements}
+	for _, body := range e.bodies {
+		if err := left.read(b, body.GetData()); err != nil {
+			return nil, err
+		}
 	}
+	return b, nil
+}
+
+// readBudget is what the bodies of one batch may still unfold to.
+type readBudget struct {
+	bytes    int
+	elements int
+}
+
+func (left *readBudget) read(b *Batch, data []byte) error {
 	plain, err := batchDecoder.DecodeAll(data, nil)
 	if err != nil {
-		return nil, &BatchError{Reason: "compression", Bytes: len(data), Cause: err}
+		return &BatchError{Reason: "compression", Bytes: len(data), Cause: err}
 	}
-	if countElements(plain) > maxBatchElements {
-		return nil, &BatchError{Reason: "too many elements", Bytes: len(data)}
+	left.bytes -= len(plain)
+	left.elements -= batchElements(plain)
+	if left.bytes < 0 || left.elements < 0 {
+		return &BatchError{Reason: "too many elements", Bytes: len(data)}
 	}
 	message := &recordpb.Batch{}
 	if err := proto.Unmarshal(plain, message); err != nil {
-		return nil, &BatchError{Reason: "encoding", Bytes: len(data), Cause: err}
+		return &BatchError{Reason: "encoding", Bytes: len(data), Cause: err}
 	}
-	return batchFromProto(message), nil
+	b.Records = append(b.Records, recordsFromProto(message)...)
+	for _, c := range message.GetCounts() {
+		b.Counts = append(b.Counts, countFromProto(c))
+	}
+	return nil
 }
 
-// countElements counts the messages in an encoded batch, two levels deep, so that a small text
-// cannot unfold into a large number of objects. Malformed input is left to the decoder.
-func countElements(plain []byte) int {
-	const (
-		recordField    = 1
-		inputField     = 17
-		candidateField = 18
-	)
+// batchElements counts the objects in an encoded batch, two levels deep, so that a small text
+// cannot unfold into a large number of them. Malformed input is left to the decoder.
+func batchElements(plain []byte) int {
+	const recordField = 2
+	nested := []protowire.Number{20, 21} // inputs and candidates
 	total := 0
-	eachMessage(plain, func(number protowire.Number, body []byte) {
+	eachField(plain, func(number protowire.Number, body []byte) {
 		total++
-		if number != recordField {
-			return
+		if number == recordField {
+			eachField(body, func(inner protowire.Number, _ []byte) {
+				if slices.Contains(nested, inner) {
+					total++
+				}
+			})
 		}
-		eachMessage(body, func(inner protowire.Number, _ []byte) {
-			if inner == inputField || inner == candidateField {
-				total++
-			}
-		})
 	})
 	return total
 }
 
-func eachMessage(data []byte, fn func(protowire.Number, []byte)) {
+func countFields(data []byte) int {
+	total := 0
+	eachField(data, func(protowire.Number, []byte) { total++ })
+	return total
+}
+
+// eachField calls fn with the length-delimited fields of a message.
+func eachField(data []byte, fn func(protowire.Number, []byte)) {
 	for len(data) > 0 {
 		number, kind, n := protowire.ConsumeTag(data)
 		if n < 0 {
--- a/internal/review/convert.go
+++ b/internal/review/convert.go
@@ -1,7 +1,7 @@
 package review
 
 import (
-	"strings"
+	"encoding/hex"
 	"time"
 
 	"github.com/azureflow/azureflow/internal/review/recordpb"
@@ -9,109 +9,109 @@
 	"github.com/azureflow/azureflow/internal/vm"
 )
 
-// maxTextBytes bounds each text of a record in a batch; longer ones are cut.
-const maxTextBytes = 1024
-
-// text returns s as a batch may carry it: valid UTF-8 of bounded length.
-func text[T ~string](s T) string {
-	plain := string(s)
-	if len(plain) > maxTextBytes {
-		plain = plain[:maxTextBytes]
-	}
-	return strings.ToValidUTF8(plain, "?")
-}
-
 func fromUnixNano(ns int64) time.Time { return time.Unix(0, ns).UTC() }
 
 func batchToProto(b *Batch) *recordpb.Batch {
-	m := &recordpb.Batch{Digest: b.Digest}
-	for _, r := range b.Records {
-		m.Records = append(m.Records, recordToProto(r))
-	}
+	t := newTexts()
+	m := &recordpb.Batch{Records: make([]*recordpb.Record, len(b.Records))}
+	block := make([]recordpb.Record, len(b.Records))
+	before := int64(0)
+	for i, r := range b.Records {
+		at := r.At.UnixNano()
+		recordToProto(&block[i], r, t)
+		block[i].AtNs = at - before
+		before = at
+		m.Records[i] = &block[i]
+	}
+	m.Texts = t.list
 	for i := range b.Counts {
 		m.Counts = append(m.Counts, countToProto(&b.Counts[i]))
 	}
-	for i := range b.Coverage {
-		m.Coverage = append(m.Coverage, coverageToProto(&b.Coverage[i]))
-	}
 	return m
 }
 
-func batchFromProto(m *recordpb.Batch) *Batch {
-	b := &Batch{Digest: m.GetDigest()}
-	for _, r := range m.GetRecords() {
-		b.Records = append(b.Records, recordFromProto(r))
-	}
-	for _, c := range m.GetCounts() {
-		b.Counts = append(b.Counts, countFromProto(c))
-	}
-	for _, c := range m.GetCoverage() {
-		b.Coverage = append(b.Coverage, coverageFromProto(c))
-	}
-	return b
-}
-
-func recordToProto(r *Record) *recordpb.Record {
-	m := &recordpb.Record{
-		Id:          text(r.ID),
-		Parent:      text(r.Parent),
-		Kind:        text(r.Kind),
-		AtUnixNs:    r.At.UnixNano(),
-		TookNs:      int64(r.Took),
-		Vm:          text(r.VM),
-		Incarnation: uint64(r.Incarnation),
-		Service:     text(r.Service),
-		Operation:   text(r.Operation),
-		Origin:      text(r.Origin),
-		Revision:    uint64(r.Revision),
-		PlanEpoch:   r.PlanEpoch,
-		Grant:       r.Grant,
-		Constraint:  text(r.Constraint),
-		Result:      text(r.Result),
-		Outcome:     text(r.Outcome),
-		TraceId:     text(r.TraceID),
-	}
+// recordToProto fills in m but for the time.
+func recordToProto(m *recordpb.Record, r *Record, t *texts) {
+	idPrefix, idNumber := splitID(r.ID)
+	parentPrefix, parentNumber := splitID(r.Parent)
+	m.IdPrefix, m.IdNumber = t.number(idPrefix), idNumber
+	m.ParentPrefix, m.ParentNumber = t.number(parentPrefix), parentNumber
+	m.Kind = t.number(string(r.Kind))
+	m.TookNs = int64(r.Took)
+	m.Vm = t.number(string(r.VM))
+	m.Incarnation = uint64(r.Incarnation)
+	m.Service = t.number(string(r.Service))
+	m.Operation = t.number(string(r.Operation))
+	m.Origin = t.number(string(r.Origin))
+	m.Revision = uint64(r.Revision)
+	m.PlanEpoch = r.PlanEpoch
+	m.Grant = r.Grant
+	m.Constraint = t.number(string(r.Constraint))
+	m.Result = t.number(r.Result)
+	m.Outcome = t.number(r.Outcome)
+	m.TraceId = traceBytes(r.TraceID)
 	for _, input := range r.Inputs {
 		m.Inputs = append(m.Inputs, &recordpb.Input{
-			Name: text(input.Name), Value: text(input.Value), AgeNs: int64(input.Age),
+			Name: t.number(input.Name), Value: clean(input.Value), AgeNs: int64(input.Age),
 		})
 	}
 	for _, c := range r.Candidates {
 		m.Candidates = append(m.Candidates, &recordpb.Candidate{
-			Name: text(c.Name), Taken: c.Taken, Reason: text(c.Reason), Score: c.Score,
+			Name: t.number(c.Name), Taken: c.Taken, Reason: t.number(c.Reason), Score: c.Score,
 		})
 	}
-	return m
 }
 
-func recordFromProto(m *recordpb.Record) *Record {
-	r := &Record{
-		ID:          ID(m.GetId()),
-		Parent:      ID(m.GetParent()),
-		Kind:        Kind(m.GetKind()),
-		At:          fromUnixNano(m.GetAtUnixNs()),
+// traceBytes returns the bytes of a trace id in hexadecimal, or nil if it is none.
+func traceBytes(id string) []byte {
+	data, err := hex.DecodeString(id)
+	if err != nil {
+		return nil
+	}
+	return data
+}
+
+func recordsFromProto(m *recordpb.Batch) []*Record {
+	t := textList(m.GetTexts())
+	block := make([]Record, len(m.GetRecords()))
+	records := make([]*Record, len(block))
+	at := int64(0)
+	for i, r := range m.GetRecords() {
+		at += r.GetAtNs()
+		block[i] = recordFromProto(r, t)
+		block[i].At = fromUnixNano(at)
+		records[i] = &block[i]
+	}
+	return records
+}
+
+func recordFromProto(m *recordpb.Record, t textList) Record {
+	r := Record{
+		ID:          joinID(t.at(m.GetIdPrefix()), m.GetIdNumber()),
+		Parent:      joinID(t.at(m.GetParentPrefix()), m.GetParentNumber()),
+		Kind:        Kind(t.at(m.GetKind())),
 		Took:        time.Duration(m.GetTookNs()),
-		VM:          vm.Name(m.GetVm()),
+		VM:          vm.Name(t.at(m.GetVm())),
 		Incarnation: vm.Incarnation(m.GetIncarnation()),
-		Service:     steering.ServiceName(m.GetService()),
-		Operation:   steering.OperationName(m.GetOperation()),
-		Origin:      steering.RegionName(m.GetOrigin()),
+		Service:     steering.ServiceName(t.at(m.GetService())),
+		Operation:   steering.OperationName(t.at(m.GetOperation())),
+		Origin:      steering.RegionName(t.at(m.GetOrigin())),
 		Revision:    steering.Revision(m.GetRevision()),
 		PlanEpoch:   m.GetPlanEpoch(),
 		Grant:       m.GetGrant(),
-		Constraint:  Constraint(m.GetConstraint()),
-		Result:      m.GetResult(),
-		Outcome:     m.GetOutcome(),
-		TraceID:     m.GetTraceId(),
+		Constraint:  Constraint(t.at(m.GetConstraint())),
+		Result:      t.at(m.GetResult()),
+		Outcome:     t.at(m.GetOutcome()),
+		TraceID:     hex.EncodeToString(m.GetTraceId()),
 	}
 	for _, i := range m.GetInputs() {
 		r.Inputs = append(r.Inputs, Input{
-			Name: i.GetName(), Value: i.GetValue(), Age: time.Duration(i.GetAgeNs()),
+			Name: t.at(i.GetName()), Value: i.GetValue(), Age: time.Duration(i.GetAgeNs()),
 		})
 	}
 	for _, c := range m.GetCandidates() {
 		r.Candidates = append(r.Candidates, Candidate{
-			Name: c.GetName(), Taken: c.GetTaken(), Reason: c.GetReason(), Score: c.GetScore(),
+			Name: t.at(c.GetName()), Taken: c.GetTaken(), Reason: t.at(c.GetReason()), Score: c.GetScore(),
 		})
 	}
 	return r
@@ -119,60 +119,67 @@
 
 func countToProto(c *Count) *recordpb.Count {
 	return &recordpb.Count{
-		Vm:         text(c.VM),
-		Kind:       text(c.Kind),
-		Service:    text(c.Service),
-		Operation:  text(c.Operation),
-		Constraint: text(c.Constraint),
-		Result:     text(c.Result),
-		Outcome:    text(c.Outcome),
-		Records:    c.Records,
-		FromUnixNs: c.From.UnixNano(),
-		ToUnixNs:   c.To.UnixNano(),
-
+		Vm:          clean(c.VM),
 		Incarnation: uint64(c.Incarnation),
 		Source:      string(c.Source),
+		Kind:        clean(c.Kind),
+		Service:     clean(c.Service),
+		Operation:   clean(c.Operation),
+		Constraint:  clean(c.Constraint),
+		Result:      clean(c.Result),
+		Outcome:     clean(c.Outcome),
+		Records:     c.Records,
+		FromUnixNs:  c.From.UnixNano(),
+		ToUnixNs:    c.To.UnixNano(),
 	}
 }
 
 func countFromProto(m *recordpb.Count) Count {
 	return Count{
-		VM:         vm.Name(m.GetVm()),
-		Kind:       Kind(m.GetKind()),
-		Service:    steering.ServiceName(m.GetService()),
-		Operation:  steering.OperationName(m.GetOperation()),
-		Constraint: Constraint(m.GetConstraint()),
-		Result:     m.GetResult(),
-		Outcome:    m.GetOutcome(),
-		Records:    m.GetRecords(),
-		From:       fromUnixNano(m.GetFromUnixNs()),
-		To:         fromUnixNano(m.GetToUnixNs()),
-
+		VM:          vm.Name(m.GetVm()),
 		Incarnation: vm.Incarnation(m.GetIncarnation()),
 		Source:      CoverageSource(m.GetSource()),
+		Kind:        Kind(m.GetKind()),
+		Service:     steering.ServiceName(m.GetService()),
+		Operation:   steering.OperationName(m.GetOperation()),
+		Constraint:  Constraint(m.GetConstraint()),
+		Result:      m.GetResult(),
+		Outcome:     m.GetOutcome(),
+		Records:     m.GetRecords(),
+		From:        fromUnixNano(m.GetFromUnixNs()),
+		To:          fromUnixNano(m.GetToUnixNs()),
 	}
 }
 
-func coverageToProto(c *Coverage) *recordpb.Coverage {
-	return &recordpb.Coverage{
-		Vm:          text(c.VM),
-		Incarnation: uint64(c.Incarnation),
-		FromUnixNs:  c.From.UnixNano(),
-		ToUnixNs:    c.To.UnixNano(),
-		Dropped:     c.Dropped,
-		SampledOut:  c.SampledOut,
-		Source:      string(c.Source),
+func coverageToProto(list []Coverage) []*recordpb.Coverage {
+	var messages []*recordpb.Coverage
+	for i := range list {
+		c := &list[i]
+		messages = append(messages, &recordpb.Coverage{
+			Vm:          clean(c.VM),
+			Incarnation: uint64(c.Incarnation),
+			FromUnixNs:  c.From.UnixNano(),
+			ToUnixNs:    c.To.UnixNano(),
+			Dropped:     c.Dropped,
+			SampledOut:  c.SampledOut,
+			Source:      string(c.Source),
+		})
 	}
+	return messages
 }
 
-func coverageFromProto(m *recordpb.Coverage) Coverage {
-	return Coverage{
-		VM:          vm.Name(m.GetVm()),
-		Incarnation: vm.Incarnation(m.GetIncarnation()),
-		From:        fromUnixNano(m.GetFromUnixNs()),
-		To:          fromUnixNano(m.GetToUnixNs()),
-		Dropped:     m.GetDropped(),
-		SampledOut:  m.GetSampledOut(),
-		Source:      CoverageSource(m.GetSource()),
+func coverageFromProto(messages []*recordpb.Coverage) []Coverage {
+	var list []Coverage
+	for _, m := range messages {
+		list = append(list, Coverage{
+			VM:          vm.Name(m.GetVm()),
+			Incarnation: vm.Incarnation(m.GetIncarnation()),
+			From:        fromUnixNano(m.GetFromUnixNs()),
+			To:          fromUnixNano(m.GetToUnixNs()),
+			Dropped:     m.GetDropped(),
+			SampledOut:  m.GetSampledOut(),
+			Source:      CoverageSource(m.GetSource()),
+		})
 	}
+	return list
 }
--- a/internal/review/rpc.go
+++ b/internal/review/rpc.go
@@ -19,15 +19,24 @@
 // MirrorRecords keeps a batch of another VM in memory, or, if it is meant for the digest of the
 // zone, hands it to the Digester. Errors: *BatchError for a batch that cannot be read.
 func (l *Log) MirrorRecords(_ context.Context, request *peer.MirrorRequest) (*peer.MirrorReply, error) {
-	batch, err := DecodeBatch(request.GetRecords())
+	opened, err := openEnvelope(request.GetRecords())
 	if err != nil {
 		return nil, err
 	}
-	if batch.Digest {
-		l.inbox.add(batch)
-	} else {
-		l.mirrored.add(request.GetRecords(), batch.Coverage)
+	if opened.digest {
+		return l.takeDigest(request.GetRecords())
 	}
+	// The records are read when somebody asks for them: most batches are never read.
+	l.mirrored.add(request.GetRecords(), opened.coverage)
+	return &peer.MirrorReply{Stored: uint64(opened.records)}, nil
+}
+
+func (l *Log) takeDigest(data []byte) (*peer.MirrorReply, error) {
+	batch, err := DecodeBatch(data)
+	if err != nil {
+		return nil, err
+	}
+	l.inbox.add(batch)
 	return &peer.MirrorReply{Stored: uint64(len(batch.Records))}, nil
 }
 
