--- a/cmd/azureflow/call.go
+++ b/cmd/azureflow/call.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net/http"
 	"os"
 	"strings"
 	"time"
@@ -59,13 +58,12 @@
 	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
 	defer cancel()
 	client := caller.New(caller.Options{Entries: c.Entry, Origin: c.Origin, Block: c.Block})
-	opts := caller.CallOptions{Idempotent: c.Idempotent, Key: c.Key, Previous: c.Previous, First: c.First, Header: http.Header{}}
-	for _, line := range c.Header {
-		name, value, found := strings.Cut(line, ":")
-		if !found {
-			return &inputError{reason: "header " + line + ": expected NAME: VALUE"}
-		}
-		opts.Header.Add(strings.TrimSpace(name), strings.TrimSpace(value))
+	header, err := parseHeaders(c.Header)
+	if err != nil {
+		return err
+	}
+	opts := caller.CallOptions{
+		Idempotent: c.Idempotent, Key: c.Key, Previous: c.Previous, First: c.First, Header: header,
 	}
 	answer, err := client.Do(ctx, c.Service, c.Method, c.Path, body, opts)
 	if err != nil {
--- a/cmd/azureflow/main.go
+++ b/cmd/azureflow/main.go
@@ -26,6 +26,7 @@
 	Settings settingsCommand `cmd:"" help:"Print the settings in force for a settings file, defaults included."`
 	Standin  standinCommand  `cmd:"" help:"Run a stand-in of the platform or of an upstream, for tests."`
 	Demo     demoCommand     `cmd:"" help:"Run a whole deployment in one process for a short while."`
+	Load     loadCommand     `cmd:"" help:"Send open-loop load and compare it with direct calls."`
 	Version  versionCommand  `cmd:"" help:"Print the version."`
 }
 
