--- a/internal/review/cost_test.go
+++ b/internal/review/cost_test.go
@@ -21,7 +21,7 @@
 // BenchmarkBatch measures encoding and its size for the two records of a request.
 func BenchmarkBatch(b *testing.B) {
 	const requests = 400
-	batch := &Batch{Records: distinctRecords(requests)}
+	batch := &Batch{Records: realisticRecords(requests)}
 	b.ReportAllocs()
 	size := 0
 	for b.Loop() {
@@ -35,9 +35,9 @@
 	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/requests, "ns/request")
 }
 
-// distinctRecords returns the records of requests that differ as real ones do: trace, time, server,
+// realisticRecords returns the records of requests that differ as real ones do: trace, time, server,
 // scores and how long they took.
-func distinctRecords(requests int) []*Record {
+func realisticRecords(requests int) []*Record {
 	random := rand.New(rand.NewPCG(1, 2))
 	l := NewLog(LogOptions{Self: "batinah-a-1", Incarnation: 1796377987426994366})
 	at := time.Unix(1796377987, 0)
--- a/internal/review/digest.go
+++ b/internal/review/digest.go
@@ -48,6 +48,7 @@
 type Digester struct {
 	options DigesterOptions
 	cursor  *cursor
+	buffer  []*Record // of the last read
 	sum     *accumulator
 	queue   digestQueue
 	limiter *rate.Limiter
@@ -138,7 +139,8 @@
 }
 
 func (d *Digester) read() {
-	records, lost := d.cursor.read(nil, digestReadLimit)
+	records, lost := d.cursor.read(d.buffer[:0], digestReadLimit)
+	d.buffer = records
 	d.sum.lost += lost
 	for _, r := range records {
 		d.sum.add(r)
--- a/internal/review/mirrored.go
+++ b/internal/review/kept.go
@@ -12,42 +12,42 @@
 // recorded once it ended, with the time at which it began.
 const longestRequest = time.Minute
 
-// mirroredBatches keeps compressed batches of other VMs, newest kept longest.
-type mirroredBatches struct {
+// keptBatches keeps compressed batches, newest kept longest.
+type keptBatches struct {
 	mu      sync.Mutex
-	batches []mirroredBatch // oldest first
+	batches []keptBatch // oldest first
 	bytes   int
 	limit   int // bytes
 }
 
-type mirroredBatch struct {
+type keptBatch struct {
 	data     []byte
 	coverage []Coverage
 }
 
 // add keeps data and drops the oldest batches above the limit.
-func (m *mirroredBatches) add(data []byte, coverage []Coverage) {
+func (m *keptBatches) add(data []byte, coverage []Coverage) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.batches = append(m.batches, mirroredBatch{data: data, coverage: coverage})
+	m.batches = append(m.batches, keptBatch{data: data, coverage: coverage})
 	m.bytes += len(data)
 	drop := 0
 	for m.bytes > m.limit && drop < len(m.batches)-1 {
 		m.bytes -= len(m.batches[drop].data)
-		m.batches[drop] = mirroredBatch{}
+		m.batches[drop] = keptBatch{}
 		drop++
 	}
 	m.batches = m.batches[drop:]
 }
 
-func (m *mirroredBatches) snapshot() []mirroredBatch {
+func (m *keptBatches) snapshot() []keptBatch {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return append([]mirroredBatch(nil), m.batches...)
+	return append([]keptBatch(nil), m.batches...)
 }
 
-// family returns the mirrored records that are id, have it as parent or name it as an input.
-func (m *mirroredBatches) family(id ID) []*Record {
+// family returns the records that are id, have it as parent or name it as an input.
+func (m *keptBatches) family(id ID) []*Record {
 	var found []*Record
 	for _, kept := range m.snapshot() {
 		batch, err := DecodeBatch(kept.data)
@@ -63,8 +63,8 @@
 	return found
 }
 
-// inRange returns the mirrored records of a time, and the time that is covered, by VM.
-func (m *mirroredBatches) inRange(service steering.ServiceName, from, to time.Time) ([]*Record, []Coverage) {
+// inRange returns the records of a time, and the time that is covered, by VM.
+func (m *keptBatches) inRange(service steering.ServiceName, from, to time.Time) ([]*Record, []Coverage) {
 	var records []*Record
 	spans := newSpans()
 	for _, kept := range m.snapshot() {
@@ -86,7 +86,7 @@
 }
 
 // coverage returns the time that the batches cover, by VM.
-func (m *mirroredBatches) coverage() []Coverage {
+func (m *keptBatches) coverage() []Coverage {
 	spans := newSpans()
 	for _, kept := range m.snapshot() {
 		spans.add(kept.coverage...)
--- a/internal/review/line.go
+++ b/internal/review/line.go
@@ -1,20 +1,29 @@
 package review
 
 import (
+	"slices"
 	"strconv"
 	"strings"
 
 	"github.com/sirupsen/logrus"
 )
 
-// writeLine writes r as one line: changes, refusals and unknowns at level info, the rest at debug.
-func writeLine(logger logrus.FieldLogger, r *Record) {
+// writeLines writes a line for each record in the order of time: changes, refusals and unknowns at
+// level info, the rest at debug.
+func writeLines(logger logrus.FieldLogger, records []*Record) {
 	if logger == nil {
 		return
 	}
-	if rank(r) == rankRoutine && !debugEnabled(logger) {
-		return
+	if !debugEnabled(logger) {
+		records = slices.DeleteFunc(records, func(r *Record) bool { return rank(r) == rankRoutine })
+	}
+	sortByTime(records)
+	for _, r := range records {
+		writeLine(logger, r)
 	}
+}
+
+func writeLine(logger logrus.FieldLogger, r *Record) {
 	entry := logger.WithFields(lineFields(r))
 	if rank(r) == rankRoutine {
 		entry.Debug(string(r.Kind))
--- a/internal/review/log.go
+++ b/internal/review/log.go
@@ -17,7 +17,8 @@
 
 // Defaults of LogOptions.
 const (
-	defaultCapacity      = 16384    // records
+	defaultCapacity      = 8192     // records
+	defaultHistoryBytes  = 8 << 20  // compressed batches of this VM
 	defaultMirroredBytes = 16 << 20 // compressed batches of other VMs
 	shardCount           = 16       // of routine records, a power of two
 	importantShards      = 4        // of changes and refusals, a power of two
@@ -38,7 +39,8 @@
 type LogOptions struct {
 	Self          vm.Name
 	Incarnation   vm.Incarnation
-	Capacity      int                // records of this VM kept in memory; default 16384
+	Capacity      int                // latest records of this VM, as they are; default 8192
+	HistoryBytes  int                // compressed records of this VM kept in memory; default 8 MiB
 	MirroredBytes int                // compressed records of other VMs kept in memory; default 16 MiB
 	Logger        logrus.FieldLogger // lines of records; nil writes none
 	Metrics       Metrics            // nil counts nothing
@@ -52,7 +54,8 @@
 	prefix      string
 	shards      []*shard // routine records first, then changes and refusals
 	started     time.Time
-	mirrored    *mirroredBatches
+	history     *keptBatches // of this VM, as its Mirror cut them
+	mirrored    *keptBatches // of other VMs
 	inbox       digestInbox
 	logger      logrus.FieldLogger
 	metrics     Metrics
@@ -64,6 +67,9 @@
 	if o.Capacity <= 0 {
 		o.Capacity = defaultCapacity
 	}
+	if o.HistoryBytes <= 0 {
+		o.HistoryBytes = defaultHistoryBytes
+	}
 	if o.MirroredBytes <= 0 {
 		o.MirroredBytes = defaultMirroredBytes
 	}
@@ -76,7 +82,8 @@
 		prefix:      idPrefix(o.Self, o.Incarnation),
 		shards:      newShards(o.Capacity),
 		started:     time.Now(),
-		mirrored:    &mirroredBatches{limit: o.MirroredBytes},
+		history:     &keptBatches{limit: o.HistoryBytes},
+		mirrored:    &keptBatches{limit: o.MirroredBytes},
 		logger:      o.Logger,
 		metrics:     o.Metrics,
 	}
@@ -149,7 +156,11 @@
 	if _, own := sequenceOf(id, l.prefix); own {
 		return l.findOwn(id)
 	}
-	for _, r := range l.mirrored.family(id) {
+	return findIn(l.mirrored.family(id), id)
+}
+
+func findIn(records []*Record, id ID) *Record {
+	for _, r := range records {
 		if r.ID == id {
 			return r
 		}
@@ -166,7 +177,10 @@
 			}
 		})
 	}
-	return found
+	if found != nil {
+		return found
+	}
+	return findIn(l.history.family(id), id)
 }
 
 // family returns the records that are id, have it as parent or name it among their inputs.
@@ -179,7 +193,18 @@
 			}
 		})
 	}
-	return append(found, l.mirrored.family(id)...)
+	found = append(found, l.history.family(id)...)
+	return distinctRecords(append(found, l.mirrored.family(id)...))
+}
+
+// distinctRecords returns records with each id once.
+func distinctRecords(records []*Record) []*Record {
+	seen := make(map[ID]bool, len(records))
+	return slices.DeleteFunc(records, func(r *Record) bool {
+		known := seen[r.ID]
+		seen[r.ID] = true
+		return known
+	})
 }
 
 func related(r *Record, id ID) bool {
@@ -205,7 +230,8 @@
 			}
 		})
 	}
-	return limitRecords(records, limit)
+	older, _ := l.history.inRange(service, from, to)
+	return limitRecords(distinctRecords(append(records, older...)), limit)
 }
 
 func inRange(r *Record, service steering.ServiceName, from, to time.Time) bool {
@@ -244,6 +270,20 @@
 
 // coverage says which time the records of this VM in memory stand for.
 func (l *Log) coverage(now time.Time) Coverage {
+	c := Coverage{VM: l.self, Incarnation: l.incarnation, From: l.latestFrom(), To: now, Source: SourceVM}
+	for _, older := range slices.Backward(l.history.coverage()) {
+		if older.To.Before(c.From) {
+			break
+		}
+		c.From = older.From
+		c.Dropped += older.Dropped
+		c.SampledOut += older.SampledOut
+	}
+	return c
+}
+
+// latestFrom returns the time since which the rings hold every record.
+func (l *Log) latestFrom() time.Time {
 	from := l.started
 	for _, s := range l.shards[:shardCount] {
 		oldest := s.oldest()
@@ -254,7 +294,7 @@
 			from = r.At
 		}
 	}
-	return Coverage{VM: l.self, Incarnation: l.incarnation, From: from, To: now, Source: SourceVM}
+	return from
 }
 
 // Run writes the line of each record and counts it, until ctx ends.
@@ -277,11 +317,14 @@
 	if lost > 0 {
 		l.metrics.RecordsDropped("memory", int(lost))
 	}
-	sortByTime(records)
+	kept := make(map[Kind]int)
 	for _, r := range records {
-		l.metrics.RecordsKept(r.Kind, 1)
-		writeLine(l.logger, r)
+		kept[r.Kind]++
+	}
+	for kind, n := range kept {
+		l.metrics.RecordsKept(kind, n)
 	}
+	writeLines(l.logger, records)
 }
 
 // noMetrics counts nothing.
--- a/internal/review/mirror.go
+++ b/internal/review/mirror.go
@@ -38,6 +38,7 @@
 	cursor      *cursor
 	pending     []pendingBatch // oldest first
 	bytes       int            // in pending
+	buffer      []*Record      // of the last read
 	dropped     uint64         // records lost since the last batch
 	recordBytes float64        // compressed size of a record, running mean
 	last        time.Time      // up to when batches were cut
@@ -86,7 +87,8 @@
 
 // cut makes a batch of the records since the last one.
 func (m *Mirror) cut(now time.Time) {
-	records, lost := m.cursor.read(nil, mirrorReadLimit)
+	records, lost := m.cursor.read(m.buffer[:0], mirrorReadLimit)
+	m.buffer = records
 	m.drop("mirror", int(lost))
 	if len(records) == 0 && now.Sub(m.last) < mirrorHeartbeat {
 		return
@@ -115,6 +117,7 @@
 	}
 	m.dropped = 0
 	m.drop("mirror", whole-len(batch.Records))
+	log.history.add(data, batch.Coverage)
 	m.learnSize(len(data), len(batch.Records))
 	m.pending = append(m.pending, pendingBatch{data: data, records: len(batch.Records)})
 	m.bytes += len(data)
--- /dev/null
+++ b/internal/review/requestcost_test.go
@@ -0,0 +1,186 @@
+package review_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"runtime"
+	"slices"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/azureflow/azureflow/internal/peer"
+	"github.com/azureflow/azureflow/internal/platform/platformtest"
+	"github.com/azureflow/azureflow/internal/request"
+	"github.com/azureflow/azureflow/internal/review"
+	"github.com/azureflow/azureflow/internal/steering"
+	"github.com/azureflow/azureflow/internal/vm"
+)
+
+// noRecorder gives ids and keeps nothing.
+type noRecorder struct{ next atomic.Uint64 }
+
+func (r *noRecorder) NextID() review.ID {
+	return review.ID("e1.1." + strconv.FormatUint(r.next.Add(1), 10))
+}
+func (r *noRecorder) Record(*review.Record) {}
+
+// onePlacer sends all to one server and names two candidates, as a pool does.
+type onePlacer struct{ server vm.VM }
+
+func (p *onePlacer) Place(*request.PlacementQuery) (*request.Placement, error) {
+	return &request.Placement{
+		Server: p.server, Revision: 12, PlanEpoch: 88, Constraint: review.ConstraintNone,
+		Candidates: []review.Candidate{
+			{Name: string(p.server.Name), Taken: true, Reason: "least busy", Score: 0.41},
+			{Name: "certdesk-7", Reason: "busier", Score: 0.77},
+		},
+		Release: func(request.AttemptResult) {},
+	}, nil
+}
+
+func (p *onePlacer) Room(steering.ServiceName) <-chan struct{} { return nil }
+
+func newEntry(recorder review.Recorder, upstream string) (url string, stop func()) {
+	configuration := &steering.Configuration{Revision: 12, Services: []steering.Service{{
+		Name: "certdesk",
+		Operations: []steering.Operation{{
+			Name: "lookup", Method: "GET", Path: "/certificates/{id}", Idempotent: true,
+			Deadline: steering.Duration(10 * time.Second),
+		}},
+	}}}
+	h := request.NewHandler(request.HandlerOptions{
+		Config:   func() *steering.Configuration { return configuration },
+		Placer:   &onePlacer{server: vm.VM{Name: "certdesk-1", Address: upstream, Region: "batinah"}},
+		Recorder: recorder,
+		Self:     request.Identity{Name: "e1", Incarnation: 1, Region: "batinah", Zone: "batinah-a"},
+	})
+	s := httptest.NewServer(h)
+	return s.URL, s.Close
+}
+
+// recording runs everything that a daemon does with records: lines, mirror, digests, and keeping
+// what another VM mirrors, which is as much as it sends itself.
+func recording(mirrored *atomic.Int64) (l *review.Log, stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	l = review.NewLog(review.LogOptions{Self: "e1", Incarnation: 1, Logger: logger})
+	peerLog := review.NewLog(review.LogOptions{Self: "e2", Incarnation: 1})
+	mirror := review.NewMirror(review.MirrorOptions{Log: l, Send: func(ctx context.Context, r *peer.MirrorRequest) error {
+		mirrored.Add(int64(len(r.GetRecords())))
+		_, err := peerLog.MirrorRecords(ctx, r)
+		return err
+	}})
+	store := platformtest.NewStore(platformtest.StoreOptions{})
+	digester := review.NewDigester(review.DigesterOptions{Log: l, Store: store, Zone: "batinah-a"})
+	var wait sync.WaitGroup
+	for _, run := range []func(context.Context) error{l.Run, mirror.Run, digester.Run} {
+		wait.Go(func() { _ = run(ctx) })
+	}
+	return l, func() { cancel(); wait.Wait() }
+}
+
+// burst sends n requests from some callers at a time and returns the processor time of the process.
+func burst(b *testing.B, client *http.Client, url string, n int) time.Duration {
+	const callers = 8
+	began := processorTime(b)
+	var wait sync.WaitGroup
+	for range callers {
+		wait.Go(func() {
+			for range n / callers {
+				answer, err := client.Do(traced(url + "/certdesk/certificates/4711"))
+				if err != nil {
+					b.Error(err)
+					return
+				}
+				_, _ = io.Copy(io.Discard, answer.Body)
+				_ = answer.Body.Close()
+				if answer.StatusCode != http.StatusOK {
+					b.Errorf("status %d", answer.StatusCode)
+					return
+				}
+			}
+		})
+	}
+	wait.Wait()
+	return processorTime(b) - began
+}
+
+// traced returns a request with a trace of its own.
+func traced(url string) *http.Request {
+	r := httptest.NewRequest(http.MethodGet, url, nil)
+	r.RequestURI = ""
+	r.Header.Set("Traceparent", fmt.Sprintf("00-%016x%016x-%016x-01", rand.Uint64(), rand.Uint64()|1, rand.Uint64()|1))
+	return r
+}
+
+func processorTime(b *testing.B) time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		b.Fatal(err)
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// BenchmarkRequestWithRecords compares the processor time of an entry VM for a request without and
+// with records, in alternating bursts of one run. What caller and upstream take themselves is
+// measured by direct calls and taken off. Each burst has an entry VM of its own, warmed up until the
+// log is full, so that none pays for the memory of another.
+func BenchmarkRequestWithRecords(b *testing.B) {
+	upstream := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(request.HeaderAttempt, r.Header.Get(request.HeaderAttempt))
+		_, _ = io.WriteString(w, `{"certificate":"4711","valid":true}`)
+	}))
+	b.Cleanup(upstream.Close)
+	address := upstream.Listener.Addr().String()
+	var mirrored, recorded atomic.Int64
+	var without, with, added []float64
+	for b.Loop() {
+		direct := phase(b, upstream.URL)
+		url, stop := newEntry(&noRecorder{}, address)
+		bare := phase(b, url) - direct
+		stop()
+		log, stopLog := recording(&mirrored)
+		url, stop = newEntry(log, address)
+		full := phase(b, url) - direct
+		stop()
+		stopLog()
+		recorded.Add(warmUp + perBurst)
+		without, with = append(without, bare), append(with, full)
+		added = append(added, 100*(full-bare)/bare)
+	}
+	b.ReportMetric(median(without), "us/request-without")
+	b.ReportMetric(median(with), "us/request-with")
+	b.ReportMetric(median(added), "%added")
+	b.ReportMetric(float64(mirrored.Load())/float64(recorded.Load()), "mirrored-bytes/request")
+}
+
+// Requests of a phase.
+const (
+	warmUp   = 8000
+	perBurst = 16000
+)
+
+// phase warms up the server at url and returns the processor time of a request in microseconds.
+func phase(b *testing.B, url string) float64 {
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
+	defer client.CloseIdleConnections()
+	burst(b, client, url, warmUp)
+	runtime.GC()
+	return float64(burst(b, client, url, perBurst).Microseconds()) / perBurst
+}
+
+func median(list []float64) float64 {
+	slices.Sort(list)
+	return list[len(list)/2]
+}
