--- a/internal/lookup/classes.go
+++ b/internal/lookup/classes.go
@@ -15,17 +15,16 @@
 // addClasses makes a class for the callers of each region and for those nearest to each zone.
 func (b *builder) addClasses() {
 	b.snap.byRegion = make(map[steering.RegionName]int32)
-	blocks := b.blocksByZone()
 	for _, region := range b.view.Platform.Regions {
 		listed := 0
 		for _, name := range region.Zones {
-			listed += blocks[name]
+			listed += b.blocks[name]
 		}
 		demand := b.demandOf(region.Name)
 		b.snap.byRegion[region.Name] = b.addClass(region.Name, "", unlistedShare(listed)*demand)
 		for _, name := range region.Zones {
-			if blocks[name] > 0 {
-				share := float64(blocks[name]) / float64(listed)
+			if b.blocks[name] > 0 {
+				share := float64(b.blocks[name]) / float64(listed)
 				b.siteClass(name, b.addClass(region.Name, name, demand*share))
 			}
 		}
@@ -130,8 +129,8 @@
 	case z.region == region:
 		return 0
 	}
-	if link := b.view.Platform.Link(region, z.region); link != nil {
-		return betweenZones + sameDelay + link.Delay.Std()
+	if delay, known := b.delays[regionPair{region, z.region}]; known {
+		return betweenZones + sameDelay + delay
 	}
 	return unknownDelay
 }
--- a/internal/lookup/hash.go
+++ b/internal/lookup/hash.go
@@ -36,3 +36,10 @@
 	x = (x ^ x>>27) * 0x94d049bb133111eb
 	return x ^ x>>31
 }
+
+// fold returns a hash of a key that is already mixed and a salt that is itself a hash: both halves of
+// their product with a constant, as in wyhash. It takes one multiplication.
+func fold(key, salt uint64) uint64 {
+	high, low := bits.Mul64(key^salt, 0xa0761d6478bd642f)
+	return high ^ low
+}
--- a/internal/lookup/rank.go
+++ b/internal/lookup/rank.go
@@ -20,13 +20,13 @@
 		d.Reason = ReasonSpilled
 	}
 	choice := c.tiers[at].choose(key)
-	first, next := s.bestIn(choice.zone, key, -1)
+	first, next := s.bestIn(choice.zone, key)
 	s.add(d, first)
 	second := pickShare(choice.afterVM, uint32(mix(key, secondSalt)))
-	s.addSecond(d, choice.zone, second, first, next, key)
+	s.addSecond(d, choice.zone, second, next, key)
 	third := pickShare(choice.afterZone, uint32(mix(key, thirdSalt)))
 	if third >= 0 {
-		s.addOther(d, third, key)
+		s.addOther(d, third, mix(key, thirdSalt))
 	}
 	for t := 0; t < len(c.tiers) && d.Count < MaxEntries; t++ {
 		s.addFromTier(d, &c.tiers[t], key)
@@ -34,22 +34,27 @@
 }
 
 // addSecond adds the VM that takes over when the first is lost: next is the runner-up in its zone.
-func (s *snapshot) addSecond(d *Decision, zone, second, first, next int32, key uint64) {
+func (s *snapshot) addSecond(d *Decision, zone, second, next int32, key uint64) {
 	if second == zone || second < 0 {
 		s.add(d, next)
 		return
 	}
-	best, _ := s.bestIn(second, key, first)
-	s.add(d, best)
+	s.addOther(d, second, mix(key, secondSalt))
 }
 
-// addOther adds the best VM of a zone that d does not name yet.
+// addOther adds a VM of a zone that d does not name yet, each VM for about as many keys.
 func (s *snapshot) addOther(d *Decision, zone int32, key uint64) {
-	best, runnerUp := s.bestIn(zone, key, -1)
-	if best >= 0 && d.names(s.entries[best].Name) {
-		best = runnerUp
+	vms := s.zones[zone].vms
+	at := int(key % uint64(len(vms)))
+	for range vms {
+		if index := vms[at].index; !d.names(s.entries[index].Name) {
+			s.add(d, index)
+			return
+		}
+		if at++; at == len(vms) {
+			at = 0
+		}
 	}
-	s.add(d, best)
 }
 
 // addFromTier adds VMs of the zones of t until d is full.
@@ -83,27 +88,31 @@
 	if len(t.zones) == 1 {
 		return best
 	}
-	least := exponential(mix(key, best.salt)) * best.inverse
+	least := exponential(fold(key, best.salt)) * best.inverse
 	for i := 1; i < len(t.zones); i++ {
 		z := &t.zones[i]
-		if score := exponential(mix(key, z.salt)) * z.inverse; score < least {
+		if score := exponential(fold(key, z.salt)) * z.inverse; score < least {
 			best, least = z, score
 		}
 	}
 	return best
 }
 
-// bestIn returns the best and the second best VM of a zone for key, except one; -1 for none.
-func (s *snapshot) bestIn(zone int32, key uint64, except int32) (first, second int32) {
+// bestIn returns the best VM of a zone for key, and the next best of its group; -1 for none.
+func (s *snapshot) bestIn(zone int32, key uint64) (first, second int32) {
+	g := s.zones[zone].choose(key)
+	if g.uniform {
+		return g.bestOfEqual(key)
+	}
+	return g.best(key)
+}
+
+func (g *group) best(key uint64) (first, second int32) {
 	first, second = -1, -1
 	var best, next float32
-	vms := s.zones[zone].vms
-	for i := range vms {
-		v := &vms[i]
-		if v.index == except {
-			continue
-		}
-		score := exponential(mix(key, v.salt)) * v.inverse
+	for i := range g.vms {
+		v := &g.vms[i]
+		score := exponential(fold(key, v.salt)) * v.inverse
 		switch {
 		case first < 0 || score < best:
 			second, next = first, best
@@ -115,6 +124,40 @@
 	return first, second
 }
 
+// bestOfEqual is best where all weights are the same: the order of the hashes is that of the scores.
+func (g *group) bestOfEqual(key uint64) (first, second int32) {
+	first, second = -1, -1
+	var best, next uint64
+	for i := range g.vms {
+		v := &g.vms[i]
+		score := fold(key, v.salt)
+		switch {
+		case first < 0 || score > best:
+			second, next = first, best
+			first, best = v.index, score
+		case second < 0 || score > next:
+			second, next = v.index, score
+		}
+	}
+	return first, second
+}
+
+// choose returns the best group for key.
+func (z *zone) choose(key uint64) *group {
+	best := &z.groups[0]
+	if len(z.groups) == 1 {
+		return best
+	}
+	least := exponential(fold(key, best.salt)) * best.inverse
+	for i := 1; i < len(z.groups); i++ {
+		g := &z.groups[i]
+		if score := exponential(fold(key, g.salt)) * g.inverse; score < least {
+			best, least = g, score
+		}
+	}
+	return best
+}
+
 // add adds a VM to d if there is one and room for it.
 func (s *snapshot) add(d *Decision, index int32) {
 	if index < 0 || d.Count >= MaxEntries {
--- a/internal/lookup/sites.go
+++ b/internal/lookup/sites.go
@@ -27,15 +27,22 @@
 	Site  uint16 // index into the sites of the table
 }
 
-// Sites maps caller blocks to sites: a bitmap of the blocks that are listed, the number of listed
-// blocks before each word of it, and a site for each listed block. It is immutable.
+// Sites maps caller blocks to sites: a bitmap of the blocks that are listed with the number of listed
+// blocks before each word, and a site for each listed block. It is immutable.
 type Sites struct {
 	sites  []Site
-	listed []uint64 // one bit for each block
-	before []uint32 // blocks listed before each word of listed
+	words  []word
 	site   []uint16 // by rank among the listed blocks
 }
 
+// word says which of 64 blocks are listed, and how many before them.
+type word struct {
+	listed uint64
+	before uint32
+}
+
+const wordBits = 64
+
 // SitesError reports a table that cannot be built or read.
 type SitesError struct {
 	Line   int // of the file, 0 for none
@@ -65,12 +72,7 @@
 	if len(sites) > MaxSites {
 		return nil, &SitesError{Reason: "more than " + strconv.Itoa(MaxSites) + " sites"}
 	}
-	const wordBits = 64
-	s := &Sites{
-		sites:  slices.Clone(sites),
-		listed: make([]uint64, ListedBlocks/wordBits),
-		before: make([]uint32, ListedBlocks/wordBits),
-	}
+	s := &Sites{sites: slices.Clone(sites), words: make([]word, ListedBlocks/wordBits)}
 	for p := range blocks {
 		if p.Block >= ListedBlocks {
 			return nil, &SitesError{Reason: "block " + strconv.FormatUint(uint64(p.Block), 10) + " is not an IPv4 /24 prefix"}
@@ -78,12 +80,12 @@
 		if int(p.Site) >= len(sites) {
 			return nil, &SitesError{Reason: "site " + strconv.Itoa(int(p.Site)) + " is not one of the sites"}
 		}
-		s.listed[p.Block/wordBits] |= 1 << (p.Block % wordBits)
+		s.words[p.Block/wordBits].listed |= 1 << (p.Block % wordBits)
 	}
 	total := uint32(0)
-	for i, word := range s.listed {
-		s.before[i] = total
-		total += uint32(bits.OnesCount64(word))
+	for i := range s.words {
+		s.words[i].before = total
+		total += uint32(bits.OnesCount64(s.words[i].listed))
 	}
 	s.site = make([]uint16, total)
 	for p := range blocks {
@@ -94,16 +96,14 @@
 
 // rank returns the number of listed blocks below b.
 func (s *Sites) rank(b Block) uint32 {
-	const wordBits = 64
-	word := s.listed[b/wordBits]
-	below := word & (1<<(b%wordBits) - 1)
-	return s.before[b/wordBits] + uint32(bits.OnesCount64(below))
+	w := &s.words[b/wordBits]
+	below := w.listed & (1<<(b%wordBits) - 1)
+	return w.before + uint32(bits.OnesCount64(below))
 }
 
 // find returns the site of b, and whether b is listed.
 func (s *Sites) find(b Block) (uint16, bool) {
-	const wordBits = 64
-	if s == nil || b >= ListedBlocks || s.listed[b/wordBits]&(1<<(b%wordBits)) == 0 {
+	if s == nil || b >= ListedBlocks || s.words[b/wordBits].listed&(1<<(b%wordBits)) == 0 {
 		return 0, false
 	}
 	return s.site[s.rank(b)], true
@@ -123,8 +123,11 @@
 
 // Bytes returns the memory that the table takes.
 func (s *Sites) Bytes() int {
-	const siteBytes = 32
-	return len(s.listed)*8 + len(s.before)*4 + len(s.site)*2 + len(s.sites)*siteBytes
+	const (
+		wordBytes = 16
+		siteBytes = 32
+	)
+	return len(s.words)*wordBytes + len(s.site)*2 + len(s.sites)*siteBytes
 }
 
 // blocksBySite returns the number of listed blocks of each site.
--- a/internal/lookup/snapshot.go
+++ b/internal/lookup/snapshot.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -14,7 +15,7 @@
 const (
 	sameDelay   = 2 * time.Millisecond // zones this close to each other form one tier
 	zonesInTier = 8                    // zones weighed against each other
-	maxTiers    = 4                    // tiers of one class
+	maxTiers    = 12                   // tiers of one class
 )
 
 // snapshot is a View made ready for decisions. It is immutable.
@@ -38,9 +39,19 @@
 	region   steering.RegionName
 	salt     uint64
 	vms      []candidate
+	groups   []group
 	capacity float64 // requests/s, in the unit of View.Demand
 }
 
+// group is a part of the VMs of a zone. Choosing a group first and a VM of it then takes far fewer
+// hashes than weighing all VMs of a large zone.
+type group struct {
+	vms     []candidate
+	inverse float32 // 1/sum of weights
+	salt    uint64
+	uniform bool // all VMs have the same weight
+}
+
 // candidate is a VM in a choice by weighted rendezvous hashing.
 type candidate struct {
 	index   int32   // into entries
@@ -73,6 +84,9 @@
 	afterZone []zoneShare // where callers go when they lose the zone
 }
 
+// regionPair is a direction between two regions.
+type regionPair struct{ from, to steering.RegionName }
+
 // builder makes a snapshot from a View.
 type builder struct {
 	view    *View
@@ -80,7 +94,9 @@
 	sites   *Sites
 	snap    *snapshot
 	byName  map[steering.ZoneName]int32
-	filled  []float64 // requests/s by zone
+	delays  map[regionPair]time.Duration
+	blocks  map[steering.ZoneName]int // listed, by the zone nearest to them
+	filled  []float64                 // requests/s by zone
 }
 
 func build(view *View, options *Options, sites *Sites) *snapshot {
@@ -90,7 +106,13 @@
 		sites:   sites,
 		snap:    &snapshot{revision: view.Revision, learnedAt: view.LearnedAt, sites: sites, home: -1},
 		byName:  make(map[steering.ZoneName]int32),
+		delays:  make(map[regionPair]time.Duration, len(view.Platform.Links)),
 	}
+	for i := range view.Platform.Links {
+		l := &view.Platform.Links[i]
+		b.delays[regionPair{l.From, l.To}] = l.Delay.Std()
+	}
+	b.blocks = b.blocksByZone()
 	b.addVMs()
 	b.addClasses()
 	b.fill()
@@ -137,9 +159,34 @@
 		})
 		z.capacity += limits[i]
 	}
+	for i := range b.snap.zones {
+		b.snap.zones[i].group()
+	}
 	b.filled = make([]float64, len(b.snap.zones))
 }
 
+// group splits the VMs of z into about as many groups as each of them has VMs. The groups of a VM
+// stay the same while others come and go, unless the number of groups changes.
+func (z *zone) group() {
+	n := max(1, int(math.Round(math.Sqrt(float64(len(z.vms))/2))))
+	z.groups = make([]group, n)
+	for _, v := range z.vms {
+		g := &z.groups[v.salt%uint64(n)]
+		g.vms = append(g.vms, v)
+		g.inverse += 1 / v.inverse
+	}
+	z.groups = slices.DeleteFunc(z.groups, func(g group) bool { return len(g.vms) == 0 })
+	for i := range z.groups {
+		g := &z.groups[i]
+		g.inverse = 1 / g.inverse
+		g.uniform = true
+		for _, v := range g.vms {
+			g.uniform = g.uniform && v.inverse == g.vms[0].inverse
+		}
+		g.salt = mix(z.salt, uint64(i))
+	}
+}
+
 func (b *builder) zoneIndex(name steering.ZoneName) int32 {
 	if i, known := b.byName[name]; known {
 		return i
@@ -188,7 +235,8 @@
 	return max(total, 1)
 }
 
-// demandOf returns the demand of a region in requests/s, or 1 for each where none is known.
+// demandOf returns the demand of a region in requests/s. Where none is known it counts its listed
+// blocks, and where none are listed each region as 1.
 func (b *builder) demandOf(region steering.RegionName) float64 {
 	known := 0.0
 	for _, d := range b.view.Demand {
@@ -197,8 +245,25 @@
 			return d.PerSecond
 		}
 	}
-	if known > 0 {
+	switch {
+	case known > 0:
 		return 0
+	case b.sites != nil && b.sites.Len() > 0:
+		return float64(b.blocksIn(region))
 	}
 	return 1
 }
+
+func (b *builder) blocksIn(region steering.RegionName) int {
+	for _, r := range b.view.Platform.Regions {
+		if r.Name != region {
+			continue
+		}
+		total := 0
+		for _, name := range r.Zones {
+			total += b.blocks[name]
+		}
+		return total
+	}
+	return 0
+}
