--- a/internal/lookup/rank.go
+++ b/internal/lookup/rank.go
@@ -1,6 +1,10 @@
 package lookup
 
-import "github.com/azureflow/azureflow/internal/vm"
+import (
+	"math"
+
+	"github.com/azureflow/azureflow/internal/vm"
+)
 
 // Salts of the independent choices that are made from one key.
 const (
@@ -84,23 +88,30 @@
 
 // choose returns the best zone for key.
 func (t *tier) choose(key uint64) *zoneChoice {
-	best := &t.zones[0]
 	if len(t.zones) == 1 {
-		return best
+		return &t.zones[0]
 	}
-	least := exponential(fold(key, best.salt)) * best.inverse
-	for i := 1; i < len(t.zones); i++ {
+	least := uint64(math.MaxUint64)
+	for i := range t.zones {
 		z := &t.zones[i]
-		if score := exponential(fold(key, z.salt)) * z.inverse; score < least {
-			best, least = z, score
-		}
+		least = min(least, packed(exponential(fold(key, z.salt))*z.inverse, i))
 	}
-	return best
+	return &t.zones[uint32(least)]
+}
+
+// packed puts a score and a place into one number, so that the least number has the least score and
+// is found without branches that the processor cannot predict.
+func packed(score float32, place int) uint64 {
+	const placeBits = 32
+	return uint64(math.Float32bits(score))<<placeBits | uint64(uint32(place))
 }
 
 // bestIn returns the best VM of a zone for key, and the next best of its group; -1 for none.
 func (s *snapshot) bestIn(zone int32, key uint64) (first, second int32) {
 	g := s.zones[zone].choose(key)
+	if len(g.vms) == 1 {
+		return g.vms[0].index, -1
+	}
 	if g.uniform {
 		return g.bestOfEqual(key)
 	}
@@ -108,54 +119,39 @@
 }
 
 func (g *group) best(key uint64) (first, second int32) {
-	first, second = -1, -1
-	var best, next float32
+	least, next := uint64(math.MaxUint64), uint64(math.MaxUint64)
 	for i := range g.vms {
 		v := &g.vms[i]
-		score := exponential(fold(key, v.salt)) * v.inverse
-		switch {
-		case first < 0 || score < best:
-			second, next = first, best
-			first, best = v.index, score
-		case second < 0 || score < next:
-			second, next = v.index, score
-		}
+		score := packed(exponential(fold(key, v.salt))*v.inverse, i)
+		next = min(next, max(least, score))
+		least = min(least, score)
 	}
-	return first, second
+	return g.vms[uint32(least)].index, g.vms[uint32(next)].index
 }
 
 // bestOfEqual is best where all weights are the same: the order of the hashes is that of the scores.
 func (g *group) bestOfEqual(key uint64) (first, second int32) {
-	first, second = -1, -1
-	var best, next uint64
+	const places = 1<<16 - 1
+	least, next := uint64(math.MaxUint64), uint64(math.MaxUint64)
 	for i := range g.vms {
-		v := &g.vms[i]
-		score := fold(key, v.salt)
-		switch {
-		case first < 0 || score > best:
-			second, next = first, best
-			first, best = v.index, score
-		case second < 0 || score > next:
-			second, next = v.index, score
-		}
+		score := fold(key, g.vms[i].salt)&^places | uint64(i)
+		next = min(next, max(least, score))
+		least = min(least, score)
 	}
-	return first, second
+	return g.vms[least&places].index, g.vms[next&places].index
 }
 
 // choose returns the best group for key.
 func (z *zone) choose(key uint64) *group {
-	best := &z.groups[0]
 	if len(z.groups) == 1 {
-		return best
+		return &z.groups[0]
 	}
-	least := exponential(fold(key, best.salt)) * best.inverse
-	for i := 1; i < len(z.groups); i++ {
+	least := uint64(math.MaxUint64)
+	for i := range z.groups {
 		g := &z.groups[i]
-		if score := exponential(fold(key, g.salt)) * g.inverse; score < least {
-			best, least = g, score
-		}
+		least = min(least, packed(exponential(fold(key, g.salt))*g.inverse, i))
 	}
-	return best
+	return &z.groups[uint32(least)]
 }
 
 // add adds a VM to d if there is one and room for it.
--- a/internal/lookup/sites.go
+++ b/internal/lookup/sites.go
@@ -28,20 +28,21 @@
 }
 
 // Sites maps caller blocks to sites: a bitmap of the blocks that are listed with the number of listed
-// blocks before each word, and a site for each listed block. It is immutable.
+// blocks before each line of it, and a site for each listed block. It is immutable.
 type Sites struct {
 	sites  []Site
-	words  []word
+	lines  []line
+	before []uint32 // blocks listed before each line
 	site   []uint16 // by rank among the listed blocks
 }
 
-// word says which of 64 blocks are listed, and how many before them.
-type word struct {
-	listed uint64
-	before uint32
-}
+// line says which of lineBits blocks are listed. It fills one line of the processor's cache.
+type line [lineBits / wordBits]uint64
 
-const wordBits = 64
+const (
+	wordBits = 64
+	lineBits = 512
+)
 
 // SitesError reports a table that cannot be built or read.
 type SitesError struct {
@@ -72,7 +73,11 @@
 	if len(sites) > MaxSites {
 		return nil, &SitesError{Reason: "more than " + strconv.Itoa(MaxSites) + " sites"}
 	}
-	s := &Sites{sites: slices.Clone(sites), words: make([]word, ListedBlocks/wordBits)}
+	s := &Sites{
+		sites:  slices.Clone(sites),
+		lines:  make([]line, ListedBlocks/lineBits),
+		before: make([]uint32, ListedBlocks/lineBits),
+	}
 	for p := range blocks {
 		if p.Block >= ListedBlocks {
 			return nil, &SitesError{Reason: "block " + strconv.FormatUint(uint64(p.Block), 10) + " is not an IPv4 /24 prefix"}
@@ -80,12 +85,14 @@
 		if int(p.Site) >= len(sites) {
 			return nil, &SitesError{Reason: "site " + strconv.Itoa(int(p.Site)) + " is not one of the sites"}
 		}
-		s.words[p.Block/wordBits].listed |= 1 << (p.Block % wordBits)
+		s.lines[p.Block/lineBits][p.Block%lineBits/wordBits] |= 1 << (p.Block % wordBits)
 	}
 	total := uint32(0)
-	for i := range s.words {
-		s.words[i].before = total
-		total += uint32(bits.OnesCount64(s.words[i].listed))
+	for i := range s.lines {
+		s.before[i] = total
+		for _, word := range s.lines[i] {
+			total += uint32(bits.OnesCount64(word))
+		}
 	}
 	s.site = make([]uint16, total)
 	for p := range blocks {
@@ -96,14 +103,18 @@
 
 // rank returns the number of listed blocks below b.
 func (s *Sites) rank(b Block) uint32 {
-	w := &s.words[b/wordBits]
-	below := w.listed & (1<<(b%wordBits) - 1)
-	return w.before + uint32(bits.OnesCount64(below))
+	l := &s.lines[b/lineBits]
+	last := b % lineBits / wordBits
+	n := s.before[b/lineBits] + uint32(bits.OnesCount64(l[last]&(1<<(b%wordBits)-1)))
+	for _, word := range l[:last] {
+		n += uint32(bits.OnesCount64(word))
+	}
+	return n
 }
 
 // find returns the site of b, and whether b is listed.
 func (s *Sites) find(b Block) (uint16, bool) {
-	if s == nil || b >= ListedBlocks || s.words[b/wordBits].listed&(1<<(b%wordBits)) == 0 {
+	if s == nil || b >= ListedBlocks || s.lines[b/lineBits][b%lineBits/wordBits]&(1<<(b%wordBits)) == 0 {
 		return 0, false
 	}
 	return s.site[s.rank(b)], true
@@ -123,11 +134,8 @@
 
 // Bytes returns the memory that the table takes.
 func (s *Sites) Bytes() int {
-	const (
-		wordBytes = 16
-		siteBytes = 32
-	)
-	return len(s.words)*wordBytes + len(s.site)*2 + len(s.sites)*siteBytes
+	const siteBytes = 32
+	return len(s.lines)*lineBits/8 + len(s.before)*4 + len(s.site)*2 + len(s.sites)*siteBytes
 }
 
 // blocksBySite returns the number of listed blocks of each site.
