--- a/internal/request/placement.go
+++ b/internal/request/placement.go
@@ -71,6 +71,13 @@
 	Room(service steering.ServiceName) <-chan struct{}
 }
 
+// CapacityReporter may be implemented by a Placer that knows its capacity; else it is inferred from
+// NoRoomErrors.
+type CapacityReporter interface {
+	// Capacity returns how many requests of a service may be placed at a time now.
+	Capacity(service steering.ServiceName) int
+}
+
 // NoRoomError reports that no server may be sent more at this moment.
 type NoRoomError struct {
 	Service    steering.ServiceName
--- a/internal/request/queue.go
+++ b/internal/request/queue.go
@@ -158,6 +158,7 @@
 // placeAtOnce places t if nothing waits that goes before it. It returns neither value if t has to wait.
 func (s *serviceQueue) placeAtOnce(t *Ticket, now time.Time) (*Placement, error) {
 	s.usage.arrive(t.Class, now)
+	s.noteCapacity(now)
 	if s.mustWait(t) {
 		return nil, nil
 	}
@@ -167,12 +168,21 @@
 		return s.grant(p, t, now), nil
 	}
 	if _, full := err.(*NoRoomError); full {
-		s.usage.full()
+		s.usage.full(now)
 		return nil, nil
 	}
 	return nil, err
 }
 
+// noteCapacity keeps the capacity that the reserve for interactive work is taken from.
+func (s *serviceQueue) noteCapacity(now time.Time) {
+	if reporter, ok := s.placer.(CapacityReporter); ok {
+		s.usage.report(reporter.Capacity(s.name))
+	}
+	s.usage.probe(now)
+	s.usage.updateReserve(now)
+}
+
 func (s *serviceQueue) mustWait(t *Ticket) bool {
 	if s.opts.Policy == PolicyFIFO {
 		return s.waiting > 0
@@ -201,7 +211,7 @@
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.usage.end(t.Class, now.Sub(start))
+	s.usage.end(t.Class, now.Sub(start), now)
 	s.leave(t.Caller)
 	s.pump(now)
 }
--- a/internal/request/queue_order.go
+++ b/internal/request/queue_order.go
@@ -236,7 +236,7 @@
 	w.ticket.Query.Now = now
 	p, err := s.placer.Place(w.ticket.Query)
 	if _, full := err.(*NoRoomError); full {
-		s.usage.full()
+		s.usage.full(now)
 		return false
 	}
 	s.remove(w)
--- a/internal/request/usage.go
+++ b/internal/request/usage.go
@@ -8,74 +8,127 @@
 )
 
 const (
-	holdWeight      = 0.05 // of one measurement in the averages of hold times
-	demandHalfLife  = 2 * time.Second
-	reserveStdDevs  = 1.5 // of a Poisson demand, kept free for interactive work
-	holdMarginDevs  = 2   // mean deviations added to the expected hold time
-	minLongInFlight = 1   // requests of longer classes that are always admitted
+	holdWeight        = 0.01 // of one measurement in the averages of hold times, once there are enough
+	demandHalfLife    = 4 * time.Second
+	demandWarmUp      = time.Second            // three quarters of the capacity are kept until demand is known for this long
+	capacityProbe     = 5 * time.Second        // without a missing room, capacity is assumed one higher
+	maxLongWaitShare  = 0.2                    // of interactive requests may wait longer than they are served
+	goodLongWaitShare = 0.03                   // the same, where it leaves longer work its share
+	reserveSpareShare = 0.2                    // of what interactive work leaves, spent to reach goodLongWaitShare
+	reserveInterval   = 100 * time.Millisecond // between calculations of the reserve
+	holdMarginDevs    = 2                      // mean deviations added to the expected hold time
+	minLongInFlight   = 1                      // requests of longer classes that are always admitted
 )
 
 // usage follows what the requests of a service occupy. Its owner locks it.
 type usage struct {
 	inFlight [steering.ClassCount]int
 	hold     [steering.ClassCount]average // seconds from placement to release
-	rate     arrivalRate                  // of interactive requests
-	capacity int                          // in flight when room was last missing; 0: never
+	rate     decayingRate                 // of interactive arrivals
+	held     decayingRate                 // of seconds held by interactive requests that ended
+	ends     decayingRate                 // of interactive requests that ended
+	capacity int                          // requests that fit at a time; 0: not known
+	reported bool                         // capacity is the placer's own figure
+	probed   time.Time                    // when an assumed capacity was last changed
+	reserve  int                          // of the capacity, for interactive work
+	reserved time.Time                    // when reserve was last calculated
 }
 
-// average is an exponentially weighted mean with its mean deviation.
+// average is an exponentially weighted mean with its mean deviation. The first values weigh alike.
 type average struct {
 	mean, dev float64
-	known     bool
+	weight    float64 // of the next value
 }
 
 func (a *average) add(x float64) {
-	if !a.known {
-		a.mean, a.dev, a.known = x, 0, true
-		return
+	if a.weight == 0 {
+		a.weight = 1
 	}
-	a.dev += holdWeight * (math.Abs(x-a.mean) - a.dev)
-	a.mean += holdWeight * (x - a.mean)
+	a.mean += a.weight * (x - a.mean)
+	a.dev += a.weight * (math.Abs(x-a.mean) - a.dev)
+	a.weight = max(holdWeight, a.weight/(1+a.weight))
 }
 
-// arrivalRate is an exponentially decaying rate.
-type arrivalRate struct {
-	perSecond float64
-	last      time.Time
+// decayingRate is an exponentially decaying rate, corrected for the short time since it began.
+type decayingRate struct {
+	count float64 // decayed sum
+	span  float64 // decayed seconds
+	last  time.Time
 }
 
-func (r *arrivalRate) add(now time.Time) {
+func (r *decayingRate) add(x float64, now time.Time) {
 	r.decay(now)
-	r.perSecond += math.Ln2 / demandHalfLife.Seconds()
+	r.count += x
 }
 
-func (r *arrivalRate) decay(now time.Time) {
+func (r *decayingRate) decay(now time.Time) {
 	if !r.last.IsZero() {
-		r.perSecond *= math.Exp2(-now.Sub(r.last).Seconds() / demandHalfLife.Seconds())
+		gone := now.Sub(r.last).Seconds()
+		fade := math.Exp2(-gone / demandHalfLife.Seconds())
+		r.count *= fade
+		r.span = r.span*fade + gone
 	}
 	r.last = now
 }
 
+// perSecond returns the rate; it is too high until some time has passed.
+func (r *decayingRate) perSecond() float64 {
+	if r.span == 0 {
+		return 0
+	}
+	return r.count / r.span
+}
+
 func (u *usage) arrive(c steering.Class, now time.Time) {
 	if c == steering.ClassInteractive {
-		u.rate.add(now)
+		u.rate.add(1, now)
 		return
 	}
 	u.rate.decay(now)
 }
 
-func (u *usage) start(c steering.Class) {
-	u.inFlight[c]++
-	u.capacity = max(u.capacity, u.total())
-}
+func (u *usage) start(c steering.Class) { u.inFlight[c]++ }
 
-func (u *usage) end(c steering.Class, held time.Duration) {
+func (u *usage) end(c steering.Class, held time.Duration, now time.Time) {
 	u.inFlight[c]--
 	u.hold[c].add(held.Seconds())
+	if c == steering.ClassInteractive {
+		u.held.add(held.Seconds(), now)
+		u.ends.add(1, now)
+	}
+}
+
+// interactiveLoad estimates the slots that interactive work needs on average.
+func (u *usage) interactiveLoad() float64 {
+	if u.ends.count == 0 {
+		return 0
+	}
+	return u.rate.perSecond() * u.held.count / u.ends.count
+}
+
+// full notes that the placer had no room: what is in flight is the capacity.
+func (u *usage) full(now time.Time) {
+	if u.reported {
+		return
+	}
+	u.capacity = max(1, u.total())
+	u.probed = now
+}
+
+// probe assumes a little more capacity when room was not missing for long.
+func (u *usage) probe(now time.Time) {
+	if u.reported || u.capacity == 0 || now.Sub(u.probed) < capacityProbe {
+		return
+	}
+	u.capacity++
+	u.probed = now
 }
 
-// full notes that the placer had no room.
-func (u *usage) full() { u.capacity = max(1, u.total()) }
+// report takes the placer's own figure of the capacity.
+func (u *usage) report(capacity int) {
+	u.capacity = capacity
+	u.reported = true
+}
 
 func (u *usage) total() int {
 	n := 0
@@ -94,9 +147,47 @@
 	if long < minLongInFlight {
 		return true
 	}
-	need := u.rate.perSecond * u.hold[steering.ClassInteractive].mean
-	reserve := int(math.Ceil(need + reserveStdDevs*math.Sqrt(need)))
-	return long < u.capacity-reserve
+	return long < u.capacity-u.reserve
+}
+
+// updateReserve calculates the reserve from the interactive work of late.
+func (u *usage) updateReserve(now time.Time) {
+	if now.Sub(u.reserved) < reserveInterval {
+		return
+	}
+	u.reserved = now
+	u.reserve = reserveFor(u.interactiveLoad(), u.capacity)
+	if u.rate.span < demandWarmUp.Seconds() {
+		u.reserve = max(u.reserve, u.capacity*3/4)
+	}
+}
+
+// reserveFor returns the slots kept for interactive work of load erlangs.
+func reserveFor(load float64, capacity int) int {
+	least := serversFor(load, capacity, maxLongWaitShare)
+	good := serversFor(load, capacity, goodLongWaitShare)
+	spare := int(load + reserveSpareShare*(float64(capacity)-load))
+	return max(least, min(good, spare))
+}
+
+// serversFor returns the least number of servers, up to limit, at which no more than share of the requests
+// of an M/M/c queue wait longer than they are served on average. load is in erlangs.
+func serversFor(load float64, limit int, share float64) int {
+	if load == 0 {
+		return 0
+	}
+	blocked := 1.0 // Erlang B of the servers so far
+	for c := 1; c < limit; c++ {
+		blocked = load * blocked / (float64(c) + load*blocked)
+		if float64(c) <= load {
+			continue
+		}
+		waits := blocked / (1 - load/float64(c)*(1-blocked)) // Erlang C
+		if waits*math.Exp(load-float64(c)) <= share {
+			return c
+		}
+	}
+	return limit
 }
 
 // expectedWait estimates the wait of a request with ahead others of its class before it.
