Test the caller's client, hedges, silent connections and the planned stop

A lookup whose second attempt also meets a silent connection failed at its deadline (3 of 5987 after all open connections went silent): a race now goes on to MaxAttempts and makes its last attempt on a new connection.

--- a/internal/request/memnet_test.go
+++ b/internal/request/memnet_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"strings"
 	"sync"
 	"time"
 )
@@ -66,6 +67,7 @@
 	net.Conn
 	net    *memNet
 	owner  string
+	peer   string
 	silent *silence
 	once   sync.Once
 	closed chan struct{}
@@ -145,8 +147,8 @@
 	}
 	near, far := net.Pipe()
 	shared := &silence{}
-	a := &memConn{Conn: near, net: n, owner: from, silent: shared, closed: make(chan struct{})}
-	b := &memConn{Conn: far, net: n, owner: to, silent: shared, closed: make(chan struct{})}
+	a := &memConn{Conn: near, net: n, owner: from, peer: to, silent: shared, closed: make(chan struct{})}
+	b := &memConn{Conn: far, net: n, owner: to, peer: from, silent: shared, closed: make(chan struct{})}
 	n.conns[a], n.conns[b] = true, true
 	l.queue <- b
 	return a, nil
@@ -185,6 +187,20 @@
 	}
 }
 
+// silenceBetween makes the open connections from a node to others whose names begin with prefix lose
+// everything from now on.
+func (n *memNet) silenceBetween(node, prefix string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for c := range n.conns {
+		if c.owner == node && strings.HasPrefix(c.peer, prefix) {
+			c.silent.mu.Lock()
+			c.silent.set = true
+			c.silent.mu.Unlock()
+		}
+	}
+}
+
 // pause stops a node's reads, writes and dials for d.
 func (n *memNet) pause(node string, d time.Duration) {
 	n.mu.Lock()
--- a/internal/request/race.go
+++ b/internal/request/race.go
@@ -5,32 +5,33 @@
 	"time"
 )
 
-// race is one attempt and the second one that may be sent while the first brings no byte. The first
-// answer wins; the other attempt is cancelled.
+// race is one attempt and the further ones that are sent while none brings a byte. The first answer
+// wins; the other attempts are cancelled.
 type race struct {
 	x     *exchange
 	timer *time.Timer
 	delay time.Duration
+	ended chan struct{} // one value for each extra attempt that has ended
 
 	mu      sync.Mutex
-	first   *attempt
-	second  *attempt
+	running []*attempt
 	winner  *attempt
-	settled bool          // the first attempt has ended
-	hedge   chan struct{} // closed when the second attempt has ended; nil: none was made
+	settled bool // the first attempt has ended
+	pending int  // extra attempts that have not ended
 }
 
-// race sends one attempt, and a second one if the operation allows it.
+// race sends one attempt, and further ones if the operation allows it.
 func (x *exchange) race(p *Placement) (*attempt, error) {
-	extra := x.made() > 0
+	s := sending{placement: p, extra: x.made() > 0}
 	if !x.route.operation.Idempotent || x.body != nil {
-		return x.send(p, extra, false, nil)
+		return x.send(s)
 	}
-	r := &race{x: x, delay: x.hedgeDelay()}
+	r := &race{x: x, delay: x.hedgeDelay(), ended: make(chan struct{}, x.h.opts.MaxAttempts)}
 	r.mu.Lock()
 	r.timer = time.AfterFunc(r.delay, r.launch)
 	r.mu.Unlock()
-	a, err := x.send(p, extra, false, r.setFirst)
+	s.register = r.add
+	a, err := x.send(s)
 	return r.settle(a, err)
 }
 
@@ -42,39 +43,34 @@
 	return x.silentAfter()
 }
 
-func (r *race) setFirst(a *attempt) {
+// add notes an attempt that is about to be sent.
+func (r *race) add(a *attempt) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.first = a
-}
-
-func (r *race) setSecond(a *attempt) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.second = a
+	r.running = append(r.running, a)
 	if r.winner != nil {
 		a.lose()
 	}
 }
 
-// launch sends the second attempt if the budget and the placer have room, else waits on.
+// launch sends an extra attempt if the budget and the placer have room, and waits on for the next.
 func (r *race) launch() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.settled || r.x.ctx.Err() != nil {
+	made := r.x.made()
+	if r.settled || r.winner != nil || r.x.ctx.Err() != nil || made >= r.x.h.opts.MaxAttempts {
 		return
 	}
-	p := r.x.placeHedge()
-	if p == nil {
-		r.delay *= 2
-		r.timer.Reset(r.delay)
-		return
+	if p := r.x.placeHedge(); p != nil {
+		r.pending++
+		last := made+1 == r.x.h.opts.MaxAttempts
+		go r.run(sending{placement: p, extra: true, hedge: true, newConn: last, register: r.add})
 	}
-	r.hedge = make(chan struct{})
-	go r.runSecond(p)
+	r.delay *= 2
+	r.timer.Reset(r.delay)
 }
 
-// placeHedge returns the right to send a second attempt, paid from the budget, or nil.
+// placeHedge returns the right to send an extra attempt, paid from the budget, or nil.
 func (x *exchange) placeHedge() *Placement {
 	if !x.route.takeExtra(x.route.service.Budgets.Hedges) {
 		return nil
@@ -89,21 +85,29 @@
 	return p
 }
 
-func (r *race) runSecond(p *Placement) {
-	defer close(r.hedge)
-	a, err := r.x.send(p, true, true, r.setSecond)
-	if err != nil {
-		return
-	}
+// run makes an extra attempt.
+func (r *race) run(s sending) {
+	a, err := r.x.send(s)
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if err == nil {
+		r.finish(a)
+	}
+	r.pending--
+	r.ended <- struct{}{}
+}
+
+// finish lets a win if it is the first to answer. The race is locked.
+func (r *race) finish(a *attempt) {
 	if r.winner != nil {
 		r.x.discard(a)
 		return
 	}
 	r.winner = a
-	if r.first != nil {
-		r.first.lose()
+	for _, other := range r.running {
+		if other != a {
+			other.lose()
+		}
 	}
 }
 
@@ -111,28 +115,20 @@
 func (r *race) settle(a *attempt, err error) (*attempt, error) {
 	r.timer.Stop()
 	r.mu.Lock()
+	defer r.mu.Unlock()
 	r.settled = true
-	if err == nil && r.winner == nil {
-		r.winner = a
-		if r.second != nil {
-			r.second.lose()
-		}
+	if err == nil {
+		r.finish(a)
 	}
-	winner, pending := r.winner, r.hedge
-	r.mu.Unlock()
-	if winner == nil && pending != nil {
-		<-pending
-		r.mu.Lock()
-		winner = r.winner
+	for r.winner == nil && r.pending > 0 {
 		r.mu.Unlock()
+		<-r.ended
+		r.mu.Lock()
 	}
-	if winner == nil {
+	if r.winner == nil {
 		return nil, err
 	}
-	if a != nil && a != winner {
-		r.x.discard(a)
-	}
-	return winner, nil
+	return r.winner, nil
 }
 
 // discard ends an attempt whose answer came second.
--- /dev/null
+++ b/internal/request/race_test.go
@@ -0,0 +1,345 @@
+package request_test
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/azureflow/azureflow/internal/request"
+	"github.com/azureflow/azureflow/internal/steering"
+	"github.com/azureflow/azureflow/internal/vm"
+)
+
+// cluster is one entry VM before some servers, in memory and virtual time.
+type cluster struct {
+	net     *memNet
+	handler *request.Handler
+	server  *http.Server
+	client  *http.Transport
+	metrics *countingMetrics
+	placer  *roundPlacer
+	stop    []func()
+}
+
+// roundPlacer takes the servers in turn, skipping excluded ones.
+type roundPlacer struct {
+	mu      sync.Mutex
+	servers int
+	next    int
+	silent  map[vm.Name]int
+}
+
+func (p *roundPlacer) Place(q *request.PlacementQuery) (*request.Placement, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for range p.servers {
+		name := vm.Name("up-" + strconv.Itoa(p.next%p.servers))
+		p.next++
+		if len(q.Exclude) > 0 && q.Exclude[len(q.Exclude)-1] == name {
+			continue
+		}
+		return &request.Placement{
+			Server: vm.VM{Name: name, Address: string(name) + ":80", Region: "aare"},
+			Release: func(r request.AttemptResult) {
+				if r.Failure == request.FailureSilent {
+					p.mu.Lock()
+					p.silent[name]++
+					p.mu.Unlock()
+				}
+			},
+		}, nil
+	}
+	return nil, &request.NoRoomError{Service: q.Service}
+}
+
+func (p *roundPlacer) Room(steering.ServiceName) <-chan struct{} { return nil }
+
+type countingMetrics struct {
+	mu       sync.Mutex
+	requests int
+	attempts int
+	extra    int
+	hedges   int
+}
+
+func (m *countingMetrics) RequestDone(*request.RequestMetric) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.requests++
+}
+
+func (m *countingMetrics) AttemptDone(a *request.AttemptMetric) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.attempts++
+	if a.Extra {
+		m.extra++
+	}
+	if a.Hedge {
+		m.hedges++
+	}
+}
+
+func (m *countingMetrics) Queued(steering.ServiceName, steering.Class, time.Duration) {}
+
+var lookupConfiguration = &steering.Configuration{
+	Revision: 1,
+	Services: []steering.Service{{
+		Name: "saldo",
+		Operations: []steering.Operation{
+			{Name: "balance", Method: "GET", Path: "/balances/{id}", Idempotent: true, Deadline: steering.Duration(2 * time.Second)},
+		},
+		Budgets: steering.Budgets{Retries: 0.03, Hedges: 0.02},
+	}},
+}
+
+func newCluster(servers int, serve func(server int, w http.ResponseWriter, r *http.Request)) *cluster {
+	c := &cluster{net: newMemNet(), metrics: &countingMetrics{}}
+	c.placer = &roundPlacer{servers: servers, silent: make(map[vm.Name]int)}
+	for i := range servers {
+		s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set(request.HeaderAttempt, r.Header.Get(request.HeaderAttempt))
+			serve(i, w, r)
+		})}
+		l := c.net.listen("up-" + strconv.Itoa(i))
+		go func() { _ = s.Serve(l) }()
+		c.stop = append(c.stop, func() { _ = s.Close() })
+	}
+	transport := request.NewTransport(request.TransportOptions{Dial: c.net.dialer("entry")})
+	c.handler = request.NewHandler(request.HandlerOptions{
+		Config:    func() *steering.Configuration { return lookupConfiguration },
+		Placer:    c.placer,
+		Recorder:  &nullRecorder{name: "entry.1"},
+		Self:      request.Identity{Name: "entry", Incarnation: 1, Region: "aare"},
+		Transport: transport,
+		Metrics:   c.metrics,
+	})
+	c.server = &http.Server{Handler: c.handler}
+	l := c.net.listen("entry")
+	go func() { _ = c.server.Serve(l) }()
+	c.client = &http.Transport{DialContext: c.net.dialer("caller"), MaxIdleConnsPerHost: 1000}
+	c.stop = append(c.stop, transport.CloseIdleConnections, c.client.CloseIdleConnections, func() { _ = c.server.Close() })
+	return c
+}
+
+func (c *cluster) close() {
+	time.Sleep(5 * time.Second) // what was cancelled ends
+	for _, f := range c.stop {
+		f()
+	}
+}
+
+// get sends one lookup and returns how long its whole answer took, and whether it is done.
+func (c *cluster) get() (time.Duration, bool) {
+	start := time.Now()
+	req, _ := http.NewRequestWithContext(context.Background(), "GET", "http://entry:80/saldo/balances/1", nil)
+	resp, err := c.client.RoundTrip(req)
+	if err != nil {
+		return time.Since(start), false
+	}
+	defer func() { _ = resp.Body.Close() }()
+	_, err = io.Copy(io.Discard, resp.Body)
+	return time.Since(start), err == nil && resp.Header.Get(request.HeaderOutcome) == string(request.OutcomeDone)
+}
+
+// lookupRun is what became of lookups offered at a steady rate.
+type lookupRun struct {
+	mu     sync.Mutex
+	failed int
+	took   []time.Duration // in order of sending; failed ones too
+	at     []time.Duration // when sent
+}
+
+func (c *cluster) run(rate float64, d time.Duration) *lookupRun {
+	result := &lookupRun{}
+	rng := rand.New(rand.NewPCG(1, 2))
+	var all sync.WaitGroup
+	begin := time.Now()
+	for time.Since(begin) < d {
+		time.Sleep(time.Duration(rng.ExpFloat64() / rate * float64(time.Second)))
+		all.Go(func() {
+			at := time.Since(begin)
+			took, ok := c.get()
+			result.mu.Lock()
+			defer result.mu.Unlock()
+			result.took = append(result.took, took)
+			result.at = append(result.at, at)
+			if !ok {
+				result.failed++
+			}
+		})
+	}
+	all.Wait()
+	return result
+}
+
+// TestBrownOutStartsNoRetryStorm: while every server is slow or failing, extra attempts stay within 5%.
+func TestBrownOutStartsNoRetryStorm(t *testing.T) {
+	for _, failing := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			var mu sync.Mutex
+			slow := false
+			c := newCluster(4, func(_ int, w http.ResponseWriter, r *http.Request) {
+				mu.Lock()
+				now := slow
+				mu.Unlock()
+				time.Sleep(5 * time.Millisecond)
+				if !now {
+					return
+				}
+				time.Sleep(200 * time.Millisecond)
+				if failing {
+					w.WriteHeader(http.StatusServiceUnavailable)
+				}
+			})
+			c.run(200, 5*time.Second)
+			mu.Lock()
+			slow = true
+			mu.Unlock()
+			c.run(200, 20*time.Second)
+			c.close()
+			share := float64(c.metrics.extra) / float64(c.metrics.requests)
+			t.Logf("failing %v: %d requests, %d attempts, extra %.3f, hedges %d", failing, c.metrics.requests, c.metrics.attempts, share, c.metrics.hedges)
+			if share > 0.05 {
+				t.Errorf("extra attempts %.3f of the requests", share)
+			}
+		})
+	}
+}
+
+// TestHedgeCutsTheTail: one answer in fifty is 50 times slower; hedges answer for it.
+func TestHedgeCutsTheTail(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var mu sync.Mutex
+		rng := rand.New(rand.NewPCG(3, 4))
+		c := newCluster(4, func(_ int, _ http.ResponseWriter, r *http.Request) {
+			mu.Lock()
+			slow := rng.IntN(100) == 0
+			mu.Unlock()
+			wait := 10 * time.Millisecond
+			if slow {
+				wait = 500 * time.Millisecond
+			}
+			select {
+			case <-time.After(wait):
+			case <-r.Context().Done():
+			}
+		})
+		r := c.run(200, 20*time.Second)
+		c.close()
+		late := 0
+		for _, took := range r.took {
+			if took > 100*time.Millisecond {
+				late++
+			}
+		}
+		t.Logf("%d lookups, %d over 100 ms, %d failed, hedges %d", len(r.took), late, r.failed, c.metrics.hedges)
+		if r.failed > 0 || float64(late) > 0.002*float64(len(r.took)) {
+			t.Errorf("%d failed, %d late", r.failed, late)
+		}
+	})
+}
+
+// TestSilentConnectionsAreFound: all open connections go silent at once while new ones work. Target of
+// the issue: found within 2 s under load, lookups moved within their deadline, servers not condemned.
+func TestSilentConnectionsAreFound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(12, func(int, http.ResponseWriter, *http.Request) { time.Sleep(10 * time.Millisecond) })
+		time.AfterFunc(5*time.Second, func() { c.net.silenceBetween("entry", "up-") })
+		r := c.run(400, 15*time.Second)
+		c.close()
+		var slowest time.Duration
+		late, lateAfter := 0, 0
+		for i, took := range r.took {
+			slowest = max(slowest, took)
+			if took > 100*time.Millisecond {
+				late++
+				if r.at[i] > 7*time.Second {
+					lateAfter++
+				}
+			}
+		}
+		t.Logf("%d lookups, %d failed, %d over 100 ms, of them %d sent more than 2 s after the silence; slowest %v; extra %d",
+			len(r.took), r.failed, late, lateAfter, slowest, c.metrics.extra)
+		if r.failed > 0 || lateAfter > 0 {
+			t.Errorf("%d failed, %d late after 2 s", r.failed, lateAfter)
+		}
+	})
+}
+
+// TestSilentAnswerIsCut: a connection that goes silent within an answer is dropped after the silence limit.
+func TestSilentAnswerIsCut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(1, func(_ int, w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Content-Length", "100")
+			_, _ = io.WriteString(w, "half")
+			w.(http.Flusher).Flush()
+			<-r.Context().Done()
+		})
+		took, ok := c.get()
+		c.close()
+		if ok || took > 1100*time.Millisecond {
+			t.Errorf("whole %v after %v", ok, took)
+		}
+		if c.placer.silent["up-0"] != 1 {
+			t.Errorf("reported as silent %d times", c.placer.silent["up-0"])
+		}
+	})
+}
+
+// TestPlannedStopCutsNothing: a request in flight when the stop begins ends whole, one that comes later is
+// served, and only then the stop is over.
+func TestPlannedStopCutsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(1, func(int, http.ResponseWriter, *http.Request) { time.Sleep(1800 * time.Millisecond) })
+		var all sync.WaitGroup
+		oks := make(chan bool, 10)
+		send := func() { all.Go(func() { _, ok := c.get(); oks <- ok }) }
+		send()
+		time.Sleep(10 * time.Millisecond)
+		begin := time.Now()
+		c.handler.BeginStop()
+		for range 3 {
+			time.Sleep(600 * time.Millisecond)
+			send()
+		}
+		<-c.handler.Drained()
+		drain := time.Since(begin)
+		if n := c.handler.InFlight(); n != 0 {
+			t.Errorf("%d in flight", n)
+		}
+		all.Wait()
+		close(oks)
+		for ok := range oks {
+			if !ok {
+				t.Error("a request was cut")
+			}
+		}
+		t.Logf("drained after %v", drain)
+		c.close()
+	})
+}
+
+// TestLeavingIsTold: from the stop's begin answers carry the state.
+func TestLeavingIsTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(1, func(int, http.ResponseWriter, *http.Request) {})
+		c.handler.BeginStop()
+		req, _ := http.NewRequest("GET", "http://entry:80/saldo/balances/1", nil)
+		resp, err := c.client.RoundTrip(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = resp.Body.Close()
+		if resp.Header.Get(request.HeaderEntryState) != "leaving" || !resp.Close {
+			t.Errorf("header %v", resp.Header)
+		}
+		c.close()
+	})
+}
--- a/internal/request/send.go
+++ b/internal/request/send.go
@@ -23,21 +23,33 @@
 	HeaderPrevious: true, HeaderTimeout: true, HeaderAttempt: true,
 }
 
+// sending says how one attempt is made.
+type sending struct {
+	placement *Placement
+	extra     bool           // a retry or hedge
+	hedge     bool           // sent while another attempt runs
+	newConn   bool           // only a new connection may carry it
+	register  func(*attempt) // called before anything is sent; may be nil
+}
+
 // send makes one attempt. Errors: *AttemptError, or *KeyError if the key was promised away.
-func (x *exchange) send(p *Placement, extra, hedge bool, register func(*attempt)) (*attempt, error) {
-	a := &attempt{id: x.h.opts.Recorder.NextID(), placement: p, started: time.Now(), extra: extra, hedge: hedge}
+func (x *exchange) send(s sending) (*attempt, error) {
+	a := &attempt{
+		id:        x.h.opts.Recorder.NextID(),
+		placement: s.placement,
+		started:   time.Now(),
+		extra:     s.extra,
+		hedge:     s.hedge,
+	}
 	if x.key != "" && !x.h.opts.Journal.MarkSent(x.route.service.Name, x.key) {
-		p.Release(AttemptResult{Failure: FailureCancelled})
+		s.placement.Release(AttemptResult{Failure: FailureCancelled})
 		return nil, &KeyError{Key: x.key, Verdict: KeyPromised, Entry: x.h.opts.Self.Name}
 	}
-	x.noteAttempt(p)
-	ctx := a.prepare(x.ctx)
-	if !x.route.operation.Idempotent {
-		ctx = context.WithValue(ctx, freshKey{}, true)
-	}
+	x.noteAttempt(s.placement)
+	ctx := withPool(a.prepare(x.ctx), x.pool(s))
 	ctx, a.span = x.h.opts.Tracer.Start(ctx, "attempt", trace.WithSpanKind(trace.SpanKindClient))
-	if register != nil {
-		register(a)
+	if s.register != nil {
+		s.register(a)
 	}
 	resp, err := x.h.opts.Transport.RoundTrip(x.outgoing(ctx, a))
 	if err != nil {
@@ -47,6 +59,18 @@
 	return x.judge(a)
 }
 
+// pool returns the connections that may carry an attempt.
+func (x *exchange) pool(s sending) pool {
+	switch {
+	case s.newConn:
+		return poolNew
+	case !x.route.operation.Idempotent:
+		return poolFresh
+	default:
+		return poolShared
+	}
+}
+
 func (x *exchange) noteAttempt(p *Placement) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
--- a/internal/request/transport.go
+++ b/internal/request/transport.go
@@ -16,11 +16,12 @@
 	defaultSilentAfter    = time.Second
 	keepAliveProbes       = 2
 	maxAnswerHeaderBytes  = 64 << 10
+	newConnParts          = 8 // one in this many connections is for attempts that need a new one
 )
 
 // TransportOptions configure NewTransport.
 type TransportOptions struct {
-	ConnsPerServer int           // connections to one server, over both pools
+	ConnsPerServer int           // connections to one server, over all pools
 	DialTimeout    time.Duration // to connect
 	IdleTimeout    time.Duration // an idle connection is kept this long
 	// FreshIdle is how long an idle connection may carry non-idempotent work: an older one could
@@ -67,21 +68,42 @@
 }
 
 // Transport carries attempts to servers over HTTP/1.1: one attempt at a time on a connection, so that
-// the bytes of an attempt can be counted and its silence judged. It has two pools: one for idempotent
-// work, one that only reuses connections heard of lately.
+// the bytes of an attempt can be counted and its silence judged.
 type Transport struct {
-	shared *http.Transport
-	fresh  *http.Transport
+	pools [poolCount]*http.Transport
+}
+
+// pool names the connections that may carry an attempt.
+type pool uint8
+
+const (
+	poolShared pool = iota // any open connection
+	poolFresh              // one heard of lately: for non-idempotent work
+	poolNew                // a new one: after open ones stayed silent
+	poolCount
+)
+
+// poolKey is the context key of a request's pool.
+type poolKey struct{}
+
+func withPool(ctx context.Context, p pool) context.Context {
+	if p == poolShared {
+		return ctx
+	}
+	return context.WithValue(ctx, poolKey{}, p)
 }
 
 // NewTransport returns a Transport.
 func NewTransport(opts TransportOptions) *Transport {
 	opts.setDefaults()
-	share := max(1, opts.ConnsPerServer/2)
-	return &Transport{
-		shared: newPool(&opts, share, opts.IdleTimeout),
-		fresh:  newPool(&opts, share, min(opts.FreshIdle, opts.IdleTimeout)),
-	}
+	single := max(1, opts.ConnsPerServer/newConnParts)
+	share := max(1, (opts.ConnsPerServer-single)/2)
+	t := &Transport{}
+	t.pools[poolShared] = newPool(&opts, share, opts.IdleTimeout)
+	t.pools[poolFresh] = newPool(&opts, share, min(opts.FreshIdle, opts.IdleTimeout))
+	t.pools[poolNew] = newPool(&opts, single, opts.IdleTimeout)
+	t.pools[poolNew].DisableKeepAlives = true
+	return t
 }
 
 func newPool(opts *TransportOptions, conns int, idle time.Duration) *http.Transport {
@@ -105,19 +127,15 @@
 	}
 }
 
-// freshKey marks the context of a request that only a fresh connection may carry.
-type freshKey struct{}
-
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
-	if r.Context().Value(freshKey{}) != nil {
-		return t.fresh.RoundTrip(r)
-	}
-	return t.shared.RoundTrip(r)
+	p, _ := r.Context().Value(poolKey{}).(pool)
+	return t.pools[p].RoundTrip(r)
 }
 
-// CloseIdleConnections closes the idle connections of both pools.
+// CloseIdleConnections closes the idle connections of all pools.
 func (t *Transport) CloseIdleConnections() {
-	t.shared.CloseIdleConnections()
-	t.fresh.CloseIdleConnections()
+	for _, p := range t.pools {
+		p.CloseIdleConnections()
+	}
 }
