--- a/internal/request/usage.go
+++ b/internal/request/usage.go
@@ -10,6 +10,7 @@
 const (
 	holdWeight        = 0.01 // of one measurement in the averages of hold times, once there are enough
 	demandHalfLife    = 4 * time.Second
+	decayStep         = 5 * time.Millisecond   // rates fade in steps of at least this
 	demandWarmUp      = time.Second            // three quarters of the capacity are kept until demand is known for this long
 	capacityProbe     = 5 * time.Second        // without a missing room, capacity is assumed one higher
 	maxLongWaitShare  = 0.2                    // of interactive requests may wait longer than they are served
@@ -62,12 +63,16 @@
 }
 
 func (r *decayingRate) decay(now time.Time) {
-	if !r.last.IsZero() {
-		gone := now.Sub(r.last).Seconds()
-		fade := math.Exp2(-gone / demandHalfLife.Seconds())
-		r.count *= fade
-		r.span = r.span*fade + gone
+	if r.last.IsZero() {
+		r.last = now
 	}
+	gone := now.Sub(r.last)
+	if gone < decayStep {
+		return
+	}
+	fade := math.Exp2(-gone.Seconds() / demandHalfLife.Seconds())
+	r.count *= fade
+	r.span = r.span*fade + gone.Seconds()
 	r.last = now
 }
 
