Bound what a caller that stops reading can hold

A blocked write to the caller was taken for silence of the upstream and had no end. Now it ends with the request's deadline, and the upstream is not reported (TestCallerThatStopsReadingFreesTheServer).

--- a/internal/request/answer.go
+++ b/internal/request/answer.go
@@ -88,6 +88,9 @@
 	if x.h.opts.Pacer != nil && a.placement.Server.Region != x.h.opts.Self.Region {
 		body = x.h.opts.Pacer.Body(x.ctx, a.placement.Server.Region, x.h.opts.Self.Region, x.route.operation.Class, body)
 	}
+	if a.response.ContentLength < 0 || a.response.ContentLength > copyBufferBytes {
+		x.boundWrites()
+	}
 	watch := x.watchSilence(a)
 	defer watch.Stop()
 	buf := copyBuffers.Get().(*[copyBufferBytes]byte)
@@ -96,7 +99,7 @@
 	for {
 		n, err := body.Read(buf[:])
 		if n > 0 {
-			if _, werr := x.w.Write(buf[:n]); werr != nil {
+			if werr := x.write(buf[:n]); werr != nil {
 				return nil, werr
 			}
 		}
@@ -112,6 +115,19 @@
 	}
 }
 
+// boundWrites ends writes to a caller that no longer reads once the deadline is over.
+func (x *exchange) boundWrites() {
+	_ = http.NewResponseController(x.w).SetWriteDeadline(x.deadline.Add(transferMargin))
+}
+
+// write passes part of an answer on. Meanwhile the upstream's silence is not its own.
+func (x *exchange) write(p []byte) error {
+	x.writing.Store(true)
+	defer x.writing.Store(false)
+	_, err := x.w.Write(p)
+	return err
+}
+
 // watchSilence closes the attempt's connection once nothing moved on it for too long.
 func (x *exchange) watchSilence(a *attempt) *time.Timer {
 	limit := x.h.opts.Limits.SilentAfter.Std()
@@ -121,11 +137,15 @@
 	timer = time.AfterFunc(limit, func() {
 		armed.Wait()
 		silent := a.silentFor(time.Now())
-		if silent >= limit {
-			a.cutSilent()
+		if silent < limit {
+			timer.Reset(limit - silent)
+			return
+		}
+		if x.writing.Load() {
+			timer.Reset(limit)
 			return
 		}
-		timer.Reset(limit - silent)
+		a.cutSilent()
 	})
 	armed.Done()
 	return timer
--- a/internal/request/errors.go
+++ b/internal/request/errors.go
@@ -124,6 +124,9 @@
 // Error implements error.
 func (*BodyUnavailableError) Error() string { return "request body already consumed" }
 
+// free reports that the attempt sent nothing, so that the next one costs no budget.
+func (e *AttemptError) free() bool { return e.NotRun && e.Failure != FailureShed }
+
 var failureNames = [...]string{
 	FailureNone: "none", FailureDial: "dial", FailureSilent: "silent", FailureReset: "reset",
 	FailureShed: "shed", FailureServer: "server", FailureCancelled: "cancelled",
--- a/internal/request/exchange.go
+++ b/internal/request/exchange.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.opentelemetry.io/otel/attribute"
@@ -21,8 +22,8 @@
 // spread is an odd constant whose multiples fill the range of a uint64 evenly.
 const spread = 0x9E3779B97F4A7C15
 
-// uploadMargin is how long after the deadline of an upload its connection may still be read.
-const uploadMargin = time.Second
+// transferMargin is how long after the deadline the caller's connection may still be read or written.
+const transferMargin = time.Second
 
 // exchange is one request of a caller and its answer.
 type exchange struct {
@@ -42,6 +43,7 @@
 	key      string // of a journalled request; empty if there is none
 	spread   uint64
 	body     *bodySource
+	writing  atomic.Bool // an answer's bytes wait for the caller
 
 	mu       sync.Mutex
 	tried    []vm.Name
@@ -123,7 +125,7 @@
 // prepareUpload bounds the wait for the caller's next byte. The margin keeps the end of the deadline from
 // looking like a caller that went away. Writers without deadlines are used as they are.
 func (x *exchange) prepareUpload() {
-	_ = http.NewResponseController(x.w).SetReadDeadline(x.deadline.Add(uploadMargin))
+	_ = http.NewResponseController(x.w).SetReadDeadline(x.deadline.Add(transferMargin))
 }
 
 // answerEarly prepares an answer that begins before the upload ended. The connection is not used again:
@@ -249,10 +251,11 @@
 	if err == nil {
 		return p, nil
 	}
-	if e, ok := failed.(*AttemptError); !ok || e.Failure == FailureShed || !e.NotRun {
-		return nil, failed
+	if e, ok := failed.(*AttemptError); ok && e.free() {
+		return x.admit(nil)
 	}
-	return x.admit(nil)
+	x.route.budget.putBack()
+	return nil, failed
 }
 
 func (x *exchange) triedServers() []vm.Name {
@@ -282,8 +285,7 @@
 	if !x.route.operation.Idempotent && !failed.NotRun {
 		return false
 	}
-	free := failed.paid || failed.NotRun && failed.Failure != FailureShed
-	return free || x.route.takeExtra(x.route.service.Budgets.Retries)
+	return failed.paid || failed.free() || x.route.takeExtra(x.route.service.Budgets.Retries)
 }
 
 // made returns the number of attempts made.
--- a/internal/request/race_test.go
+++ b/internal/request/race_test.go
@@ -343,3 +343,30 @@
 		c.close()
 	})
 }
+
+// TestCallerThatStopsReadingFreesTheServer: a caller that no longer reads its answer holds the slot until
+// the deadline at most, and the server is not reported as silent.
+func TestCallerThatStopsReadingFreesTheServer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(1, func(_ int, w http.ResponseWriter, _ *http.Request) {
+			_, _ = w.Write(make([]byte, 4<<20))
+		})
+		req, _ := http.NewRequest("GET", "http://entry:80/saldo/balances/1", nil)
+		resp, err := c.client.RoundTrip(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(4 * time.Second)
+		if n := c.handler.InFlight(); n != 0 {
+			t.Errorf("%d in flight after the deadline", n)
+		}
+		if _, err := io.Copy(io.Discard, resp.Body); err == nil {
+			t.Error("a cut-off answer ended cleanly")
+		}
+		_ = resp.Body.Close()
+		c.close()
+		if c.placer.silent["up-0"] != 0 {
+			t.Error("the server was reported as silent")
+		}
+	})
+}
--- a/internal/request/transport.go
+++ b/internal/request/transport.go
@@ -67,6 +67,23 @@
 	}
 }
 
+// ListenConfig returns how an entry VM listens for callers: a connection whose bytes stay
+// unacknowledged for silentAfter is broken, so that a caller that vanished holds nothing.
+func ListenConfig(silentAfter time.Duration) *net.ListenConfig {
+	if silentAfter <= 0 {
+		silentAfter = defaultSilentAfter
+	}
+	return &net.ListenConfig{
+		Control: ackTimeout(silentAfter),
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable:   true,
+			Idle:     silentAfter,
+			Interval: silentAfter / keepAliveProbes,
+			Count:    keepAliveProbes,
+		},
+	}
+}
+
 // Transport carries attempts to servers over HTTP/1.1: one attempt at a time on a connection, so that
 // the bytes of an attempt can be counted and its silence judged.
 type Transport struct {
