--- a/internal/steering/follower.go
+++ b/internal/steering/follower.go
@@ -84,6 +84,7 @@
 
 	mu       sync.Mutex // guards what follows
 	status   Status
+	last     headAt        // as last read by guard or start
 	failed   PublicationID // the last that could not be read
 	failedAt time.Time
 }
--- a/internal/steering/followstore.go
+++ b/internal/steering/followstore.go
@@ -82,7 +82,7 @@
 	ctx, cancel := context.WithTimeout(ctx, defaultStoreTimeout)
 	defer cancel()
 	before := f.inForce.Load()
-	h, err := readHead(ctx, f.options.Store)
+	h, err := readHeadAfter(ctx, f.options.Store, f.lastHead())
 	if isEncoding(err) {
 		f.noteStore(nil)
 		f.noteUnreadable(0, err)
@@ -92,9 +92,23 @@
 	if err != nil {
 		return headAt{}, err
 	}
+	f.setLastHead(h)
 	return h, f.takeHead(ctx, h.head, before)
 }
 
+// lastHead returns the head that was last read.
+func (f *Follower) lastHead() headAt {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.last
+}
+
+func (f *Follower) setLastHead(h headAt) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.last = h
+}
+
 // takeHead takes up the revision of h if it is higher than the one that was in force before h was
 // read. It returns only failures of the store.
 func (f *Follower) takeHead(ctx context.Context, h *head, before *state) error {
--- a/internal/steering/layout.go
+++ b/internal/steering/layout.go
@@ -20,8 +20,9 @@
 const (
 	chunkBytes       = 900_000 // of a snapshot
 	maxChunks        = maxEncodedBytes / chunkBytes
-	deltasOfSnapshot = 64        // before a new snapshot is written
-	maxInlineBytes   = 4 << 10   // of deltas within the head, base64 not counted
+	deltasOfSnapshot = 32        // before a new snapshot is written
+	maxInlineBytes   = 4 << 10   // of the last delta within the head, before base64
+	maxInlineTotal   = 1 << 10   // of the last deltas within the head, if they are several
 	maxHistory       = 1024      // publications that can be settled
 	maxHeadBytes     = 512 << 10 // encoded
 )
@@ -93,10 +94,14 @@
 	return nil
 }
 
-// inline returns the last of some encoded deltas that together are small enough for a head.
+// inline returns the last of some encoded deltas, as many as together are small enough for a head.
 func inline(deltas []recentDelta) [][]byte {
-	size, first := 0, len(deltas)
-	for first > 0 && size+len(deltas[first-1].encoded) <= maxInlineBytes {
+	first := len(deltas) - 1
+	size := len(deltas[first].encoded)
+	if size > maxInlineBytes {
+		return nil
+	}
+	for first > 0 && size+len(deltas[first-1].encoded) <= maxInlineTotal {
 		first--
 		size += len(deltas[first].encoded)
 	}
--- a/internal/steering/load.go
+++ b/internal/steering/load.go
@@ -1,6 +1,7 @@
 package steering
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"time"
@@ -20,6 +21,11 @@
 
 // readHead returns the head; a store without one holds revision 0.
 func readHead(ctx context.Context, store kv.Store) (headAt, error) {
+	return readHeadAfter(ctx, store, headAt{})
+}
+
+// readHeadAfter returns the head and does not decode again what it was when last read.
+func readHeadAfter(ctx context.Context, store kv.Store, last headAt) (headAt, error) {
 	entry, err := store.Get(ctx, HeadKey)
 	var missing *kv.NotFoundError
 	if errors.As(err, &missing) {
@@ -28,6 +34,9 @@
 	if err != nil {
 		return headAt{}, err
 	}
+	if last.head != nil && bytes.Equal(last.encoded, entry.Value) {
+		return headAt{last.head, entry.Version, last.encoded}, nil
+	}
 	h, err := decodeHead(entry.Value)
 	if err != nil {
 		return headAt{}, err
--- /dev/null
+++ b/internal/steering/takeup_test.go
@@ -0,0 +1,196 @@
+package steering_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/azureflow/azureflow/internal/peer"
+	"github.com/azureflow/azureflow/internal/platform/kv"
+	"github.com/azureflow/azureflow/internal/platform/platformtest"
+	"github.com/azureflow/azureflow/internal/steering"
+)
+
+const (
+	changesADay   = 14_000
+	changePeriod  = 24 * time.Hour / changesADay
+	takeUpZones   = 8
+	takeUpPerZone = 4 // entry VMs, one of them follows the store
+)
+
+// meteredStore counts the bytes of the values that a client reads.
+type meteredStore struct {
+	kv.Store
+	bytes atomic.Int64
+}
+
+func (m *meteredStore) Get(ctx context.Context, key string) (kv.Entry, error) {
+	e, err := m.Store.Get(ctx, key)
+	m.bytes.Add(int64(len(e.Value)))
+	return e, err
+}
+
+func (m *meteredStore) List(ctx context.Context, prefix string) ([]kv.Entry, kv.Version, error) {
+	entries, v, err := m.Store.List(ctx, prefix)
+	for _, e := range entries {
+		m.bytes.Add(int64(len(e.Value)))
+	}
+	return entries, v, err
+}
+
+func (m *meteredStore) Watch(ctx context.Context, prefix string, after kv.Version) ([]kv.Entry, kv.Version, error) {
+	entries, v, err := m.Store.Watch(ctx, prefix, after)
+	for _, e := range entries {
+		m.bytes.Add(int64(len(e.Value)))
+	}
+	return entries, v, err
+}
+
+// fleet is entry VMs in zones; the first of each zone follows the store.
+type fleet struct {
+	store     *platformtest.Store
+	leaders   []*platformtest.Client
+	metered   []*meteredStore
+	followers []*steering.Follower
+	peerBytes atomic.Int64
+
+	mu     sync.Mutex
+	takeUp *hdrhistogram.Histogram // milliseconds
+	taken  map[steering.Revision]int
+}
+
+// newFleet returns VMs that ask the leader of their zone and one of the next zone.
+func newFleet(store *platformtest.Store) *fleet {
+	fl := &fleet{store: store, takeUp: hdrhistogram.New(1, 3_600_000, 3), taken: make(map[steering.Revision]int)}
+	for i := range takeUpZones * takeUpPerZone {
+		o := steering.FollowerOptions{
+			OnRevision: fl.note,
+			FetchFromPeers: func(ctx context.Context, above steering.Revision) ([]byte, steering.Revision, error) {
+				return fl.ask(ctx, i, above)
+			},
+		}
+		client := store.NewClient(fmt.Sprint("vm-", i))
+		metered := &meteredStore{Store: client}
+		o.Store = metered
+		if i%takeUpPerZone != 0 {
+			o.WatchStore = func() bool { return false }
+		} else {
+			fl.leaders = append(fl.leaders, client)
+			fl.metered = append(fl.metered, metered)
+		}
+		fl.followers = append(fl.followers, steering.NewFollower(o))
+	}
+	return fl
+}
+
+func (fl *fleet) note(c *steering.Configuration) {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	fl.taken[c.Revision]++
+	if c.Revision > 1 {
+		_ = fl.takeUp.RecordValue(max(1, time.Since(c.PublishedAt).Milliseconds()))
+	}
+}
+
+func (fl *fleet) ask(ctx context.Context, i int, above steering.Revision) ([]byte, steering.Revision, error) {
+	leader := i / takeUpPerZone * takeUpPerZone
+	next := (leader + takeUpPerZone) % len(fl.followers)
+	var best *peer.FetchRevisionReply
+	for _, j := range []int{leader, next} {
+		time.Sleep(time.Millisecond)
+		reply, err := fl.followers[j].FetchRevision(ctx, &peer.FetchRevisionRequest{Above: uint64(above)})
+		if err != nil {
+			return nil, 0, err
+		}
+		fl.peerBytes.Add(int64(len(reply.GetConfiguration())))
+		if best == nil || reply.GetRevision() > best.GetRevision() {
+			best = reply
+		}
+	}
+	return best.GetConfiguration(), steering.Revision(best.GetRevision()), nil
+}
+
+// heartbeat tells each VM once a second which revision the leaders of its zone and the next have.
+func (fl *fleet) heartbeat(ctx context.Context) {
+	for i, f := range fl.followers {
+		go func() {
+			leader := i / takeUpPerZone * takeUpPerZone
+			for ctx.Err() == nil {
+				time.Sleep(time.Second)
+				f.Notice(fl.followers[leader].Revision())
+				f.Notice(fl.followers[(leader+takeUpPerZone)%len(fl.followers)].Revision())
+			}
+		}()
+	}
+}
+
+func TestTakeUpAt14000ChangesADay(t *testing.T) {
+	const changes = 80
+	cases := []struct {
+		name   string
+		faults func(*fleet)
+	}{
+		{"no fault", func(*fleet) {}},
+		{"store slow by 300 ms", func(fl *fleet) { fl.store.SetStoreFaults(platformtest.Faults{Delay: 300 * time.Millisecond}) }},
+		{"watches silent", func(fl *fleet) { fl.store.SetStoreFaults(platformtest.Faults{WatchSilent: true}) }},
+		{"zones 0 and 1 cut off from the store", func(fl *fleet) {
+			fl.leaders[0].SetFaults(platformtest.Faults{Down: true})
+			fl.leaders[1].SetFaults(platformtest.Faults{Down: true})
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			trees := []*steering.Tree{alpha(t, 2), alpha(t, 3)}
+			synctest.Test(t, func(t *testing.T) { takeUp(t, c.faults, trees, changes) })
+		})
+	}
+}
+
+func takeUp(t *testing.T, faults func(*fleet), trees []*steering.Tree, changes int) {
+	store := platformtest.NewStore(platformtest.StoreOptions{})
+	publishBase(t, store.Client)
+	fl := newFleet(store)
+	ctx, cancel := context.WithCancel(t.Context())
+	stop := run(t, fl.followers...)
+	fl.heartbeat(ctx)
+	time.Sleep(takeUpLimit)
+	faults(fl)
+	time.Sleep(takeUpLimit)
+	calls, start := fl.leaders[2].Counts().Total(), time.Now()
+	fl.metered[2].bytes.Store(0)
+	fl.peerBytes.Store(0)
+	for i := range changes {
+		time.Sleep(changePeriod)
+		mustPublish(t, newPublisher(store.NewClient("publisher")), trees[i%2])
+	}
+	time.Sleep(takeUpLimit)
+	elapsed := time.Since(start)
+	calls = fl.leaders[2].Counts().Total() - calls
+	cancel()
+	stop()
+	time.Sleep(2 * time.Second) // for the heartbeats to end
+	for _, f := range fl.followers {
+		if f.Revision() != steering.Revision(changes+1) {
+			t.Errorf("revision %d, want %d", f.Revision(), changes+1)
+		}
+	}
+	h := fl.takeUp
+	t.Logf("take-up over %d VMs: p50 %d ms, p99 %d ms, max %d ms", len(fl.followers), h.ValueAtPercentile(50), h.ValueAtPercentile(99), h.Max())
+	t.Logf("a leader: %.0f store calls a minute, %.0f bytes a second from the store; a VM: %.0f bytes a second from peers",
+		float64(calls)/elapsed.Minutes(), float64(fl.metered[2].bytes.Load())/elapsed.Seconds(),
+		float64(fl.peerBytes.Load())/elapsed.Seconds()/float64(len(fl.followers)))
+	if limit := takeUpLimit.Milliseconds(); h.Max() > limit {
+		t.Errorf("a revision took %d ms, limit %d ms", h.Max(), limit)
+	}
+	for r := steering.Revision(2); r <= steering.Revision(changes+1); r++ {
+		if fl.taken[r] != len(fl.followers) {
+			t.Logf("revision %d was taken by %d VMs, the others went past it", r, fl.taken[r])
+		}
+	}
+}
