--- a/internal/steering/follower.go
+++ b/internal/steering/follower.go
@@ -18,6 +18,7 @@
 const (
 	defaultStoreCallsPerMin = 240
 	defaultGuardPoll        = 2 * time.Second
+	startPoll               = 500 * time.Millisecond // while nothing is in force yet
 	defaultPeerPoll         = 2 * time.Second
 	defaultStoreFallback    = 10 * time.Second
 	defaultPeerTimeout      = 2 * time.Second
@@ -131,6 +132,9 @@
 // Run follows store and peers until ctx ends and then returns nil.
 func (f *Follower) Run(ctx context.Context) error {
 	f.fetchFromPeers(ctx)
+	if f.Current() == nil && f.options.Store != nil {
+		_, _ = f.readStore(ctx) // status tells why it failed; the loops go on
+	}
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { f.followPeers(ctx); return nil })
 	if f.options.Store != nil {
@@ -140,6 +144,14 @@
 	return group.Wait()
 }
 
+// interval returns d, shortened while nothing is in force yet.
+func (f *Follower) interval(d time.Duration) time.Duration {
+	if f.Current() == nil {
+		return min(d, startPoll)
+	}
+	return d
+}
+
 // pause waits for about d, jittered, or until ctx ends, and reports whether ctx goes on.
 func pause(ctx context.Context, d time.Duration) bool {
 	spread := 1 + jitterShare*(2*rand.Float64()-1)
--- a/internal/steering/followpeers.go
+++ b/internal/steering/followpeers.go
@@ -31,7 +31,7 @@
 func (f *Follower) followPeers(ctx context.Context) {
 	ticks := make(chan struct{}, 1)
 	go func() {
-		for pause(ctx, f.options.PeerPoll) {
+		for pause(ctx, f.interval(f.options.PeerPoll)) {
 			select {
 			case ticks <- struct{}{}:
 			default:
--- a/internal/steering/followstore.go
+++ b/internal/steering/followstore.go
@@ -14,7 +14,7 @@
 	for ctx.Err() == nil {
 		if !f.options.WatchStore() {
 			known = false
-			pause(ctx, f.options.GuardPoll)
+			pause(ctx, f.interval(f.options.GuardPoll))
 			continue
 		}
 		version, err := f.watchOnce(ctx, after, known)
@@ -64,8 +64,8 @@
 // guardStore reads the head now and then beside the watch, which may have gone silent. A VM that
 // follows its peers reads it only after it had no answer from them for long.
 func (f *Follower) guardStore(ctx context.Context) {
-	for pause(ctx, f.options.GuardPoll) {
-		if !f.options.WatchStore() && f.peersAnswered(f.options.StoreFallback) {
+	for pause(ctx, f.interval(f.options.GuardPoll)) {
+		if !f.options.WatchStore() && f.Current() != nil && f.peersAnswered(f.options.StoreFallback) {
 			continue
 		}
 		if !f.budget.Allow() {
