--- a/internal/steering/check_placed.go
+++ b/internal/steering/check_placed.go
@@ -18,6 +18,9 @@
 		c.regionOf(fmt.Sprintf("regions[%d].region", i), w.Region, p.Regions)
 	}
 	c.drainPlaces(service, p)
+	if c.source.offsets == nil {
+		return // not from a file: nobody to warn
+	}
 	c.warnDeadlines(service, p)
 	c.warnRegionLoss(service)
 	c.warnSlots(service)
--- a/internal/steering/followstore.go
+++ b/internal/steering/followstore.go
@@ -54,6 +54,7 @@
 			f.noteUnreadable(0, err)
 			continue
 		}
+		f.setLastHead(headAt{h, entry.Version, entry.Value})
 		if err := f.takeHead(ctx, h, before); err != nil {
 			return 0, err
 		}
--- a/internal/steering/publish_test.go
+++ b/internal/steering/publish_test.go
@@ -203,6 +203,16 @@
 	}
 }
 
+// storeBefore returns a store in which revision next-1 is in force.
+func storeBefore(t *testing.T, next int) *platformtest.Snapshot {
+	store := platformtest.NewStore(platformtest.StoreOptions{})
+	publishBase(t, store.Client)
+	for north := 2; north < next; north++ {
+		mustPublish(t, newPublisher(store.Client), alpha(t, north))
+	}
+	return store.Snapshot()
+}
+
 // failAt makes the n-th write of a client meet a verdict.
 func failAt(store *platformtest.Store, n int, v platformtest.Verdict) {
 	writes := 0
@@ -220,13 +230,11 @@
 func TestLostAnswerAtEachWriteIsSettled(t *testing.T) {
 	for _, verdict := range []platformtest.Verdict{memkv.VerdictLoseAnswer, memkv.VerdictLoseRequest, memkv.VerdictRefuse} {
 		for _, next := range []int{2, 34} {
+			before := storeBefore(t, next)
 			for n := 1; n <= 6; n++ {
 				synctest.Test(t, func(t *testing.T) {
 					store := platformtest.NewStore(platformtest.StoreOptions{})
-					publishBase(t, store.Client)
-					for north := 2; north < next; north++ {
-						mustPublish(t, newPublisher(store.Client), alpha(t, north))
-					}
+					store.Restore(before)
 					failAt(store, n, verdict)
 					result := mustPublish(t, newPublisher(store.NewClient("publisher")), alpha(t, 99))
 					if result.Revision != steering.Revision(next) || result.Unchanged {
@@ -241,18 +249,16 @@
 func TestKilledAtEachStepLeavesOneRevisionOrTheNext(t *testing.T) {
 	// Revision 2 appends a delta, revision 34 writes a snapshot too and removes what it replaces.
 	for _, next := range []int{2, 34} {
+		before := storeBefore(t, next)
 		for calls := range 16 {
-			synctest.Test(t, func(t *testing.T) { publishAndKill(t, next, calls) })
+			synctest.Test(t, func(t *testing.T) { publishAndKill(t, before, next, calls) })
 		}
 	}
 }
 
-func publishAndKill(t *testing.T, next, calls int) {
+func publishAndKill(t *testing.T, before *platformtest.Snapshot, next, calls int) {
 	store := platformtest.NewStore(platformtest.StoreOptions{})
-	publishBase(t, store.Client)
-	for north := 2; north < next; north++ {
-		mustPublish(t, newPublisher(store.Client), alpha(t, north))
-	}
+	store.Restore(before)
 	ctx, kill := context.WithCancel(t.Context())
 	defer kill()
 	made := 0
