--- a/internal/link/pacer_test.go
+++ b/internal/link/pacer_test.go
@@ -5,10 +5,13 @@
 	"context"
 	"errors"
 	"io"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"github.com/azureflow/azureflow/internal/steering"
 )
 
@@ -109,3 +112,57 @@
 		}
 	})
 }
+
+// TestNoWindowOverTheRate checks every window of a second while work of all classes is offered and
+// the rate changes: a window carries no more than the highest rate that was set in it allows.
+func TestNoWindowOverTheRate(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := &scheduler{}
+		s.setRate(1e7, 0)
+		s.tokens = s.burst
+		type change struct {
+			at   int64
+			rate float64
+		}
+		rates := []change{{0, 1e7}}
+		var tickets []*ticket
+		var grants []grantedBytes
+		now := int64(0)
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			now += rapid.SampledFrom([]int64{0, 1e5, 1e7, 4e8}).Draw(t, "ns")
+			if rapid.IntRange(0, 20).Draw(t, "change") == 0 {
+				rate := rapid.SampledFrom([]float64{1e5, 1e6, 1e7}).Draw(t, "rate")
+				s.setRate(rate, now)
+				rates = append(rates, change{now, rate})
+			}
+			for range rapid.IntRange(0, 60).Draw(t, "offers") {
+				class := steering.Class(rapid.IntRange(0, 2).Draw(t, "class"))
+				part := &ticket{class: class, bytes: quantumAt(1e7)}
+				s.offer(part, now)
+				tickets = append(tickets, part)
+			}
+			s.advance(now)
+			tickets = slices.DeleteFunc(tickets, func(g *ticket) bool {
+				if g.granted {
+					grants = append(grants, grantedBytes{at: now, bytes: g.bytes})
+				}
+				return g.granted
+			})
+			window := 0
+			for _, g := range grants {
+				if g.at > now-int64(time.Second) {
+					window += g.bytes
+				}
+			}
+			highest := 0.0
+			for i, c := range rates {
+				if i+1 == len(rates) || rates[i+1].at > now-int64(time.Second) {
+					highest = max(highest, c.rate)
+				}
+			}
+			if float64(window) > highest+1 {
+				t.Fatalf("%d bytes in the second up to %v, allowed %.0f", window, time.Duration(now), highest)
+			}
+		}
+	})
+}
