--- a/internal/entry/topology.go
+++ b/internal/entry/topology.go
@@ -83,7 +83,23 @@
 	t.table.Replace(plans)
 	t.rooms.signalAll()
 	if !t.ready.Swap(true) {
-		t.log.WithFields(logrus.Fields{"event": "ready", "revision": cfg.Revision}).Info("serving")
+		t.log.WithFields(logrus.Fields{"revision": cfg.Revision}).Info("ready")
+	}
+}
+
+// noteWaiting counts what waits as wanted in every zone of this VM's region: a queue that keeps room
+// for interactive work asks for no slot on behalf of the rest.
+func (t *topology) noteWaiting(waiting func(steering.ServiceName) int) {
+	cfg := t.config()
+	if cfg == nil {
+		return
+	}
+	zones := zonesOf(cfg, t.self.Region)
+	for i := range cfg.Services {
+		n := waiting(cfg.Services[i].Name)
+		for _, zone := range zones {
+			t.book.Miss(cfg.Services[i].Name, zone, (n+len(zones)-1)/len(zones))
+		}
 	}
 }
 
