--- a/internal/upstream/bench_test.go
+++ b/internal/upstream/bench_test.go
@@ -56,7 +56,7 @@
 					b.Fatal(err)
 				}
 				r.server.end(r.class, r.start)
-				p.inFlight.Add(-1)
+				p.giveTotal(r.class)
 			}
 		})
 	}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -25,7 +25,7 @@
 
 	Warmup        time.Duration // a new or restarted server gets its slots over this time
 	Floor         float64       // share of the servers that ejection leaves in use, 0 to 1
-	Reserve       float64       // share of a server's slots kept for interactive work, 0 to 1
+	Reserve       float64       // slots kept for interactive work above its mean, in square roots of the mean; negative: none kept
 	HedgeRoom     float64       // share of all slots above which no hedge is placed, 0 to 1
 	SlowFactor    float64       // latency as a multiple of the median that ejects a server
 	SlowMargin    time.Duration // latency above the median that it takes besides SlowFactor
@@ -46,7 +46,7 @@
 	setDefault(&o.Policy, PolicyLeastLoaded)
 	setDefault(&o.Warmup, 10*time.Second)
 	setDefault(&o.Floor, 0.5)
-	setDefault(&o.Reserve, 0.2)
+	setDefault(&o.Reserve, 1)
 	setDefault(&o.HedgeRoom, 0.8)
 	setDefault(&o.SlowFactor, 4)
 	setDefault(&o.SlowMargin, 5*time.Millisecond)
@@ -84,9 +84,11 @@
 	snapshot atomic.Pointer[snapshot]
 	share    atomicFloat // part of each server's slots that this VM may use
 	inFlight atomic.Int64
+	lower    atomic.Int64 // in flight, but not interactive
 	random   randomSource
 
 	interactiveAt atomic.Int64 // last interactive query, to the tenth of a second
+	interactive   atomicFloat  // mean of interactive work in flight, as queries found it
 	nextTrial     atomic.Int64 // earliest end of an ejection; math.MaxInt64: none
 	nextReview    atomic.Int64
 	median        [steering.ClassCount]atomicFloat // of the servers' latency, nanoseconds
@@ -160,7 +162,7 @@
 		s, trial = p.take(&v), false
 	}
 	if s == nil {
-		p.inFlight.Add(-1)
+		p.giveTotal(q.Class)
 		return nil, v.refuse()
 	}
 	s.begin(q.Class, v.now)
@@ -171,35 +173,66 @@
 	return r, nil
 }
 
-// noteClass remembers that interactive work is about, for which slots are then reserved.
+// noteClass follows how much interactive work is about, for which slots are then reserved.
 func (p *Pool) noteClass(v *view) {
 	const step = int64(100 * time.Millisecond)
 	const memory = int64(10 * time.Second)
+	const weight = 0.01 // of a new sample in the mean
 	last := p.interactiveAt.Load()
-	if v.query.Class == steering.ClassInteractive {
-		if v.now-last > step {
-			p.interactiveAt.Store(v.now)
-		}
+	if v.query.Class != steering.ClassInteractive {
+		v.reserve = p.options.Reserve >= 0 && last != 0 && v.now-last < memory
 		return
 	}
-	v.reserve = last != 0 && v.now-last < memory
+	if v.now-last > step {
+		p.interactiveAt.Store(v.now)
+	}
+	inFlight := float64(p.inFlight.Load() - p.lower.Load())
+	p.interactive.update(func(mean float64) float64 { return mean + weight*(inFlight-mean) })
 }
 
 // takeTotal counts the attempt against this VM's part of all slots.
 func (p *Pool) takeTotal(v *view) bool {
-	n := p.inFlight.Add(1)
 	allowed := float64(v.snap.slots) * v.share
 	if v.query.Hedge {
 		allowed *= p.options.HedgeRoom
 	}
-	if float64(n) <= max(allowed, 1) {
+	if !takeBelow(&p.inFlight, allowed) {
+		v.full = true
+		return false
+	}
+	if v.query.Class == steering.ClassInteractive {
 		return true
 	}
-	p.inFlight.Add(-1)
-	v.full = true
+	allowed = float64(v.snap.slots) * v.share
+	if v.reserve {
+		mean := p.interactive.load()
+		allowed -= max(math.Floor(mean+p.options.Reserve*math.Sqrt(mean)), 1)
+	}
+	if !takeBelow(&p.lower, allowed) {
+		p.inFlight.Add(-1)
+		v.full = true
+		return false
+	}
+	return true
+}
+
+// takeBelow counts one more unless that is above allowed; a first one always is allowed.
+func takeBelow(count *atomic.Int64, allowed float64) bool {
+	if float64(count.Add(1)) <= max(allowed, 1) {
+		return true
+	}
+	count.Add(-1)
 	return false
 }
 
+// giveTotal undoes takeTotal.
+func (p *Pool) giveTotal(class steering.Class) {
+	if class != steering.ClassInteractive {
+		p.lower.Add(-1)
+	}
+	p.inFlight.Add(-1)
+}
+
 // take lets the policy choose until a chosen server has a slot; at last it tries each server.
 func (p *Pool) take(v *view) *server {
 	const tries = 3
--- a/internal/upstream/reservation.go
+++ b/internal/upstream/reservation.go
@@ -32,7 +32,7 @@
 	p, s := r.pool, r.server
 	at := int64(now.Sub(r.epoch))
 	s.end(r.class, r.start)
-	p.inFlight.Add(-1)
+	p.giveTotal(r.class)
 	if result.Load != nil {
 		p.observe(s, *result.Load, at)
 	}
--- a/internal/upstream/view.go
+++ b/internal/upstream/view.go
@@ -34,7 +34,7 @@
 	now     int64
 	share   float64
 	reserve bool // keep slots for interactive work
-	full    bool // this VM's part of all slots is taken
+	full    bool // this VM's part of all slots is taken, or what is not reserved of it
 }
 
 func (v *view) start() int { return v.pool.random.intn(max(len(v.snap.servers), 1)) }
@@ -67,7 +67,7 @@
 	return false
 }
 
-// limit returns how many attempts this VM may have in flight at s for the query's class.
+// limit returns how many attempts this VM may have in flight at s.
 func (v *view) limit(s *server) int32 {
 	limit := s.slots
 	if v.share < 1 {
@@ -77,9 +77,6 @@
 		warmth := s.warmth(v.now, int64(v.pool.options.Warmup))
 		limit = min(limit, max(int32(math.Ceil(float64(limit)*warmth)), 1))
 	}
-	if v.reserve && limit > 1 {
-		limit -= max(int32(float64(limit)*v.pool.options.Reserve), 1)
-	}
 	return limit
 }
 
