--- a/internal/demo/world.go
+++ b/internal/demo/world.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"log"
@@ -12,6 +13,7 @@
 
 	"go.uber.org/fx"
 
+	"github.com/azureflow/azureflow/internal/admin"
 	"github.com/azureflow/azureflow/internal/entry"
 	"github.com/azureflow/azureflow/internal/platform"
 	"github.com/azureflow/azureflow/internal/standin"
@@ -164,18 +166,19 @@
 		return err
 	}
 	for _, e := range w.entries {
-		if err := e.awaitReady(ctx); err != nil {
+		if err := e.awaitReady(ctx, len(w.entries)); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-func (e *entryVM) awaitReady(ctx context.Context) error {
+// awaitReady waits until the entry VM serves and knows that all of them live.
+func (e *entryVM) awaitReady(ctx context.Context, all int) error {
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
 	for {
-		if e.ready(ctx) {
+		if e.ready(ctx, all) {
 			return nil
 		}
 		select {
@@ -186,17 +189,36 @@
 	}
 }
 
-func (e *entryVM) ready(ctx context.Context) bool {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+e.row.AdminAddress+"/readyz", nil)
-	if err != nil {
+func (e *entryVM) ready(ctx context.Context, all int) bool {
+	var health struct{ Status string }
+	var vms admin.Page[admin.VMRow]
+	if e.get(ctx, "/readyz", &health) != nil || e.get(ctx, "/v1/vms", &vms) != nil {
 		return false
 	}
+	live := 0
+	for _, row := range vms.Items {
+		if row.State == string(vm.Live) {
+			live++
+		}
+	}
+	return live == all
+}
+
+// get reads a page of the administration API.
+func (e *entryVM) get(ctx context.Context, page string, into any) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+e.row.AdminAddress+page, nil)
+	if err != nil {
+		return err
+	}
 	answer, err := http.DefaultClient.Do(req)
 	if err != nil {
-		return false
+		return err
+	}
+	defer func() { _ = answer.Body.Close() }()
+	if answer.StatusCode != http.StatusOK {
+		return &NotReadyError{VM: e.row.Name}
 	}
-	_ = answer.Body.Close()
-	return answer.StatusCode == http.StatusOK
+	return json.NewDecoder(answer.Body).Decode(into)
 }
 
 // drain stops an entry VM as planned and returns how long that took.
