--- a/internal/contract/borrower.go
+++ b/internal/contract/borrower.go
@@ -151,7 +151,7 @@
 func (b *Borrower) debt(key Key) *debt {
 	d := b.debts[key]
 	if d == nil {
-		d = &debt{key: key}
+		d = &debt{key: key, need: need{headroom: true}}
 		b.debts[key] = d
 	}
 	return d
@@ -167,7 +167,7 @@
 		d.pending = &peer.AskGrantRequest{
 			Holder: string(name), Incarnation: uint64(incarnation),
 			Service: string(d.key.Service), Zone: string(d.key.Zone),
-			Slots: uint32(d.want), GrantId: d.grant, RequestId: b.request,
+			Slots: uint32(d.want), GrantId: d.stated(b.opt.Book.account(d.key)), RequestId: b.request,
 		}
 	}
 	d.calling = true
@@ -199,6 +199,7 @@
 		return
 	}
 	b.stats.Granted += uint64(reply.Slots)
+	d.note()
 	d.grant = reply.GrantId
 	d.held = int64(reply.Slots)
 	d.lapse = askedAt.Add(time.Duration(reply.TtlMs) * time.Millisecond)
@@ -217,7 +218,7 @@
 		Holder: string(name), Incarnation: uint64(incarnation), GrantId: d.grant,
 		Service: string(d.key.Service), Zone: string(d.key.Zone),
 	}
-	d.held, d.grant, d.lapse = 0, 0, now
+	d.held, d.grant, d.lapse, d.above = 0, 0, now, 0
 	d.pending = nil
 	if b.opt.Return == nil {
 		return
--- a/internal/contract/debt.go
+++ b/internal/contract/debt.go
@@ -13,7 +13,8 @@
 	want      int64
 	wantedAt  time.Time // last time that anything was wanted
 	grant     uint64
-	held      int64 // slots of grant
+	held      int64  // slots of grant
+	above     uint64 // an earlier grant, while more slots are in use than grant gives
 	lapse     time.Time
 	renewed   time.Time // when grant was asked for
 	askedAt   time.Time // when the last call ended
@@ -30,10 +31,29 @@
 		d.wantedAt = now
 	}
 	if !now.Before(d.lapse) {
-		d.held, d.grant = 0, 0
+		d.held, d.grant, d.above = 0, 0, 0
 	}
 }
 
+// note keeps the grant that is about to be replaced in mind, in case that more slots are in use
+// than the next one gives.
+func (d *debt) note() {
+	if d.above == 0 {
+		d.above = d.grant
+	}
+}
+
+// stated returns the grant to name in a request: the grantor keeps the slots of a grant reserved
+// while its holder names it. That is the last one, but an earlier one while requests that were
+// begun under it are still under way.
+func (d *debt) stated(a *account) uint64 {
+	if d.above != 0 && a.inUse.Load() > a.rights.Load().floor+d.held {
+		return d.above
+	}
+	d.above = 0
+	return d.grant
+}
+
 // idle says whether the grant should be handed back.
 func (d *debt) idle(now time.Time, after time.Duration) bool {
 	return d.grant != 0 && d.want == 0 && now.Sub(d.wantedAt) >= after
--- a/internal/contract/grantor.go
+++ b/internal/contract/grantor.go
@@ -171,7 +171,7 @@
 	loan.request = req.RequestId
 	loan.askedAt = now
 	loan.want = int64(req.Slots)
-	loan.confirm(req.GrantId)
+	loan.confirm(req.GrantId, now.Add(stretch(g.opt.TTL, g.opt.Drift)))
 	loan.reply = g.grant(l, loan, now)
 	return loan.reply, nil
 }
--- a/internal/contract/ledger.go
+++ b/internal/contract/ledger.go
@@ -59,13 +59,18 @@
 	return most
 }
 
-// confirm forgets the issues before grant, which the holder says that it holds now.
-func (l *loan) confirm(grant uint64) {
+// confirm forgets the issues before grant, which the holder says that it uses now, and keeps that
+// one reserved until lapse: requests begun under it may go on.
+func (l *loan) confirm(grant uint64, lapse time.Time) {
 	for i := range l.issues {
-		if l.issues[i].id == grant {
-			l.issues = slices.Delete(l.issues, 0, i)
-			return
+		if l.issues[i].id != grant {
+			continue
 		}
+		if lapse.After(l.issues[i].lapse) {
+			l.issues[i].lapse = lapse
+		}
+		l.issues = slices.Delete(l.issues, 0, i)
+		return
 	}
 }
 
--- a/internal/contract/need.go
+++ b/internal/contract/need.go
@@ -6,7 +6,7 @@
 )
 
 const (
-	headroomPart = 4 // a need is the peak and one part in headroomPart of it
+	headroomPart = 8 // a need is the peak and one part in headroomPart of it, or a slot
 	decayPart    = 8 // of the distance to a lower need, taken back at each reading
 	growthFactor = 2 // by which a need grows at most in one reading
 	minGrowth    = 4 // slots by which a need may grow whatever it was
@@ -14,8 +14,9 @@
 
 // need follows how many slots a VM wants of a service in a zone.
 type need struct {
-	value  float64
-	denied uint64 // last reading
+	headroom bool // wanted besides the peak
+	value    float64
+	denied   uint64 // last reading
 }
 
 // read takes the demand since the last reading and returns the slots wanted now.
@@ -26,7 +27,7 @@
 	missed := denied - n.denied
 	n.denied = denied
 	want := float64(peak)
-	if peak > 0 {
+	if peak > 0 && n.headroom {
 		want += max(1, float64(peak)/headroomPart)
 	}
 	if missed > 0 {
--- a/internal/zone/elector.go
+++ b/internal/zone/elector.go
@@ -62,7 +62,7 @@
 		o.TTL = 8 * time.Second
 	}
 	if o.VouchTTL <= 0 {
-		o.VouchTTL = 4 * time.Second
+		o.VouchTTL = o.TTL
 	}
 	if o.Interval <= 0 {
 		o.Interval = o.TTL / 4
@@ -133,6 +133,8 @@
 	everRead bool             // record was known once
 	promised time.Time        // this VM keeps off until then
 	trying   bool             // a candidacy is under way
+	seen     uint64           // highest epoch of a leadership that was or may have been
+	keptFor  pledge           // whom this VM last promised to, if it did not run since
 	running  time.Time        // a candidacy that ended may still succeed until then
 	resign   time.Time        // this VM does not run or renew until then
 	absent   time.Time        // since when the leader's key was seen absent; zero: it is held
@@ -162,7 +164,7 @@
 func (e *Elector) Run(ctx context.Context) {
 	var loops sync.WaitGroup
 	loops.Go(func() { e.loop(ctx, e.opt.Interval, e.StepStore) })
-	loops.Go(func() { e.loop(ctx, e.opt.VouchTTL/4, e.StepVouch) })
+	loops.Go(func() { e.loop(ctx, e.opt.VouchTTL/8, e.StepVouch) })
 	loops.Wait()
 }
 
--- a/internal/zone/lease.go
+++ b/internal/zone/lease.go
@@ -119,6 +119,7 @@
 		e.mu.Unlock()
 		return
 	}
+	e.seen = max(e.seen, c.Epoch)
 	e.setState(State{VM: c.VM, Epoch: c.Epoch})
 	foreign := e.opt.Home && !own && !e.isMember(c.VM)
 	e.mu.Unlock()
@@ -153,6 +154,7 @@
 		return false
 	}
 	e.trying = true
+	e.keptFor = pledge{}
 	return true
 }
 
@@ -169,9 +171,9 @@
 	return gone
 }
 
-// gone says whether the VM list has not held a VM for long.
+// gone says whether the VM list has not held a VM for long, nor was it heard of.
 func (e *Elector) gone(name vm.Name, now time.Time) bool {
-	if e.opt.Listed(name) || now.Sub(e.opt.Heard(name)) < e.opt.GoneAfter {
+	if e.opt.Listed(name) {
 		delete(e.unlisted, name)
 		return false
 	}
@@ -180,7 +182,7 @@
 		e.unlisted[name] = now
 		return false
 	}
-	return now.Sub(since) >= e.opt.GoneAfter
+	return now.Sub(since) >= e.opt.GoneAfter && now.Sub(e.opt.Heard(name)) >= e.opt.GoneAfter
 }
 
 // run takes a lease and claims the leader's key with it.
@@ -198,6 +200,12 @@
 	_, err = e.opt.Store.CompareAndSwap(ctx, leaderKey(e.opt.Zone), 0, value, lease.ID)
 	e.countWrite()
 	won := err == nil || e.claimed(ctx, err, lease)
+	var conflict *kv.ConflictError
+	if !won && !errors.As(err, &conflict) {
+		e.mu.Lock()
+		e.seen = max(e.seen, uint64(lease.Epoch))
+		e.mu.Unlock()
+	}
 	if !won || !e.stillEntitled(ctx) {
 		e.countWrite()
 		_ = e.opt.Store.Revoke(ctx, lease.ID) // it lapses anyway
@@ -254,6 +262,7 @@
 	e.leaseTo = asked.Add(e.shorten(e.opt.TTL))
 	e.vouchTo = time.Time{}
 	e.absent = time.Time{}
+	e.seen = max(e.seen, uint64(lease.Epoch))
 	e.stats.Elected++
 	if e.record.Leader != "" && e.record.Leader != e.opt.Self {
 		e.stats.Takeover++
--- /dev/null
+++ b/internal/zone/measure_test.go
@@ -0,0 +1,158 @@
+package zone
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/azureflow/azureflow/internal/platform/platformtest"
+	"github.com/azureflow/azureflow/internal/steering"
+)
+
+// floors are the shares of a zone's slots at which the trade is measured.
+var floors = []float64{0.1, 0.25, 0.5, 0.75}
+
+// steady is the time after which a started world is at rest.
+const steady = 20 * time.Second
+
+// run starts a world with the given floor and demand and hands it over once it is at rest.
+func run(t *testing.T, share float64, totals []int, fn func(w *world)) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(1, share)
+		w.startAll()
+		w.setTotals(totals)
+		time.Sleep(steady)
+		fn(w)
+		w.end()
+	})
+}
+
+func (w *world) setTotals(totals []int) {
+	for i, n := range w.order() {
+		n.setTotal(totals[i])
+	}
+}
+
+// used returns the slots in use in zones, as the mean over one second.
+func (w *world) used(zones ...steering.ZoneName) float64 {
+	const looks = 10
+	sum := 0
+	for range looks {
+		time.Sleep(100 * time.Millisecond)
+		w.mu.Lock()
+		for _, n := range w.nodes {
+			for _, z := range zones {
+				if !n.dead {
+					sum += n.book.Demand(service, z).InUse
+				}
+			}
+		}
+		w.mu.Unlock()
+	}
+	return float64(sum) / looks
+}
+
+// until waits at most limit until the slots used in zones reach least, and returns how long that took.
+func (w *world) until(limit time.Duration, least float64, zones ...steering.ZoneName) (time.Duration, float64) {
+	begin := time.Now()
+	for {
+		used := w.used(zones...)
+		if took := time.Since(begin); used >= least || took >= limit {
+			return took, used
+		}
+	}
+}
+
+func even(total int) []int {
+	out := make([]int, len(sohar))
+	for i := range out {
+		out[i] = total
+	}
+	return out
+}
+
+// TestSkewedLoadUsesCapacity: 60% of the load turns up at one of 7 entry VMs.
+func TestSkewedLoadUsesCapacity(t *testing.T) {
+	for _, share := range floors {
+		run(t, share, even(10), func(w *world) {
+			capacity := w.slots * len(w.zones())
+			skewed := even(capacity * 4 / 10 / 6)
+			skewed[3] = capacity * 6 / 10
+			w.setTotals(skewed)
+			static := 0
+			for _, want := range skewed {
+				static += min(want, capacity/len(skewed))
+			}
+			took, used := w.until(5*time.Second, 0.95*float64(capacity), w.zones()...)
+			t.Logf("floor %.2f: %.1f of %d slots in use after %v; static equal split: %d", share, used, capacity, took, static)
+			if share <= 0.25 && used < 0.95*float64(capacity) {
+				t.Errorf("floor %.2f: less than 95%% of capacity in use after 5 s", share)
+			}
+		})
+	}
+}
+
+// TestIsolatedZoneKeepsFloor: a zone is cut off from platform and peers for a minute.
+func TestIsolatedZoneKeepsFloor(t *testing.T) {
+	for _, share := range floors {
+		run(t, share, even(25), func(w *world) {
+			zone := steering.ZoneName("muscat-a")
+			before := w.used(zone)
+			w.cutStoreOf(zone, platformtest.Faults{Down: true})
+			w.cutZone(zone, true, true, true)
+			time.Sleep(40 * time.Second)
+			floor := float64(int(share * float64(w.slots)))
+			own := float64(w.node("e4").book.Demand(service, zone).InUse)
+			w.cutStoreOf(zone, platformtest.Faults{})
+			w.cutZone(zone, true, true, false)
+			took, after := w.until(10*time.Second, 0.95*before, zone)
+			t.Logf("floor %.2f: %.1f slots in use before, %.0f at the cut-off VM (floor %.0f), %.1f %v after the cut healed", share, before, own, floor, after, took)
+			if own < 0.95*floor {
+				t.Errorf("floor %.2f: less than 95%% of the floor in use", share)
+			}
+			if took > 5*time.Second {
+				t.Errorf("floor %.2f: not back within 5 s", share)
+			}
+		})
+	}
+}
+
+// TestStoreRegionLost: the region that holds the store is lost with it.
+func TestStoreRegionLost(t *testing.T) {
+	run(t, 0.25, even(25), func(w *world) {
+		for _, p := range w.places[:3] {
+			w.kill(p.name)
+		}
+		w.store.SetStoreFaults(platformtest.Faults{Down: true})
+		survivors := w.zones()[2:]
+		capacity := float64(w.slots * len(survivors))
+		time.Sleep(10 * time.Second)
+		least := w.used(survivors...)
+		for range 600 {
+			least = min(least, w.used(survivors...))
+		}
+		t.Logf("surviving regions: at least %.1f of %.0f slots in use from 10 s to 610 s", least, capacity)
+		if least < 0.9*capacity {
+			t.Error("less than 90% of the surviving regions' capacity in use")
+		}
+	})
+}
+
+// TestEntryVMLost: one of 7 entry VMs is lost for good.
+func TestEntryVMLost(t *testing.T) {
+	for _, share := range floors {
+		for _, lost := range []int{0, 1, 3} {
+			run(t, share, even(30), func(w *world) {
+				p := w.places[lost]
+				before := w.used(p.zone)
+				w.kill(p.name)
+				time.Sleep(14 * time.Second)
+				at15 := w.used(p.zone)
+				w.setListed(p.name, false)
+				time.Sleep(80 * time.Second)
+				late := w.used(p.zone)
+				t.Logf("floor %.2f: %s of %s lost: %.1f slots of the zone in use before, %.1f after 15 s, %.1f 80 s after the VM left the list", share, p.name, p.zone, before, at15, late)
+			})
+		}
+	}
+}
--- a/internal/zone/vouch.go
+++ b/internal/zone/vouch.go
@@ -11,90 +11,115 @@
 )
 
 // A request of AskGrant that names no service is about the whole zone: without slots it asks the
-// callee not to take the zone over for a time, with slots it asks the callee to hand it over.
+// callee not to take the zone over for a time; the number of slots tells the kinds apart.
 const (
-	vouchSlots    = 0
+	vouchSlots    = 0 // the asker leads
 	handoverSlots = 1
+	reviveSlots   = 2 // the asker's leadership lapsed
 )
 
+// keptSlots in an answer says that the callee promised before for the same leadership, which
+// GrantId of the request names, and did not run since.
+const keptSlots = 1
+
 // Reasons in the answer to a request about a whole zone.
 const (
 	ReasonPromised = "promised" // the callee keeps off for ttl_ms
 	ReasonRunning  = "running"  // the callee leads the zone or tries to
 )
 
+// pledge names the leadership for which an heir promised to keep off.
+type pledge struct {
+	holder      vm.Name
+	incarnation vm.Incarnation
+	epoch       uint64
+}
+
+// answer is what an heir said.
+type answer struct {
+	ttl  time.Duration // 0: no promise
+	kept bool          // it promised before for the same leadership and did not run since
+}
+
 // StepVouch does one round of the part of Run that talks to the heirs: while the store lease is
-// not renewed, it keeps the leadership going as long as every heir promises to keep off. A
-// leadership that lapsed is not revived.
+// not renewed, it keeps the leadership going as long as every heir promises to keep off. After a
+// gap it goes on only if every heir promised before and never ran since, because nobody else may
+// have led then.
 func (e *Elector) StepVouch(ctx context.Context) {
 	now := e.opt.Now()
 	e.mu.Lock()
 	needed := e.vouchNeeded(now)
 	heirs := e.record.Heirs
 	epoch := e.state.Epoch
+	kind := uint32(reviveSlots)
+	if e.leads(now) {
+		kind = vouchSlots
+	}
 	e.mu.Unlock()
 	if !needed || e.opt.Vouch == nil && len(heirs) > 0 {
 		return
 	}
-	ttl := e.promises(ctx, heirs)
-	if ttl <= 0 {
-		return
-	}
+	least := e.promises(ctx, heirs, kind, epoch)
 	after := e.opt.Now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if !e.opt.reviveByVouch && (e.state.Epoch != epoch || !e.leads(after)) {
-		return
+	same := e.state.Epoch == epoch && e.vouchNeeded(after)
+	if least.ttl > 0 && same && (e.leads(after) || least.kept || e.opt.reviveByVouch) {
+		e.vouchTo = now.Add(least.ttl)
 	}
-	e.vouchTo = now.Add(ttl)
 }
 
-// vouchNeeded says whether the leadership would lapse soon. Promises count only if the store
-// knows this VM's heirs.
+// vouchNeeded says whether the leadership lapses soon or has lapsed. Promises count only if the
+// store knows this VM's heirs.
 func (e *Elector) vouchNeeded(now time.Time) bool {
-	mine := e.state.VM == e.opt.Self && e.record.Epoch == e.state.Epoch && e.hasRead
-	if !mine || now.Before(e.resign) || (!e.leads(now) && !e.opt.reviveByVouch) {
+	mine := e.state.VM == e.opt.Self && e.state.Epoch != 0
+	known := e.hasRead && e.record.Leader == e.opt.Self && e.record.Epoch == e.state.Epoch
+	if !mine || !known || now.Before(e.resign) || e.trying {
+		return false
+	}
+	if !e.leads(now) && (now.Before(e.promised) || len(e.record.Heirs) == 0) {
 		return false
 	}
 	return e.leaseTo.Sub(now) < e.opt.TTL/2
 }
 
-// promises asks all heirs and returns the shortest promise, 0 if one is missing.
-func (e *Elector) promises(ctx context.Context, heirs []vm.Name) time.Duration {
-	least := e.opt.VouchTTL
+// promises asks all heirs and returns what holds of each answer.
+func (e *Elector) promises(ctx context.Context, heirs []vm.Name, kind uint32, epoch uint64) answer {
+	least := answer{ttl: e.opt.VouchTTL, kept: true}
 	ctx, cancel := context.WithTimeout(ctx, e.opt.VouchTTL/4)
 	defer cancel()
 	var mu sync.Mutex
 	var calls sync.WaitGroup
 	for _, heir := range heirs {
 		calls.Go(func() {
-			ttl := e.promise(ctx, heir, vouchSlots)
+			a := e.promise(ctx, heir, kind, epoch)
 			mu.Lock()
-			least = min(least, ttl)
-			mu.Unlock()
+			defer mu.Unlock()
+			least.ttl = min(least.ttl, a.ttl)
+			least.kept = least.kept && a.kept
 		})
 	}
 	calls.Wait()
 	return least
 }
 
-func (e *Elector) promise(ctx context.Context, to vm.Name, slots uint32) time.Duration {
+func (e *Elector) promise(ctx context.Context, to vm.Name, kind uint32, epoch uint64) answer {
 	e.mu.Lock()
 	e.stats.Vouches++
 	e.mu.Unlock()
 	reply, err := e.opt.Vouch(ctx, to, &peer.AskGrantRequest{
 		Holder: string(e.opt.Self), Incarnation: uint64(e.opt.Incarnation),
-		Zone: string(e.opt.Zone), Slots: slots,
+		Zone: string(e.opt.Zone), Slots: kind, GrantId: epoch,
 	})
 	if err != nil || reply.Reason != ReasonPromised {
-		return 0
+		return answer{}
 	}
-	return time.Duration(reply.TtlMs) * time.Millisecond
+	return answer{ttl: time.Duration(reply.TtlMs) * time.Millisecond, kept: reply.Slots == keptSlots}
 }
 
 func (e *Elector) askHandover(ctx context.Context, leader vm.Name) {
 	if e.opt.Vouch != nil {
-		e.promise(ctx, leader, handoverSlots)
+		e.promise(ctx, leader, handoverSlots, 0)
 	}
 }
 
@@ -109,14 +134,22 @@
 	if req.Slots == handoverSlots {
 		e.handOver(now)
 	}
-	if e.lease.ID != 0 || e.leads(now) || e.trying || now.Before(e.running) {
+	asked := pledge{vm.Name(req.Holder), vm.Incarnation(req.Incarnation), req.GrantId}
+	if e.lease.ID != 0 || e.leads(now) || e.trying || now.Before(e.running) || asked.epoch < e.seen {
 		return &peer.AskGrantReply{Reason: ReasonRunning, Epoch: e.state.Epoch}, nil
 	}
+	kept := uint32(0)
+	if asked == e.keptFor {
+		kept = keptSlots
+	}
+	if req.Slots == vouchSlots {
+		e.keptFor = asked
+	}
 	if until := now.Add(e.stretch(e.opt.VouchTTL)); until.After(e.promised) {
 		e.promised = until
 	}
 	return &peer.AskGrantReply{
-		TtlMs: uint32(e.opt.VouchTTL / time.Millisecond), Epoch: e.state.Epoch, Reason: ReasonPromised,
+		TtlMs: uint32(e.opt.VouchTTL / time.Millisecond), Epoch: e.state.Epoch, Reason: ReasonPromised, Slots: kept,
 	}, nil
 }
 
--- a/internal/zone/world_test.go
+++ b/internal/zone/world_test.go
@@ -85,6 +85,7 @@
 	heard   map[vm.Name]time.Time
 	leaders map[steering.ZoneName]State
 	want    map[steering.ZoneName]int
+	total   int // slots wanted in any zone, nearest first; 0: as in want
 	permits map[steering.ZoneName][]contract.Permit
 }
 
@@ -266,6 +267,10 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := n.clock()
+	if n.total > 0 {
+		n.useNearest(now)
+		return
+	}
 	for zone, want := range n.want {
 		held := n.permits[zone]
 		for len(held) < want {
@@ -283,6 +288,51 @@
 	}
 }
 
+// useNearest ends half of the requests and starts others until total are under way.
+func (n *node) useNearest(now time.Time) {
+	under := 0
+	for zone, held := range n.permits {
+		for range (len(held) + 1) / 2 {
+			n.book.Release(held[len(held)-1])
+			held = held[:len(held)-1]
+		}
+		n.permits[zone] = held
+		under += len(held)
+	}
+	for _, zone := range n.nearest() {
+		for under < n.total {
+			p, err := n.book.Acquire(service, zone, now)
+			if err != nil {
+				break
+			}
+			n.permits[zone] = append(n.permits[zone], p)
+			under++
+		}
+	}
+}
+
+// nearest returns the zones from the VM's own outwards.
+func (n *node) nearest() []steering.ZoneName {
+	rank := func(zone steering.ZoneName) int {
+		switch {
+		case zone == n.place.zone:
+			return 0
+		case n.electors[zone] != nil:
+			return 1
+		}
+		return 2
+	}
+	zones := n.w.zones()
+	slices.SortStableFunc(zones, func(a, b steering.ZoneName) int { return rank(a) - rank(b) })
+	return zones
+}
+
+func (n *node) setTotal(slots int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.total = slots
+}
+
 func (n *node) setWant(zone steering.ZoneName, slots int) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -386,19 +436,6 @@
 	return sum
 }
 
-// inUse returns the slots of all zones that living VMs use.
-func (w *world) inUse() int {
-	sum := 0
-	for _, n := range w.nodes {
-		for _, zone := range w.zones() {
-			if !n.dead {
-				sum += n.book.Demand(service, zone).InUse
-			}
-		}
-	}
-	return sum
-}
-
 func (w *world) end() {
 	for _, n := range w.nodes {
 		n.setPaused(false, false)
