--- a/internal/steering/followstore.go
+++ b/internal/steering/followstore.go
@@ -14,7 +14,7 @@
 	for ctx.Err() == nil {
 		if !f.options.WatchStore() {
 			known = false
-			pause(ctx, f.options.GuardPoll)
+			pause(ctx, f.interval(f.options.GuardPoll))
 			continue
 		}
 		version, err := f.watchOnce(ctx, after, known)
@@ -54,6 +54,7 @@
 			f.noteUnreadable(0, err)
 			continue
 		}
+		f.setLastHead(headAt{h, entry.Version, entry.Value})
 		if err := f.takeHead(ctx, h, before); err != nil {
 			return 0, err
 		}
@@ -64,8 +65,8 @@
 // guardStore reads the head now and then beside the watch, which may have gone silent. A VM that
 // follows its peers reads it only after it had no answer from them for long.
 func (f *Follower) guardStore(ctx context.Context) {
-	for pause(ctx, f.options.GuardPoll) {
-		if !f.options.WatchStore() && f.peersAnswered(f.options.StoreFallback) {
+	for pause(ctx, f.interval(f.options.GuardPoll)) {
+		if !f.options.WatchStore() && f.Current() != nil && f.peersAnswered(f.options.StoreFallback) {
 			continue
 		}
 		if !f.budget.Allow() {
@@ -82,7 +83,7 @@
 	ctx, cancel := context.WithTimeout(ctx, defaultStoreTimeout)
 	defer cancel()
 	before := f.inForce.Load()
-	h, err := readHead(ctx, f.options.Store)
+	h, err := readHeadAfter(ctx, f.options.Store, f.lastHead())
 	if isEncoding(err) {
 		f.noteStore(nil)
 		f.noteUnreadable(0, err)
@@ -92,9 +93,23 @@
 	if err != nil {
 		return headAt{}, err
 	}
+	f.setLastHead(h)
 	return h, f.takeHead(ctx, h.head, before)
 }
 
+// lastHead returns the head that was last read.
+func (f *Follower) lastHead() headAt {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.last
+}
+
+func (f *Follower) setLastHead(h headAt) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.last = h
+}
+
 // takeHead takes up the revision of h if it is higher than the one that was in force before h was
 // read. It returns only failures of the store.
 func (f *Follower) takeHead(ctx context.Context, h *head, before *state) error {
