--- a/internal/contract/ledger.go
+++ b/internal/contract/ledger.go
@@ -35,9 +35,10 @@
 // ledger is the account of one service in a zone.
 type ledger struct {
 	key     Key
-	slots   int64 // capacity of the zone
-	own     int64 // part of the floor that is this VM's
-	others  int64 // parts of the floor that are other VMs'
+	slots   int64   // capacity of the zone
+	share   float64 // of slots that is the floor
+	own     int64   // part of the floor that is this VM's
+	others  int64   // parts of the floor that are other VMs'
 	loans   map[holderID]*loan
 	need    need
 	ownWant int64
@@ -58,13 +59,18 @@
 	return most
 }
 
-// confirm forgets the issues before grant, which the holder says that it holds now.
-func (l *loan) confirm(grant uint64) {
+// confirm forgets the issues before grant, which the holder says that it uses now, and keeps that
+// one reserved until lapse: requests begun under it may go on.
+func (l *loan) confirm(grant uint64, lapse time.Time) {
 	for i := range l.issues {
-		if l.issues[i].id == grant {
-			l.issues = slices.Delete(l.issues, 0, i)
-			return
+		if l.issues[i].id != grant {
+			continue
 		}
+		if lapse.After(l.issues[i].lapse) {
+			l.issues[i].lapse = lapse
+		}
+		l.issues = slices.Delete(l.issues, 0, i)
+		return
 	}
 }
 
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -16,7 +16,6 @@
 	"github.com/azureflow/azureflow/internal/request"
 	"github.com/azureflow/azureflow/internal/review"
 	"github.com/azureflow/azureflow/internal/steering"
-	"github.com/azureflow/azureflow/internal/upstream"
 	"github.com/azureflow/azureflow/internal/vm"
 )
 
@@ -78,13 +77,13 @@
 	d.loop(func() { review.NewMirror(review.MirrorOptions{Log: p.Records, Send: p.Peers.mirror}).Run(ctx) })
 	d.loop(func() { d.digester().Run(ctx) })
 	p.Servers.start(ctx)
-	p.Log.WithFields(logrus.Fields{"event": "started", "incarnation": p.Self.Incarnation}).Info("entry VM")
+	p.Log.WithFields(logrus.Fields{"incarnation": p.Self.Incarnation}).Info("started")
 	return nil
 }
 
 func (d *Daemon) loop(fn func()) { d.loops.Go(fn) }
 
-// notice tells the follower of revisions that heartbeats carry.
+// notice tells the follower of revisions that heartbeats carry, and the book of requests that wait.
 func (d *Daemon) notice(ctx context.Context) {
 	const interval = 250 * time.Millisecond
 	tick := time.NewTicker(interval)
@@ -95,6 +94,7 @@
 			return
 		case <-tick.C:
 		}
+		d.parts.Topology.noteWaiting(d.parts.Handler.Queue().Waiting)
 		view := d.parts.Directory.View()
 		for i := range view.Entries {
 			if r := view.Entries[i].Revision; r > d.parts.Follower.Revision() {
@@ -138,9 +138,7 @@
 	p.Recorder.Record(&review.Record{
 		Kind: review.KindStop, Constraint: review.ConstraintDrain, Result: "drained", Took: time.Since(began),
 	})
-	p.Log.WithFields(logrus.Fields{
-		"event": "drained", "took_ms": time.Since(began).Milliseconds(), "in_flight": p.Handler.InFlight(),
-	}).Info("planned stop")
+	p.Log.WithFields(logrus.Fields{"took_ms": time.Since(began).Milliseconds(), "in_flight": p.Handler.InFlight()}).Info("drained")
 	return d.shutdown(ctx)
 }
 
--- a/internal/upstream/view.go
+++ b/internal/upstream/view.go
@@ -30,11 +30,11 @@
 type view struct {
 	pool    *Pool
 	snap    *snapshot
-	query   *Query
+	query   Query
 	now     int64
 	share   float64
 	reserve bool // keep slots for interactive work
-	full    bool // this VM's part of all slots is taken
+	full    bool // this VM's part of all slots is taken, or what is not reserved of it
 }
 
 func (v *view) start() int { return v.pool.random.intn(max(len(v.snap.servers), 1)) }
@@ -67,7 +67,7 @@
 	return false
 }
 
-// limit returns how many attempts this VM may have in flight at s for the query's class.
+// limit returns how many attempts this VM may have in flight at s.
 func (v *view) limit(s *server) int32 {
 	limit := s.slots
 	if v.share < 1 {
@@ -77,9 +77,6 @@
 		warmth := s.warmth(v.now, int64(v.pool.options.Warmup))
 		limit = min(limit, max(int32(math.Ceil(float64(limit)*warmth)), 1))
 	}
-	if v.reserve && limit > 1 {
-		limit -= max(int32(float64(limit)*v.pool.options.Reserve), 1)
-	}
 	return limit
 }
 
@@ -100,7 +97,10 @@
 
 // score returns the cost of sending to s; less is better.
 func (v *view) score(s *server) float64 {
-	load := float64(s.inFlight.Load()) + s.others(v.now, int64(v.pool.options.ReportTTL))
+	load := float64(s.inFlight.Load())
+	if weight := v.pool.options.ReportWeight; weight > 0 {
+		load += weight * s.others(v.now, int64(v.pool.options.ReportTTL))
+	}
 	cost := (1 + load) / float64(s.slots) * v.slowness(s)
 	if s.warmFrom.Load() == 0 {
 		return cost
