--- a/internal/request/queue.go
+++ b/internal/request/queue.go
@@ -174,12 +174,15 @@
 	return nil, err
 }
 
-// noteCapacity keeps the capacity that the reserve for interactive work is taken from.
+// noteCapacity keeps the capacity and the reserve for interactive work taken from it.
 func (s *serviceQueue) noteCapacity(now time.Time) {
+	s.usage.probe(now)
+	if !s.usage.reserveDue(now) {
+		return
+	}
 	if reporter, ok := s.placer.(CapacityReporter); ok {
 		s.usage.report(reporter.Capacity(s.name))
 	}
-	s.usage.probe(now)
 	s.usage.updateReserve(now)
 }
 
--- a/internal/request/usage.go
+++ b/internal/request/usage.go
@@ -155,11 +155,11 @@
 	return long < u.capacity-u.reserve
 }
 
+// reserveDue reports whether the reserve was last calculated some time ago.
+func (u *usage) reserveDue(now time.Time) bool { return now.Sub(u.reserved) >= reserveInterval }
+
 // updateReserve calculates the reserve from the interactive work of late.
 func (u *usage) updateReserve(now time.Time) {
-	if now.Sub(u.reserved) < reserveInterval {
-		return
-	}
 	u.reserved = now
 	u.reserve = reserveFor(u.interactiveLoad(), u.capacity)
 	if u.rate.span < demandWarmUp.Seconds() {
