Count the way back in the deadline; see a lost region after 2 s

Cause: callers of a lost region that reached an entry VM elsewhere were answered after their deadline: the time on the way was not counted. The region was only taken as lost when each of its entry VMs counted as dead (6 s).

--- a/internal/entry/observation.go
+++ b/internal/entry/observation.go
@@ -33,8 +33,9 @@
 	return slots
 }
 
-// lostRegions returns the regions of which no entry VM lives while some are known. Without any
-// entry VM a region's upstreams cannot be borrowed.
+// lostRegions returns the regions whose entry VMs are known but all silent. Without any entry VM a
+// region's upstreams cannot be borrowed. All of them silent at once is no pause of one process, so
+// it does not take the time after which a single one counts as dead.
 func lostRegions(cfg *steering.Configuration, view *vm.View) []steering.RegionName {
 	var lost []steering.RegionName
 	for _, r := range cfg.Platform.Regions {
@@ -44,7 +45,7 @@
 				continue
 			}
 			known++
-			if view.Entries[i].Liveness != vm.Dead {
+			if l := view.Entries[i].Liveness; l == vm.Live || l == vm.Leaving {
 				alive++
 			}
 		}
--- a/internal/request/exchange.go
+++ b/internal/request/exchange.go
@@ -109,9 +109,9 @@
 	if err != nil {
 		return err
 	}
-	x.deadline = x.start.Add(left)
-	x.ctx, x.cancel = context.WithDeadline(x.ctx, x.deadline)
 	x.origin = x.originRegion()
+	x.deadline = x.start.Add(left - transit(&c.Platform, x.origin, x.h.opts.Self.Region, left))
+	x.ctx, x.cancel = context.WithDeadline(x.ctx, x.deadline)
 	x.caller = callerName(x.r)
 	x.body = requestBody(x.r)
 	if x.body != nil {
@@ -177,6 +177,17 @@
 	return min(limit, time.Duration(ms)*time.Millisecond), nil
 }
 
+// transit returns the part of the time left that the request took to arrive and the answer will take
+// back, so that an answer made at the deadline still reaches the caller in time. It is at most half.
+func transit(p *steering.Platform, origin, self steering.RegionName, left time.Duration) time.Duration {
+	const ways = 2
+	oneWay := p.ClientDelay.Std()
+	if link := p.Link(origin, self); link != nil {
+		oneWay += link.Delay.Std()
+	}
+	return min(ways*oneWay, left/2)
+}
+
 func (x *exchange) originRegion() steering.RegionName {
 	if origin := x.r.Header.Get(HeaderOrigin); origin != "" {
 		return steering.RegionName(origin)
