--- a/internal/steering/bench_test.go
+++ b/internal/steering/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"runtime"
 	"testing"
 	"time"
 
@@ -135,3 +136,38 @@
 		}
 	}
 }
+
+// BenchmarkStateBytes reports the memory that a VM holds for a configuration.
+func BenchmarkStateBytes(b *testing.B) {
+	for _, n := range benchSizes {
+		b.Run(fmt.Sprintf("services=%d", n), func(b *testing.B) {
+			c := benchConfiguration(n)
+			encoded, err := Encode(c)
+			if err != nil {
+				b.Fatal(err)
+			}
+			held := make([]*state, 0, b.N)
+			before := heapBytes()
+			for range b.N {
+				decoded, err := Decode(encoded)
+				if err != nil {
+					b.Fatal(err)
+				}
+				s, err := newState(decoded)
+				if err != nil {
+					b.Fatal(err)
+				}
+				held = append(held, s)
+			}
+			b.ReportMetric(float64(heapBytes()-before)/float64(len(held)), "heap-bytes/state")
+			runtime.KeepAlive(held)
+		})
+	}
+}
+
+func heapBytes() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
