--- a/internal/region/history.go
+++ b/internal/region/history.go
@@ -23,6 +23,7 @@
 	since   time.Time
 	moves   []Move
 	demand  mean
+	peak    peak // of demand
 	mbit    float64
 	classes [steering.ClassCount]float64
 	turns   map[steering.RegionName]turn
@@ -136,19 +137,3 @@
 	}
 	return 0
 }
-
-// mean is an exponentially weighted mean over time.
-type mean struct {
-	value float64
-	at    time.Time
-}
-
-func (m *mean) add(at time.Time, value float64, constant time.Duration) {
-	if m.at.IsZero() {
-		m.value, m.at = value, at
-		return
-	}
-	keep := math.Exp(-at.Sub(m.at).Seconds() / constant.Seconds())
-	m.value = m.value*keep + value*(1-keep)
-	m.at = at
-}
--- a/internal/region/inputs.go
+++ b/internal/region/inputs.go
@@ -34,7 +34,7 @@
 // OriginInput is what is known of the callers in one region.
 type OriginInput struct {
 	Region      steering.RegionName          `json:"region"`
-	Demand      float64                      `json:"demand"`        // slots wanted; 0: not known
+	Demand      float64                      `json:"demand"`        // most slots wanted lately; 0: not known
 	MbitPerSlot float64                      `json:"mbit_per_slot"` // Mbit/s a slot in use puts on a link
 	Classes     [steering.ClassCount]float64 `json:"classes"`       // share of the demand by class
 	Previous    []Share                      `json:"previous"`      // empty: all at home
@@ -93,6 +93,15 @@
 	return 0
 }
 
+// load returns the slots of region r that the previous plans of all origins use.
+func (in *Inputs) load(r int) float64 {
+	sum := 0.0
+	for o := range in.Origins {
+		sum += in.Origins[o].previous(in.Regions[r].Name) * in.Origins[o].Demand
+	}
+	return sum
+}
+
 // link returns the direction from one region to another, or nil.
 func (in *Inputs) link(from, to steering.RegionName) *LinkInput {
 	for i := range in.Links {
--- /dev/null
+++ b/internal/region/plan_test.go
@@ -0,0 +1,204 @@
+package region
+
+import (
+	"encoding/json"
+	"flag"
+	"math"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/azureflow/azureflow/internal/review"
+	"github.com/azureflow/azureflow/internal/steering"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.checks": "1000", "rapid.nofailfile": "true"} {
+		if f := flag.Lookup(name); f != nil && f.Value.String() == f.DefValue {
+			_ = flag.Set(name, value)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+var names = []steering.RegionName{"batinah", "dhofar", "muscat"}
+
+var epoch = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
+
+func inputs() Inputs {
+	in := Inputs{At: epoch, Service: "certdesk", Epoch: 1, Cap: steering.ShiftCap{Share: 0.2, Window: steering.Duration(time.Minute)}, Deadline: steering.Duration(time.Second)}
+	for _, n := range names {
+		in.Regions = append(in.Regions, RegionInput{Name: n, Weight: 1, Capacity: 100})
+		in.Origins = append(in.Origins, OriginInput{Region: n, Demand: 60, Since: epoch.Add(-time.Second), Previous: []Share{{n, 1}}})
+		for _, m := range names {
+			if m != n {
+				in.Links = append(in.Links, LinkInput{From: n, To: m, Delay: steering.Duration(35 * time.Millisecond), RoomMbit: -1})
+			}
+		}
+	}
+	return in
+}
+
+func TestConstraints(t *testing.T) {
+	late := func(in *Inputs) {
+		in.Origins[0].Demand = 200
+		in.Deadline = steering.Duration(100 * time.Millisecond)
+	}
+	for name, c := range map[string]struct {
+		change func(*Inputs)
+		want   review.Constraint
+		home   float64
+	}{
+		"nothing binds":            {func(*Inputs) {}, review.ConstraintNone, 1},
+		"more than the region has": {func(in *Inputs) { in.Origins[0].Demand = 100 }, review.ConstraintCap, 1 - 0.2/60},
+		"drain paced by the cap":   {func(in *Inputs) { in.Regions[0].DrainFrom = epoch }, review.ConstraintCap, 1 - 0.2/60},
+		"deadline":                 {late, review.ConstraintDeadline, 1},
+		"over the cap":             {func(in *Inputs) { in.Regions[0].Lost = true }, review.ConstraintCap, 0},
+		"link": {func(in *Inputs) {
+			in.Origins[0].Demand, in.Origins[0].MbitPerSlot = 200, 1
+			for i := range in.Links {
+				in.Links[i].RoomMbit = 0
+			}
+		}, review.ConstraintLink, 1},
+		"no room anywhere": {func(in *Inputs) {
+			for i := range in.Origins {
+				in.Origins[i].Demand = 150
+			}
+		}, review.ConstraintContract, 1},
+	} {
+		in := inputs()
+		c.change(&in)
+		plan := Compute(in)
+		got := plan.Origins[0]
+		if got.Constraint != c.want || math.Abs(got.ShareOf("batinah")-c.home) > 1e-9 {
+			t.Errorf("%s: %+v, want %s and home share %g", name, got, c.want, c.home)
+		}
+	}
+}
+
+func TestLostRegionRefusesWhatMayNotMove(t *testing.T) {
+	in := inputs()
+	in.Regions[0].Lost = true
+	in.Origins[0].Demand = 30
+	in.Origins[0].Classes = [steering.ClassCount]float64{0.5, 0.2, 0.3}
+	plan := Compute(in)
+	got := plan.Origins[0]
+	if math.Abs(got.Moved-0.2) > 1e-9 || math.Abs(got.Refused-0.8) > 1e-9 {
+		t.Fatalf("moved %g, refused %g", got.Moved, got.Refused)
+	}
+	if got.ByClass[steering.ClassDeferrable] != 1 || got.ByClass[steering.ClassBulk] != 1 || math.Abs(got.ByClass[steering.ClassInteractive]-0.6) > 1e-9 {
+		t.Errorf("refused by class %v", got.ByClass)
+	}
+	table := NewTable(plan)
+	refused := 0
+	const keys = 10000
+	for i := range uint64(keys) {
+		if c, ok := table.Pick("certdesk", "batinah", mix(i)); !ok || c.Region == "" {
+			refused++
+		}
+	}
+	if refused < keys*57/100 || refused > keys*63/100 {
+		t.Errorf("%d of %d interactive requests refused", refused, keys)
+	}
+}
+
+// drawInputs draws any inputs, sensible or not.
+func drawInputs(t *rapid.T) Inputs {
+	in := inputs()
+	share := rapid.Float64Range(0, 1)
+	in.Cap.Share = share.Draw(t, "cap")
+	for i := range names {
+		r, o := &in.Regions[i], &in.Origins[i]
+		r.Weight = float64(rapid.IntRange(0, 3).Draw(t, "weight"))
+		r.Capacity = float64(rapid.IntRange(0, 200).Draw(t, "capacity"))
+		r.Carried = float64(rapid.IntRange(0, 200).Draw(t, "carried"))
+		r.Lost = rapid.IntRange(0, 4).Draw(t, "lost") == 0
+		if rapid.IntRange(0, 4).Draw(t, "drain") == 0 {
+			r.DrainFrom = epoch.Add(-time.Second)
+		}
+		o.Demand = float64(rapid.IntRange(0, 300).Draw(t, "demand"))
+		o.MbitPerSlot = share.Draw(t, "mbit")
+		o.Since = epoch.Add(-time.Duration(rapid.IntRange(0, 100).Draw(t, "since")) * time.Second)
+		if rapid.Bool().Draw(t, "moved") {
+			o.Moves = []Move{{At: epoch.Add(-30 * time.Second), Share: in.Cap.Share * share.Draw(t, "used")}}
+		}
+		cut := share.Draw(t, "previous")
+		o.Previous = []Share{{names[i], cut}, {names[(i+1)%3], (1 - cut) * share.Draw(t, "served")}}
+	}
+	for i := range in.Links {
+		in.Links[i].RoomMbit = float64(rapid.IntRange(-1, 50).Draw(t, "room"))
+	}
+	return in
+}
+
+func TestPlanProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		in := drawInputs(t)
+		plan := Compute(in)
+		for i, o := range plan.Origins {
+			used, gained, sum := 0.0, 0.0, o.Refused
+			for _, m := range in.Origins[i].Moves {
+				used += m.Share
+			}
+			for r, reg := range in.Regions {
+				s := o.ShareOf(reg.Name)
+				sum += s
+				before := in.Origins[i].previous(reg.Name)
+				if s > before {
+					gained += s - before
+				}
+				if reg.Lost && s > 0 {
+					t.Fatalf("lost region %s gets %g", in.Regions[r].Name, s)
+				}
+			}
+			if math.Abs(sum-1) > 1e-6 {
+				t.Fatalf("shares and refusals of %s sum to %g", o.Region, sum)
+			}
+			if used+gained > in.Cap.Share+1e-6 || math.Abs(gained-o.Moved) > 1e-6 {
+				t.Fatalf("%s gained %g after %g with a cap of %g; plan says %g", o.Region, gained, used, in.Cap.Share, o.Moved)
+			}
+		}
+		for r, reg := range in.Regions {
+			load, excess := 0.0, 0.0
+			for i, o := range plan.Origins {
+				load += o.ShareOf(reg.Name) * in.Origins[i].Demand
+				if o.Region == reg.Name {
+					excess = o.Excess * in.Origins[i].Demand
+				}
+			}
+			if limit := max(in.load(r), reg.Capacity) + excess; load > limit+1e-6 {
+				t.Fatalf("%s gets %g slots of load, limit %g\n%+v", reg.Name, load, limit, plan)
+			}
+		}
+		data, err := json.Marshal(in)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var again Inputs
+		if err := json.Unmarshal(data, &again); err != nil {
+			t.Fatal(err)
+		}
+		recomputed := Compute(again)
+		if !plan.Equal(&recomputed) {
+			t.Fatalf("recomputed plan differs:\n%+v\n%+v", plan, recomputed)
+		}
+	})
+}
+
+func BenchmarkPick(b *testing.B) {
+	in := inputs()
+	in.Origins[0].Demand = 150
+	in.Origins[0].Previous = []Share{{"batinah", 0.6}, {"muscat", 0.4}}
+	table := NewTable(Compute(in))
+	b.ReportAllocs()
+	key := uint64(1)
+	for b.Loop() {
+		key = key*6364136223846793005 + 1
+		if _, ok := table.Pick("certdesk", "batinah", key); !ok {
+			b.Fatal("no plan")
+		}
+	}
+}
--- a/internal/region/planner.go
+++ b/internal/region/planner.go
@@ -13,6 +13,7 @@
 	StaleAfter   time.Duration // a measurement older than this keeps its last value
 	RecoverAfter time.Duration // a lost region counts as lost for this long after its return
 	Smoothing    time.Duration // time constant of the mean of demand and load
+	PeakSpan     time.Duration // plans are for the highest mean demand of this span
 }
 
 func (o *PlannerOptions) setDefaults() {
@@ -22,8 +23,11 @@
 	if o.RecoverAfter <= 0 {
 		o.RecoverAfter = 5 * time.Second
 	}
+	if o.PeakSpan <= 0 {
+		o.PeakSpan = time.Minute
+	}
 	if o.Smoothing <= 0 {
-		o.Smoothing = 5 * time.Second
+		o.Smoothing = 10 * time.Second
 	}
 }
 
@@ -152,12 +156,13 @@
 	o := h.origin(region)
 	if seen := so.demand(region); seen != nil && at.Sub(seen.MeasuredAt) < p.opt.StaleAfter {
 		o.demand.add(at, seen.Slots, p.opt.Smoothing)
+		o.peak.add(at, o.demand.value, p.opt.PeakSpan)
 		o.mbit = seen.MbitPerSlot
 		o.classes = seen.Classes
 	}
 	return OriginInput{
 		Region:      region,
-		Demand:      o.demand.value,
+		Demand:      o.peak.value(),
 		MbitPerSlot: o.mbit,
 		Classes:     o.classes,
 		Previous:    slices.Clone(o.shares),
--- a/internal/region/target.go
+++ b/internal/region/target.go
@@ -7,7 +7,7 @@
 
 const (
 	pushFill     = 0.95 // of a region's slots; above it load is pushed out
-	pullFill     = 0.85 // of a region's slots; below it load is pulled back
+	pullFill     = 0.80 // of a region's slots; below it load is pulled back
 	deadlinePart = 0.5  // of a deadline that the way there and back may take
 	tiny         = 1e-9 // shares below it count as 0
 )
@@ -19,6 +19,7 @@
 	excess []float64   // by origin: share that found no room
 	bound  []review.Constraint
 	left   []float64 // by region: slots not planned yet
+	free   []float64 // by region: slots that nobody used before and nobody was given yet
 }
 
 func newTarget(in *Inputs) *target {
@@ -28,9 +29,11 @@
 		excess: make([]float64, len(in.Origins)),
 		bound:  make([]review.Constraint, len(in.Origins)),
 		left:   make([]float64, len(in.Regions)),
+		free:   make([]float64, len(in.Regions)),
 	}
 	for r := range in.Regions {
 		t.left[r] = t.room(r, pushFill)
+		t.free[r] = max(0, t.left[r]-max(in.load(r), in.Regions[r].Carried))
 	}
 	for o := range in.Origins {
 		t.shares[o] = make([]float64, len(in.Regions))
@@ -40,9 +43,6 @@
 	for o := range in.Origins {
 		t.keepRemote(o)
 	}
-	for r := range in.Regions {
-		t.left[r] = min(t.left[r], t.room(r, pushFill)-in.Regions[r].Carried)
-	}
 	for o := range in.Origins {
 		t.placeRemote(o)
 	}
@@ -73,9 +73,10 @@
 	if t.in.Regions[r].drained(t.in.At) {
 		t.bound[o] = review.ConstraintDrain
 	}
+	before := origin.previous(origin.Region)
 	push := fit(t.room(r, pushFill), origin.Demand)
-	pull := fit(t.room(r, pullFill), origin.Demand)
-	share := min(max(origin.previous(origin.Region), pull), push)
+	pull := min(fit(t.room(r, pullFill), origin.Demand), before+fit(t.free[r], origin.Demand))
+	share := min(max(before, pull), push)
 	if share < 1-tiny && t.bound[o] == review.ConstraintNone {
 		t.bound[o] = review.ConstraintContract
 	}
@@ -142,7 +143,7 @@
 	if t.in.Regions[r].Name == t.in.Origins[o].Region || t.most(o, r) < tiny {
 		return 0
 	}
-	return t.left[r]
+	return min(t.left[r], t.most(o, r)*max(t.in.Origins[o].Demand, tiny))
 }
 
 // most returns the share that origin o may still add in region r and notes what bounds it.
@@ -151,7 +152,8 @@
 	if !t.in.Regions[r].takes(t.in.At) {
 		return 0
 	}
-	share := fit(t.left[r], origin.Demand)
+	held := max(0, origin.previous(t.in.Regions[r].Name)-t.shares[o][r])
+	share := min(fit(t.left[r], origin.Demand), held+fit(t.free[r], origin.Demand))
 	link := t.in.link(origin.Region, t.in.Regions[r].Name)
 	if link == nil {
 		return share
@@ -176,8 +178,11 @@
 }
 
 func (t *target) take(o, r int, share float64) {
+	origin := &t.in.Origins[o]
+	held := max(0, origin.previous(t.in.Regions[r].Name)-t.shares[o][r])
 	t.shares[o][r] += share
-	t.left[r] = max(0, t.left[r]-share*t.in.Origins[o].Demand)
+	t.left[r] = max(0, t.left[r]-share*origin.Demand)
+	t.free[r] = max(0, t.free[r]-max(0, share-held)*origin.Demand)
 }
 
 func (t *target) placed(o int) float64 {
