Look up again within a call when no cached entry VM is reached

Entry VMs are replaced at any time; a cached answer whose entry VMs are all gone made the call fail with not-run although others live (TestReplacedEntriesAreFoundAgain).

--- a/caller/call.go
+++ b/caller/call.go
@@ -11,14 +11,19 @@
 	"github.com/azureflow/azureflow/internal/request"
 )
 
+// callRequest is what a call asks for.
+type callRequest struct {
+	service string
+	method  string
+	path    string
+	body    callBody
+	opts    CallOptions
+}
+
 // call is one request on its way through one or more entry VMs.
 type call struct {
+	*callRequest
 	client   *Client
-	service  string
-	method   string
-	path     string
-	body     callBody
-	opts     CallOptions
 	key      string
 	first    bool // the key was made here: nobody has seen it
 	safe     bool // may run more than once
@@ -138,11 +143,13 @@
 	return false
 }
 
-// forgetUnsent takes the entry VM of a sending that never reached it off the list of previous ones.
+// forgetUnsent takes the entry VM of a sending that never reached it off the list of previous ones. The
+// lookup that named it is out of date.
 func (c *call) forgetUnsent(s *sending) {
 	if s.rejected {
 		return
 	}
+	c.client.lookups.expire(c.service)
 	c.previous = slices.DeleteFunc(c.previous, func(name string) bool { return name == entryName(s.entry) })
 }
 
--- a/caller/caller.go
+++ b/caller/caller.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"crypto/rand"
+	"errors"
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 )
 
@@ -113,30 +115,45 @@
 }
 
 // Do sends a request to path below service and returns the answer. body may be nil; it is sent to a
-// second entry VM only if it is an io.ReaderAt of known size, such as *bytes.Reader. Errors: *NotRunError, *UnknownError, *LookupError
-// (nothing was sent), and the context's error if it ended before anything was sent.
+// second entry VM only if it is an io.ReaderAt of known size, such as *bytes.Reader. Errors:
+// *NotRunError, *UnknownError, *LookupError (nothing was sent).
 func (c *Client) Do(ctx context.Context, service, method, path string, body io.Reader, opts CallOptions) (*Answer, error) {
+	req := &callRequest{service: service, method: method, path: path, body: newCallBody(body, opts.Size), opts: opts}
 	entries, err := c.lookups.entries(ctx, service)
 	if err != nil {
 		return nil, err
 	}
+	answer, err := c.newCall(req).run(ctx, entries)
+	if !reachedNone(err) || ctx.Err() != nil {
+		return answer, err
+	}
+	fresh, lookupErr := c.lookups.entries(ctx, service)
+	if lookupErr != nil || slices.Equal(fresh, entries) {
+		return nil, err
+	}
+	return c.newCall(req).run(ctx, fresh)
+}
+
+// reachedNone reports that no entry VM was reached at all: the cached lookup is out of date.
+func reachedNone(err error) bool {
+	var notRun *NotRunError
+	return errors.As(err, &notRun) && notRun.Refusal.Status == 0
+}
+
+func (c *Client) newCall(req *callRequest) *call {
 	call := &call{
-		client:   c,
-		service:  service,
-		method:   method,
-		path:     path,
-		body:     newCallBody(body, opts.Size),
-		opts:     opts,
-		key:      opts.Key,
-		first:    opts.First && len(opts.Previous) == 0,
-		previous: append([]string(nil), opts.Previous...),
-		safe:     opts.Idempotent || isSafe(method),
+		callRequest: req,
+		client:      c,
+		key:         req.opts.Key,
+		first:       req.opts.First && len(req.opts.Previous) == 0,
+		previous:    slices.Clone(req.opts.Previous),
+		safe:        req.opts.Idempotent || isSafe(req.method),
 	}
 	if call.key == "" && !call.safe {
 		call.key = rand.Text()
 		call.first = len(call.previous) == 0
 	}
-	return call.run(ctx, entries)
+	return call
 }
 
 func isSafe(method string) bool {
--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -300,3 +300,24 @@
 		t.Fatalf("%#v", err)
 	}
 }
+
+// TestReplacedEntriesAreFoundAgain: when no entry VM of a cached lookup is reached, a new lookup is asked
+// within the same call.
+func TestReplacedEntriesAreFoundAgain(t *testing.T) {
+	old := newFleet(t, done)
+	replacement := newFleet(t, done)
+	c := caller.New(caller.Options{
+		Entries: []string{old[0].server.Listener.Addr().String(), replacement[0].server.Listener.Addr().String()},
+		HTTP:    &http.Transport{},
+	})
+	if _, err := settle(c, caller.CallOptions{}); err != nil {
+		t.Fatal(err)
+	}
+	old[0].server.Close()
+	if text, err := settle(c, caller.CallOptions{}); err != nil || text != "whole" {
+		t.Fatalf("%q, %v", text, err)
+	}
+	if got := replacement[0].saw(); !slices.Equal(got, []string{"none"}) {
+		t.Fatalf("previous %v", got)
+	}
+}
