--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -308,7 +308,7 @@
 	replacement := newFleet(t, done)
 	c := caller.New(caller.Options{
 		Entries: []string{old[0].server.Listener.Addr().String(), replacement[0].server.Listener.Addr().String()},
-		HTTP:    &http.Transport{},
+		HTTP:    &http.Transport{DisableKeepAlives: true}, // so that the old one is not reached at all
 	})
 	if _, err := settle(c, caller.CallOptions{}); err != nil {
 		t.Fatal(err)
