--- a/internal/steering/publisher.go
+++ b/internal/steering/publisher.go
@@ -119,12 +119,15 @@
 }
 
 func (r *publishRun) do(ctx context.Context) (PublishResult, error) {
-	for range maxRebases {
+	waits := newWaits()
+	for r.result.Rebased < maxRebases {
 		done, err := r.try(ctx)
 		if done || err != nil {
 			return r.result, err
 		}
-		r.result.Rebased++
+		if r.result.Rebased++; r.result.Rebased > 1 {
+			wait(ctx, waits.NextBackOff())
+		}
 	}
 	return r.result, &NotAcceptedError{Cause: &BusyError{Tries: maxRebases}}
 }
@@ -142,18 +145,37 @@
 	if err != nil {
 		return true, err
 	}
-	if d.empty() && !b.behind {
+	unchanged := d.empty() && !b.behind
+	if r.options.DryRun || unchanged {
 		r.result.Revision = b.state.configuration.Revision
-		r.result.Unchanged = true
-		return true, nil
+		r.result.Unchanged = unchanged
 	}
-	if r.options.DryRun {
-		r.result.Revision = b.state.configuration.Revision
+	switch {
+	case r.options.DryRun:
 		return true, nil
+	case unchanged:
+		return r.confirm(ctx, b)
 	}
 	return r.write(ctx, b, d)
 }
 
+// confirm makes sure that the head was not read from the past before the result says that nothing
+// changed: it rewrites the head, which only succeeds at its present version.
+func (r *publishRun) confirm(ctx context.Context, b basis) (bool, error) {
+	_, err := retry(ctx, func() (struct{}, error) {
+		return struct{}{}, r.publisher.fence(ctx, b.head)
+	})
+	var conflict *kv.ConflictError
+	if errors.As(err, &conflict) {
+		r.result.Unchanged = false
+		return false, nil
+	}
+	if err != nil {
+		return true, r.lost(err)
+	}
+	return true, nil
+}
+
 // readBasis reads what is in force, trying again while the store fails.
 func (r *publishRun) readBasis(ctx context.Context) (basis, error) {
 	return retry(ctx, func() (basis, error) {
@@ -201,7 +223,7 @@
 		if r.base == 0 {
 			r.base = b.state.configuration.Revision
 		}
-	} else {
+	} else if !r.mine.empty() {
 		d.restrict(r.mine)
 	}
 	if err := r.tree.checkOn(d, b.state); err != nil {
@@ -255,11 +277,15 @@
 		if err == nil || !transient(err) || ctx.Err() != nil {
 			return value, err
 		}
-		select {
-		case <-ctx.Done():
-			return value, err
-		case <-time.After(waits.NextBackOff()):
-		}
+		wait(ctx, waits.NextBackOff())
+	}
+}
+
+// wait waits for d or until ctx ends.
+func wait(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
 	}
 }
 
--- a/internal/steering/publishfault_test.go
+++ b/internal/steering/publishfault_test.go
@@ -182,3 +182,31 @@
 		}
 	})
 }
+
+func TestUnchangedIsNotSaidFromThePast(t *testing.T) {
+	for _, ends := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			store := platformtest.NewStore(platformtest.StoreOptions{})
+			publishBase(t, store.Client)
+			old := store.Snapshot()
+			mustPublish(t, newPublisher(store.Client), alpha(t, 5))
+			stale := store.NewClient("stale")
+			stale.SetFaults(platformtest.Faults{Stale: old})
+			if ends {
+				time.AfterFunc(time.Second, func() { stale.SetFaults(platformtest.Faults{}) })
+			}
+			result, err := newPublisher(stale).Publish(t.Context(), alpha(t, 1), steering.PublishOptions{})
+			var refused *steering.NotAcceptedError
+			var conflict *steering.ConflictError
+			switch {
+			case ends && (!errors.As(err, &conflict) || conflict.Revision != 2):
+				t.Errorf("got %+v %v", result, err)
+			case !ends && !errors.As(err, &refused):
+				t.Errorf("got %+v %v", result, err)
+			}
+			if c, err := newPublisher(store.Client).InForce(t.Context()); err != nil || c.Revision != 2 {
+				t.Errorf("in force %+v %v", c, err)
+			}
+		})
+	}
+}
--- a/internal/steering/settle.go
+++ b/internal/steering/settle.go
@@ -78,7 +78,9 @@
 		if h.version < of.replaces {
 			return Settlement{}, &kv.UnavailableError{Op: "settle", Cause: &StaleReadError{Expected: of.replaces}}
 		}
-		if err := p.fence(ctx, h); err != nil {
+		err = p.fence(ctx, h)
+		var conflict *kv.ConflictError
+		if err != nil && !errors.As(err, &conflict) {
 			return Settlement{}, err
 		}
 	}
@@ -136,7 +138,8 @@
 	return first.revision
 }
 
-// fence rewrites the head with the same content at a new version.
+// fence rewrites the head with the same content at a new version. *kv.ConflictError: it was at
+// another version by then.
 func (p *Publisher) fence(ctx context.Context, h headAt) error {
 	next := *h.head
 	next.Fenced++
@@ -145,9 +148,5 @@
 		return err
 	}
 	_, err = p.options.Store.CompareAndSwap(ctx, HeadKey, h.version, value, 0)
-	var conflict *kv.ConflictError
-	if errors.As(err, &conflict) {
-		return nil
-	}
 	return err
 }
