steering: a peer source that reached nobody says so; cost of a publication by size

FetchFromPeers without an error counts as reached, which keeps a VM from reading the store itself; the type NoPeerError is there for a source that has no peer.

--- a/internal/steering/bench_test.go
+++ b/internal/steering/bench_test.go
@@ -4,10 +4,12 @@
 	"fmt"
 	"math/rand/v2"
 	"runtime"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/azureflow/azureflow/internal/platform/kv"
+	"github.com/azureflow/azureflow/internal/standin/memkv"
 )
 
 // benchSizes are numbers of services, up to that of the target.
@@ -171,3 +173,32 @@
 	runtime.ReadMemStats(&m)
 	return m.HeapAlloc
 }
+
+// BenchmarkPublish makes whole publications of one service against a store in memory.
+func BenchmarkPublish(b *testing.B) {
+	for _, n := range benchSizes {
+		b.Run(fmt.Sprintf("services=%d", n), func(b *testing.B) {
+			store := memkv.New(memkv.Options{})
+			p := NewPublisher(PublisherOptions{Store: store, Timeout: time.Minute})
+			c := benchConfiguration(n)
+			src := &source{file: "bench"}
+			whole := &Tree{platform: &c.Platform, platformSource: src}
+			for i := range c.Services {
+				whole.services = append(whole.services, loadedService{c.Services[i], src})
+			}
+			if _, err := p.Publish(b.Context(), whole, PublishOptions{}); err != nil {
+				b.Fatal(err)
+			}
+			one := &Tree{services: []loadedService{{c.Services[n/2], src}}}
+			one.services[0].Weights = slices.Clone(one.services[0].Weights)
+			calls := store.Counts().Total()
+			for i := 0; b.Loop(); i++ {
+				one.services[0].Weights[0].Weight = float64(101 + i)
+				if _, err := p.Publish(b.Context(), one, PublishOptions{}); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(store.Counts().Total()-calls)/float64(b.N), "store-calls/publication")
+		})
+	}
+}
--- a/internal/steering/follower.go
+++ b/internal/steering/follower.go
@@ -36,7 +36,8 @@
 	// default it always does. Others follow their peers, and read the store if these fail.
 	WatchStore func() bool
 	// FetchFromPeers returns the highest configuration above a revision that a peer has, as
-	// FetchRevision answers it; revision 0: none. above 0 asks for the whole.
+	// FetchRevision answers it; revision 0: none. above 0 asks for the whole. It returns an error, for
+	// example *NoPeerError, if no peer answered; without one the peers count as reached.
 	FetchFromPeers func(ctx context.Context, above Revision) ([]byte, Revision, error)
 	// OnRevision is called for each configuration taken up, in order, one call at a time. It must
 	// not call Offer.
--- a/internal/steering/followpeers.go
+++ b/internal/steering/followpeers.go
@@ -13,6 +13,20 @@
 // Error implements error.
 func (e *NotHigherError) Error() string { return "offered revision is not above the one in force" }
 
+// NoPeerError reports that no peer answered; FetchFromPeers returns it, so that the store is read.
+type NoPeerError struct{ Cause error }
+
+// Error implements error.
+func (e *NoPeerError) Error() string {
+	if e.Cause == nil {
+		return "no peer is known"
+	}
+	return "no peer answered: " + e.Cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e *NoPeerError) Unwrap() error { return e.Cause }
+
 // FetchRevision answers a peer. It has the signature of peer.DRPCPeerServer.
 func (f *Follower) FetchRevision(_ context.Context, r *peer.FetchRevisionRequest) (*peer.FetchRevisionReply, error) {
 	s := f.inForce.Load()
