platform: a timeout drops the idle connections, which may all be silent

Cause: with four idle connections that had gone silent, each call took one of them and its whole timeout: 3 calls failed over 6 s before one succeeded (TestSilentConnectionsCostOneTimeout, virtual time). The first timeout now closes the idle ones: 1 failure, 2 s.

--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -166,6 +167,7 @@
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
+		c.dropSilent(err)
 		return r.lost(sent, err)
 	}
 	defer resp.Body.Close()
@@ -176,11 +178,20 @@
 		return nil
 	}
 	if err := json.NewDecoder(io.LimitReader(resp.Body, maxAnswerBytes)).Decode(answer); err != nil {
+		c.dropSilent(err)
 		return r.lost(true, err)
 	}
 	return nil
 }
 
+// dropSilent closes the idle connections after a timeout: something between the two ends may have
+// lost track of all that are open, and each would cost a timeout of its own.
+func (c *Client) dropSilent(err error) {
+	if errors.Is(err, context.DeadlineExceeded) {
+		c.http.CloseIdleConnections()
+	}
+}
+
 // lost is the error of a call without an answer.
 func (r *request) lost(sent bool, cause error) error {
 	if sent && r.method != http.MethodGet {
