Take shared counters off the path of a decision

Cause: each decision wrote to a shared random state and a shared mean, beside medians that all decisions read; Slots walked all servers for each request. Fixed: TestStallIsSeenBeforeItsFirstAnswer held the answers of all servers until its end, not those of one, and passed by the order of the choices.

--- a/internal/upstream/bench_test.go
+++ b/internal/upstream/bench_test.go
@@ -11,7 +11,8 @@
 
 // busy returns a pool whose servers are half full and have been seen lately.
 func busy(servers int, policy Policy) *Pool {
-	p := newTestPool(servers, Options{Policy: policy})
+	p := NewPool(Options{Policy: policy})
+	p.Update(listed(servers), start)
 	for range servers * 2 {
 		if r, err := p.Acquire(Query{Now: start}); err == nil {
 			finish(r, 8*time.Millisecond, start)
--- a/internal/upstream/ejection.go
+++ b/internal/upstream/ejection.go
@@ -63,7 +63,7 @@
 	e.cause, e.at = why, at
 	e.level++
 	s.ejectedUntil.Store(at + int64(length))
-	p.scheduleTrial()
+	p.refresh()
 }
 
 // restore puts s back in use as an ordinary server.
@@ -73,7 +73,7 @@
 	}
 	s.failures.Store(0)
 	s.ejectedUntil.Store(0)
-	p.scheduleTrial()
+	p.refresh()
 }
 
 // usable counts the servers in use.
@@ -117,14 +117,21 @@
 	}
 }
 
-// scheduleTrial sets when the next ejection ends.
-func (p *Pool) scheduleTrial() {
-	next := int64(math.MaxInt64)
+// refresh sets what follows from the states of all servers: the slots in use and when the next
+// ejection ends.
+func (p *Pool) refresh() {
+	next, slots := int64(math.MaxInt64), int64(0)
 	for _, s := range p.snapshot.Load().servers {
-		if until := s.ejectedUntil.Load(); until != 0 && !s.trial.Load() && !s.leaving() {
+		until := s.ejectedUntil.Load()
+		switch {
+		case s.leaving():
+		case until == 0:
+			slots += int64(s.slots)
+		case !s.trial.Load():
 			next = min(next, until)
 		}
 	}
+	p.usableSlots.Store(slots)
 	p.nextTrial.Store(next)
 }
 
@@ -144,7 +151,7 @@
 			continue
 		}
 		s.trial.Store(true)
-		p.scheduleTrial()
+		p.refresh()
 		return s
 	}
 	return nil
--- a/internal/upstream/ejection_test.go
+++ b/internal/upstream/ejection_test.go
@@ -58,10 +58,13 @@
 func TestStallIsSeenBeforeItsFirstAnswer(t *testing.T) {
 	p := newTestPool(4, Options{})
 	_, now := drive(p, start, 1000, nil, nil)
+	var held []*Reservation
 	for range 8 { // two on each server, none of which saldo-01 answers
-		r := mustAcquire(t, p, Query{Now: now})
+		held = append(held, mustAcquire(t, p, Query{Now: now}))
+	}
+	for _, r := range held {
 		if r.Server.Name != "saldo-01" {
-			defer finish(r, 8*time.Millisecond, now)
+			finish(r, 8*time.Millisecond, now.Add(8*time.Millisecond))
 		}
 	}
 	sent, now := drive(p, now.Add(100*time.Millisecond), 100, nil, nil)
--- a/internal/upstream/members.go
+++ b/internal/upstream/members.go
@@ -29,7 +29,7 @@
 	}
 	p.snapshot.Store(next)
 	p.relax()
-	p.scheduleTrial()
+	p.refresh()
 }
 
 func newServer(listed vm.VM) *server {
@@ -139,7 +139,7 @@
 	}
 	p.snapshot.Store(next)
 	p.relax()
-	p.scheduleTrial()
+	p.refresh()
 }
 
 // ServerStatus is what the administration API shows of a server.
--- a/internal/upstream/policy.go
+++ b/internal/upstream/policy.go
@@ -66,17 +66,11 @@
 	return best
 }
 
-// sampleAll is the number of servers up to which each is looked at.
-const sampleAll = 4
-
-// sampleSize is how many random servers are looked at among more.
-const sampleSize = 4
-
-// sample calls visit for each server of a small pool, or for some of a large one.
-func (v *view) sample(visit func(i int)) {
+// sample calls visit for size random servers, or for each one if there are no more.
+func (v *view) sample(size int, visit func(i int)) {
 	n := len(v.snap.servers)
-	if n > sampleAll {
-		for range sampleSize {
+	if n > size {
+		for range size {
 			visit(v.start())
 		}
 		return
@@ -95,11 +89,12 @@
 type probed struct{}
 
 func (probed) pick(v view) int {
+	const reports = 16    // looked at
 	const hotShare = 0.84 // of the highest load looked at
 	highest := 0.0
-	v.sample(func(i int) { highest = max(highest, v.reported(i)) })
+	v.sample(reports, func(i int) { highest = max(highest, v.reported(i)) })
 	best, least := -1, math.Inf(1)
-	v.sample(func(i int) {
+	v.sample(reports, func(i int) {
 		if v.state(i) != stateUsable {
 			return
 		}
@@ -128,8 +123,9 @@
 type leastLoaded struct{}
 
 func (leastLoaded) pick(v view) int {
+	const choices = 4 // servers looked at
 	best, least := -1, math.Inf(1)
-	v.sample(func(i int) {
+	v.sample(choices, func(i int) {
 		if v.state(i) != stateUsable {
 			return
 		}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -21,7 +21,7 @@
 	Service steering.ServiceName
 	Zone    steering.ZoneName
 	Policy  Policy
-	Seed    uint64 // of the random choices
+	Seed    uint64 // of the random choices; 0: not repeatable
 
 	Warmup        time.Duration // a new or restarted server gets its slots over this time
 	Floor         float64       // share of the servers that ejection leaves in use, 0 to 1
@@ -83,12 +83,16 @@
 	selector selector
 	snapshot atomic.Pointer[snapshot]
 	share    atomicFloat // part of each server's slots that this VM may use
+	random   randomSource
+
+	_        cacheLine // what each decision writes lies apart from what it reads
 	inFlight atomic.Int64
 	lower    atomic.Int64 // in flight, but not interactive
-	random   randomSource
+	_        cacheLine
 
 	interactiveAt atomic.Int64 // last interactive query, to the tenth of a second
 	interactive   atomicFloat  // mean of interactive work in flight, as queries found it
+	usableSlots   atomic.Int64 // of the servers in use
 	nextTrial     atomic.Int64 // earliest end of an ejection; math.MaxInt64: none
 	nextReview    atomic.Int64
 	median        [steering.ClassCount]atomicFloat // of the servers' latency, nanoseconds
@@ -97,6 +101,9 @@
 	mu sync.Mutex // guards writers: Update, drains, ejections and their ends
 }
 
+// cacheLine keeps fields on different lines of a processor's cache.
+type cacheLine [64]byte
+
 // snapshot is an immutable list of servers; their counters are atomics.
 type snapshot struct {
 	epoch   time.Time // origin of the times kept as nanoseconds
@@ -111,7 +118,7 @@
 	p := &Pool{options: options.withDefaults()}
 	p.selector = newSelector(p.options.Policy)
 	p.share.store(1)
-	p.random.state.Store(p.options.Seed)
+	p.random.seed(p.options.Seed)
 	p.nextTrial.Store(math.MaxInt64)
 	p.snapshot.Store(&snapshot{})
 	for class := range p.tail {
@@ -130,15 +137,7 @@
 }
 
 // Slots returns the slots that this VM may use now over all servers in use.
-func (p *Pool) Slots() int {
-	total := 0
-	for _, s := range p.snapshot.Load().servers {
-		if !s.leaving() && !s.ejected() {
-			total += int(s.slots)
-		}
-	}
-	return int(float64(total) * p.share.load())
-}
+func (p *Pool) Slots() int { return int(float64(p.usableSlots.Load()) * p.share.load()) }
 
 // InFlight returns the attempts in flight from this VM.
 func (p *Pool) InFlight() int { return int(p.inFlight.Load()) }
@@ -177,7 +176,8 @@
 func (p *Pool) noteClass(v *view) {
 	const step = int64(100 * time.Millisecond)
 	const memory = int64(10 * time.Second)
-	const weight = 0.01 // of a new sample in the mean
+	const sampleEvery = 8
+	const weight = 0.08 // of a new sample in the mean
 	last := p.interactiveAt.Load()
 	if v.query.Class != steering.ClassInteractive {
 		v.reserve = p.options.Reserve >= 0 && last != 0 && v.now-last < memory
@@ -186,6 +186,9 @@
 	if v.now-last > step {
 		p.interactiveAt.Store(v.now)
 	}
+	if p.random.intn(sampleEvery) != 0 {
+		return
+	}
 	inFlight := float64(p.inFlight.Load() - p.lower.Load())
 	p.interactive.update(func(mean float64) float64 { return mean + weight*(inFlight-mean) })
 }
--- a/internal/upstream/quantile.go
+++ b/internal/upstream/quantile.go
@@ -8,6 +8,9 @@
 // hedgeQuantile is the quantile of latency after which a hedge is worth its cost.
 const hedgeQuantile = 0.95
 
+// enoughSamples is how many samples a quantile is estimated from at least.
+const enoughSamples = 50
+
 // quantile follows a quantile of a stream by small steps up and down, in constant memory.
 type quantile struct {
 	target  float64 // 0 to 1
@@ -20,7 +23,9 @@
 	if sample <= 0 {
 		return
 	}
-	q.samples.Add(1)
+	if q.samples.Load() < enoughSamples {
+		q.samples.Add(1)
+	}
 	q.current.update(func(old float64) float64 {
 		switch {
 		case old == 0:
@@ -35,8 +40,7 @@
 
 // value returns the estimate, or 0 while too few samples were seen.
 func (q *quantile) value() float64 {
-	const enough = 50 // samples
-	if q.samples.Load() < enough {
+	if q.samples.Load() < enoughSamples {
 		return 0
 	}
 	return q.current.load()
--- a/internal/upstream/server.go
+++ b/internal/upstream/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -153,10 +154,22 @@
 	}
 }
 
-// randomSource is a lock-free SplitMix64 generator.
-type randomSource struct{ state atomic.Uint64 }
+// randomSource is a lock-free generator of random numbers: SplitMix64 if it has a seed, so that a
+// run can be repeated, else the runtime's own, which processors do not share.
+type randomSource struct {
+	seeded bool
+	state  atomic.Uint64
+}
+
+func (r *randomSource) seed(seed uint64) {
+	r.seeded = seed != 0
+	r.state.Store(seed)
+}
 
 func (r *randomSource) next() uint64 {
+	if !r.seeded {
+		return rand.Uint64()
+	}
 	z := r.state.Add(0x9e3779b97f4a7c15)
 	z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9
 	z = (z ^ (z >> 27)) * 0x94d049bb133111eb
--- a/internal/upstream/simulation_test.go
+++ b/internal/upstream/simulation_test.go
@@ -119,7 +119,7 @@
 }
 
 func (e experiment) options(entry int) Options {
-	o := Options{Policy: e.policy, Seed: e.seed + uint64(entry)<<32, ReportWeight: e.weight}
+	o := Options{Policy: e.policy, Seed: e.seed + uint64(entry+1)<<32, ReportWeight: e.weight}
 	if e.noReserve {
 		o.Reserve = -1
 	}
