--- a/internal/zone/elector.go
+++ b/internal/zone/elector.go
@@ -38,6 +38,9 @@
 	// OnChange is called when another VM leads or the epoch changed.
 	OnChange func(State)
 
+	// OnFloor says which part of the zone's floor is this VM's and which is other VMs', 0 to 1 each.
+	// It is called without a lock, and the parts are in force when it returns.
+	OnFloor func(own, others float64)
 	// Vouch asks an heir not to take the zone over for a time. It may block.
 	Vouch VouchFunc
 
@@ -46,7 +49,7 @@
 	Interval  time.Duration // between two renewals of the leader
 	GoneAfter time.Duration // a VM that is not listed for so long is gone
 	MaxHeirs  int           // most heirs that a record names
-	Drift     float64       // part by which clocks may run apart
+	Drift     float64       // part by which a clock may run fast or slow
 	Seed      uint64        // of the jitter
 	Now       func() time.Time
 
@@ -59,7 +62,7 @@
 		o.TTL = 8 * time.Second
 	}
 	if o.VouchTTL <= 0 {
-		o.VouchTTL = 4 * time.Second
+		o.VouchTTL = o.TTL
 	}
 	if o.Interval <= 0 {
 		o.Interval = o.TTL / 4
@@ -89,6 +92,9 @@
 	if o.Listed == nil {
 		o.Listed = func(vm.Name) bool { return true }
 	}
+	if o.OnFloor == nil {
+		o.OnFloor = func(float64, float64) {}
+	}
 	if o.OnChange == nil {
 		o.OnChange = func(State) {}
 	}
@@ -127,6 +133,8 @@
 	everRead bool             // record was known once
 	promised time.Time        // this VM keeps off until then
 	trying   bool             // a candidacy is under way
+	seen     uint64           // highest epoch of a leadership that was or may have been
+	keptFor  pledge           // whom this VM last promised to, if it did not run since
 	running  time.Time        // a candidacy that ended may still succeed until then
 	resign   time.Time        // this VM does not run or renew until then
 	absent   time.Time        // since when the leader's key was seen absent; zero: it is held
@@ -156,7 +164,7 @@
 func (e *Elector) Run(ctx context.Context) {
 	var loops sync.WaitGroup
 	loops.Go(func() { e.loop(ctx, e.opt.Interval, e.StepStore) })
-	loops.Go(func() { e.loop(ctx, e.opt.VouchTTL/4, e.StepVouch) })
+	loops.Go(func() { e.loop(ctx, e.opt.VouchTTL/8, e.StepVouch) })
 	loops.Wait()
 }
 
@@ -242,12 +250,12 @@
 
 // shorten returns d as the fastest clock must count it.
 func (e *Elector) shorten(d time.Duration) time.Duration {
-	return d - time.Duration(2*e.opt.Drift*float64(d))
+	return d - time.Duration(2.1*e.opt.Drift*float64(d))
 }
 
 // stretch returns d as the slowest clock may count it.
 func (e *Elector) stretch(d time.Duration) time.Duration {
-	return d + time.Duration(2*e.opt.Drift*float64(d))
+	return d + time.Duration(2.1*e.opt.Drift*float64(d))
 }
 
 // setState notes who leads and tells OnChange if that is another VM or epoch than before.
