--- a/internal/upstream/poller.go
+++ b/internal/upstream/poller.go
@@ -7,6 +7,8 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/azureflow/azureflow/internal/request"
@@ -44,12 +46,12 @@
 }
 
 // NewPoller returns a poller; by default one poll of each server a second, 50 a second in all,
-// 8 under way, each within 500 ms.
+// 32 under way, each within 500 ms.
 func NewPoller(o PollerOptions) *Poller {
 	setDefault(&o.Interval, time.Second)
 	setDefault(&o.PerSecond, 50)
 	setDefault(&o.Timeout, 500*time.Millisecond)
-	setDefault(&o.Concurrent, 8)
+	setDefault(&o.Concurrent, 32)
 	return &Poller{options: o, running: make(chan struct{}, o.Concurrent)}
 }
 
@@ -86,7 +88,7 @@
 	return max(p.options.Interval/time.Duration(servers), least)
 }
 
-// targets lists the servers of all pools in random order.
+// targets lists the servers of all pools by name, so that each is polled once a round.
 func (p *Poller) targets() []target {
 	var list []target
 	for _, pool := range p.options.Pools() {
@@ -94,7 +96,7 @@
 			list = append(list, target{pool: pool, server: s.vm})
 		}
 	}
-	rand.Shuffle(len(list), func(i, k int) { list[i], list[k] = list[k], list[i] })
+	slices.SortFunc(list, func(a, b target) int { return strings.Compare(string(a.server.Name), string(b.server.Name)) })
 	return list
 }
 
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -164,3 +164,18 @@
 		t.Fatalf("%d attempts still counted", p.InFlight())
 	}
 }
+
+func TestDecisionAllocatesItsReservationOnly(t *testing.T) {
+	for _, n := range []int{2, 12, 1200} {
+		p := newTestPool(n, Options{})
+		allocs := testing.AllocsPerRun(100, func() {
+			r, err := p.Acquire(Query{Exclude: nil, Now: start})
+			if err == nil {
+				finish(r, time.Millisecond, start)
+			}
+		})
+		if allocs > 1 {
+			t.Errorf("%d servers: %v allocations", n, allocs)
+		}
+	}
+}
--- a/internal/upstream/view.go
+++ b/internal/upstream/view.go
@@ -109,7 +109,8 @@
 	return cost / max(s.warmth(v.now, int64(v.pool.options.Warmup)), coldest)
 }
 
-// candidates lists what was weighed: the server taken first, then others.
+// candidates lists what was weighed: the server taken first, then others. Scores are given only
+// beside a server that was taken.
 func (v *view) candidates(taken *server) []review.Candidate {
 	list := make([]review.Candidate, 0, min(len(v.snap.servers), maxCandidates))
 	if taken != nil {
@@ -122,7 +123,11 @@
 		if s == taken {
 			continue
 		}
-		list = append(list, review.Candidate{Name: string(s.vm.Name), Reason: stateReasons[v.state(i)], Score: v.score(s)})
+		c := review.Candidate{Name: string(s.vm.Name), Reason: stateReasons[v.state(i)]}
+		if taken != nil {
+			c.Score = v.score(s)
+		}
+		list = append(list, c)
 	}
 	return list
 }
