--- a/caller/lookup.go
+++ b/caller/lookup.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/url"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -46,41 +47,58 @@
 	services map[string]*serviceLookup
 }
 
-// serviceLookup is the cached answer of one service; its lock is held by the one lookup in progress.
+// serviceLookup is the cached answer of one service.
 type serviceLookup struct {
-	mu     sync.Mutex
-	cached cachedLookup
+	asking chan struct{} // holds a token while a lookup is in progress
+	cached atomic.Pointer[cachedLookup]
 }
 
-// entries returns the entry VMs to use, best first, from the cache while it lives. A stale answer is
-// used when nobody answers a new lookup.
+// entries returns the entry VMs to use, best first, from the cache while it lives. While one request
+// asks again, the others use the old answer; without one they wait, no longer than their context. An
+// old answer is also used when nobody answers a new lookup.
 func (l *lookups) entries(ctx context.Context, service string) ([]EntryVM, error) {
 	s := l.service(service)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if time.Now().Before(s.cached.until) {
-		return s.cached.entries, nil
+	if cached := s.cached.Load(); time.Now().Before(cached.until) {
+		return cached.entries, nil
 	}
-	fresh, err := l.ask(ctx, service, s.cached.entries)
-	if err == nil {
-		s.cached = fresh
-		return fresh.entries, nil
+	select {
+	case s.asking <- struct{}{}:
+	default:
+		if cached := s.cached.Load(); len(cached.entries) > 0 {
+			return cached.entries, nil
+		}
+		select {
+		case s.asking <- struct{}{}:
+		case <-ctx.Done():
+			return nil, &LookupError{Service: service, Cause: ctx.Err()}
+		}
+	}
+	defer func() { <-s.asking }()
+	return l.refresh(ctx, service, s)
+}
+
+// refresh asks for a new answer, unless another request just got one.
+func (l *lookups) refresh(ctx context.Context, service string, s *serviceLookup) ([]EntryVM, error) {
+	cached := s.cached.Load()
+	if time.Now().Before(cached.until) {
+		return cached.entries, nil
 	}
-	if len(s.cached.entries) == 0 {
+	fresh, err := l.ask(ctx, service, cached.entries)
+	if err != nil && len(cached.entries) == 0 {
 		return nil, err
 	}
-	s.cached.until = time.Now().Add(staleRetry)
-	return s.cached.entries, nil
+	if err != nil {
+		fresh = cachedLookup{entries: cached.entries, until: time.Now().Add(staleRetry)}
+	}
+	s.cached.Store(&fresh)
+	return fresh.entries, nil
 }
 
-// expire makes the next request of the service ask again, unless a lookup is in progress.
+// expire makes the next request of the service ask again.
 func (l *lookups) expire(service string) {
 	s := l.service(service)
-	if !s.mu.TryLock() {
-		return
-	}
-	defer s.mu.Unlock()
-	s.cached.until = time.Time{}
+	cached := s.cached.Load()
+	s.cached.CompareAndSwap(cached, &cachedLookup{entries: cached.entries})
 }
 
 func (l *lookups) service(name string) *serviceLookup {
@@ -88,7 +106,8 @@
 	defer l.mu.Unlock()
 	s := l.services[name]
 	if s == nil {
-		s = &serviceLookup{}
+		s = &serviceLookup{asking: make(chan struct{}, 1)}
+		s.cached.Store(&cachedLookup{})
 		l.services[name] = s
 	}
 	return s
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -47,7 +47,7 @@
 	if err != nil {
 		return nil, err
 	}
-	w, err := startWorld(ctx, opts, d)
+	w, err := startWorld(ctx, opts, d, tcp{})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/demo/network.go
+++ b/internal/demo/network.go
@@ -4,7 +4,9 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -30,6 +32,7 @@
 // network connects loopback addresses with the delays, link rates and cuts of a deployment.
 type network struct {
 	delays delays
+	wires  transport
 	links  map[linkKey]*wire // fixed after construction
 
 	mu     sync.RWMutex
@@ -37,6 +40,7 @@
 	cut    map[steering.ZoneName]bool
 	dead   map[string]bool // hosts whose processes were killed
 	open   map[*conn]bool
+	closed bool
 }
 
 type linkKey struct{ from, to steering.RegionName }
@@ -53,11 +57,28 @@
 	peakMax int64     // bytes a second
 }
 
+// transport is what the network's connections are made of.
+type transport interface {
+	listen(address string) (net.Listener, error)
+	dial(ctx context.Context, address string) (net.Conn, error)
+}
+
+// tcp is the transport over loopback addresses.
+type tcp struct{}
+
+func (tcp) listen(address string) (net.Listener, error) { return net.Listen("tcp", address) }
+
+func (tcp) dial(ctx context.Context, address string) (net.Conn, error) {
+	var d net.Dialer
+	return d.DialContext(ctx, "tcp", address)
+}
+
 // bitsPerMbit converts link capacities.
 const bitsPerMbit = 1e6
 
-func newNetwork(p *steering.Platform, d delays) *network {
+func newNetwork(p *steering.Platform, d delays, t transport) *network {
 	n := &network{
+		wires:  t,
 		delays: d,
 		links:  make(map[linkKey]*wire),
 		places: make(map[string]place),
@@ -112,6 +133,17 @@
 	}
 }
 
+// close breaks every connection.
+func (n *network) close() {
+	n.mu.Lock()
+	n.closed = true
+	open := slices.Collect(maps.Keys(n.open))
+	n.mu.Unlock()
+	for _, c := range open {
+		c.breakOff()
+	}
+}
+
 func (n *network) isDead(from, to place) bool {
 	n.mu.RLock()
 	defer n.mu.RUnlock()
@@ -135,8 +167,7 @@
 		if err := sleep(ctx, handshake*n.delay(from, to)); err != nil {
 			return nil, err
 		}
-		var d net.Dialer
-		raw, err := d.DialContext(ctx, proto, address)
+		raw, err := n.wires.dial(ctx, address)
 		if err != nil {
 			return nil, err
 		}
@@ -175,9 +206,13 @@
 	c.in = newPipe(d, n.links[linkKey{to.region, from.region}])
 	n.mu.Lock()
 	n.open[c] = true
+	closed := n.closed
 	n.mu.Unlock()
 	go c.pumpOut()
 	go c.pumpIn()
+	if closed {
+		c.breakOff()
+	}
 	return c
 }
 
--- a/internal/demo/pipe.go
+++ b/internal/demo/pipe.go
@@ -84,11 +84,19 @@
 		p.changed.Wait()
 		return
 	}
-	t := time.AfterFunc(p.parcels[0].due.Sub(now), p.changed.Broadcast)
+	t := time.AfterFunc(p.parcels[0].due.Sub(now), p.wake)
 	p.changed.Wait()
 	t.Stop()
 }
 
+// wake wakes the waiters. It takes the lock, so that a waiter is not missed between its look at the
+// clock and its wait.
+func (p *pipe) wake() {
+	p.mu.Lock()
+	p.changed.Broadcast()
+	p.mu.Unlock()
+}
+
 func (p *pipe) finish() {
 	p.mu.Lock()
 	p.finished = true
--- a/internal/demo/world.go
+++ b/internal/demo/world.go
@@ -65,7 +65,7 @@
 	if p.host == "" {
 		p.host = host
 	}
-	l, err := net.Listen("tcp", host+":0")
+	l, err := w.network.wires.listen(host + ":0")
 	if err != nil {
 		return nil, err
 	}
@@ -74,10 +74,10 @@
 }
 
 // start brings the deployment up, publishes its steering files and waits until all entry VMs serve.
-func startWorld(ctx context.Context, opts Options, d *deployment) (*world, error) {
+func startWorld(ctx context.Context, opts Options, d *deployment, t transport) (*world, error) {
 	w := &world{opts: opts, deployment: d}
 	p := &d.config.Platform
-	w.network = newNetwork(p, delays{zones: p.ZoneDelay.Std(), callers: p.ClientDelay.Std()})
+	w.network = newNetwork(p, delays{zones: p.ZoneDelay.Std(), callers: p.ClientDelay.Std()}, t)
 	w.home = place{region: p.Regions[0].Name, zone: p.Regions[0].Zones[0]}
 	for _, step := range []func() error{w.startPlatform, w.startUpstreams, w.startEntries} {
 		if err := step(); err != nil {
@@ -160,13 +160,17 @@
 
 // publish puts the steering files in force and waits until every entry VM serves.
 func (w *world) publish(ctx context.Context) error {
-	client := platform.NewClient(platform.ClientOptions{StoreURL: w.platformAt, VMListURL: w.platformAt, Name: "publish"})
+	operator := &http.Transport{DialContext: w.network.dialer(w.home)}
+	defer operator.CloseIdleConnections()
+	client := platform.NewClient(platform.ClientOptions{
+		StoreURL: w.platformAt, VMListURL: w.platformAt, Name: "publish", Transport: operator,
+	})
 	publisher := steering.NewPublisher(steering.PublisherOptions{Store: client})
 	if _, err := publisher.Publish(ctx, w.deployment.tree, steering.PublishOptions{}); err != nil {
 		return err
 	}
 	for _, e := range w.entries {
-		if err := e.awaitReady(ctx, len(w.entries)); err != nil {
+		if err := e.awaitReady(ctx, operator, len(w.entries)); err != nil {
 			return err
 		}
 	}
@@ -174,11 +178,11 @@
 }
 
 // awaitReady waits until the entry VM serves and knows that all of them live.
-func (e *entryVM) awaitReady(ctx context.Context, all int) error {
+func (e *entryVM) awaitReady(ctx context.Context, t *http.Transport, all int) error {
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
 	for {
-		if e.ready(ctx, all) {
+		if e.ready(ctx, t, all) {
 			return nil
 		}
 		select {
@@ -189,10 +193,10 @@
 	}
 }
 
-func (e *entryVM) ready(ctx context.Context, all int) bool {
+func (e *entryVM) ready(ctx context.Context, t *http.Transport, all int) bool {
 	var health struct{ Status string }
 	var vms admin.Page[admin.VMRow]
-	if e.get(ctx, "/readyz", &health) != nil || e.get(ctx, "/v1/vms", &vms) != nil {
+	if e.get(ctx, t, "/readyz", &health) != nil || e.get(ctx, t, "/v1/vms", &vms) != nil {
 		return false
 	}
 	live := 0
@@ -205,12 +209,12 @@
 }
 
 // get reads a page of the administration API.
-func (e *entryVM) get(ctx context.Context, page string, into any) error {
+func (e *entryVM) get(ctx context.Context, t *http.Transport, page string, into any) error {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+e.row.AdminAddress+page, nil)
 	if err != nil {
 		return err
 	}
-	answer, err := http.DefaultClient.Do(req)
+	answer, err := t.RoundTrip(req)
 	if err != nil {
 		return err
 	}
@@ -255,4 +259,5 @@
 	for _, c := range w.closers {
 		_ = c.Close()
 	}
+	w.network.close()
 }
