--- a/internal/demo/load.go
+++ b/internal/demo/load.go
@@ -78,10 +78,6 @@
 
 // callers returns the clients of each region. Each has its own connections, delayed like its place.
 func (w *world) callers() map[steering.RegionName][]*caller.Client {
-	bootstrap := make([]string, len(w.entries))
-	for i, e := range w.entries {
-		bootstrap[i] = e.row.Address
-	}
 	out := make(map[steering.RegionName][]*caller.Client)
 	for _, r := range w.deployment.config.Platform.Regions {
 		for i := range callersPerRegion {
@@ -90,13 +86,26 @@
 				DialContext: w.network.dialer(at), MaxIdleConnsPerHost: callersPerRegion, IdleConnTimeout: time.Minute,
 			}
 			out[r.Name] = append(out[r.Name], caller.New(caller.Options{
-				Entries: bootstrap, Origin: string(r.Name), Block: strconv.Itoa(len(out)*callersPerRegion + i), HTTP: transport,
+				Entries: w.bootstrap(r.Name), Origin: string(r.Name), Block: strconv.Itoa(len(out)*callersPerRegion + i), HTTP: transport,
 			}))
 		}
 	}
 	return out
 }
 
+// bootstrap returns the addresses that callers of a region ask first: their own region's, then the others.
+func (w *world) bootstrap(region steering.RegionName) []string {
+	var near, far []string
+	for _, e := range w.entries {
+		if e.row.Region == region {
+			near = append(near, e.row.Address)
+			continue
+		}
+		far = append(far, e.row.Address)
+	}
+	return append(near, far...)
+}
+
 // run sends requests at random moments, whatever became of earlier ones, until ctx ends, and waits
 // for the answers.
 func (f *flow) run(ctx context.Context, t *tally) {
--- a/internal/demo/network.go
+++ b/internal/demo/network.go
@@ -41,6 +41,17 @@
 	dead   map[string]bool // hosts whose processes were killed
 	open   map[*conn]bool
 	closed bool
+
+	// observe, if set, is told of every run of bytes that is sent, before it leaves. Set it before use.
+	observe func(sent *transfer)
+}
+
+// transfer is a run of bytes that one end of a connection sends.
+type transfer struct {
+	conn     *conn
+	from, to place
+	answer   bool // sent by the end that accepted the connection
+	data     []byte
 }
 
 type linkKey struct{ from, to steering.RegionName }
@@ -254,6 +265,7 @@
 
 // Write queues b; it blocks while too much is queued.
 func (c *conn) Write(b []byte) (int, error) {
+	c.tell(&transfer{conn: c, from: c.from, to: c.to, data: b})
 	if !c.out.put(append([]byte(nil), b...)) {
 		return 0, net.ErrClosed
 	}
@@ -303,6 +315,12 @@
 	_ = c.Conn.Close()
 }
 
+func (c *conn) tell(t *transfer) {
+	if observe := c.network.observe; observe != nil {
+		observe(t)
+	}
+}
+
 func (c *conn) lost() bool { return c.muted.Load() || c.network.isCut(c.from, c.to) }
 
 func (c *conn) pumpOut() {
@@ -326,6 +344,9 @@
 	for {
 		buf := make([]byte, chunk)
 		n, err := c.Conn.Read(buf)
+		if n > 0 {
+			c.tell(&transfer{conn: c, from: c.to, to: c.from, answer: true, data: buf[:n]})
+		}
 		if n > 0 && !c.lost() && !c.in.put(buf[:n]) {
 			return
 		}
--- a/internal/demo/session_test.go
+++ b/internal/demo/session_test.go
@@ -20,6 +20,7 @@
 		}
 		tallies := w.load(context.Background(), nil)
 		w.stop()
+		time.Sleep(time.Second) // what is under way on the wires arrives
 		s := w.summarize(tallies)
 		t.Logf("%+v", s)
 	})
