--- a/internal/steering/follow_test.go
+++ b/internal/steering/follow_test.go
@@ -284,3 +284,32 @@
 		t.Fatalf("got %v", err)
 	}
 }
+
+func TestLaggingReplicaRaisesOneAlarmAMinute(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := platformtest.NewStore(platformtest.StoreOptions{})
+		publishBase(t, store.Client)
+		old := store.Snapshot()
+		mustPublish(t, newPublisher(store.Client), alpha(t, 2))
+		var w watcher
+		zone := store.NewClient("zone")
+		f := steering.NewFollower(w.options(zone))
+		defer run(t, f)()
+		synctest.Wait()
+		const minutes = 5
+		for i := range minutes * 12 {
+			if i%2 == 0 {
+				zone.SetFaults(platformtest.Faults{Stale: old})
+			} else {
+				zone.SetFaults(platformtest.Faults{})
+			}
+			time.Sleep(5 * time.Second)
+		}
+		if n := len(w.alarmKinds()); n < 1 || n > minutes+1 {
+			t.Errorf("%d alarms in %d minutes", n, minutes)
+		}
+		if f.Revision() != 2 {
+			t.Errorf("revision %d", f.Revision())
+		}
+	})
+}
--- a/internal/steering/follower.go
+++ b/internal/steering/follower.go
@@ -25,6 +25,7 @@
 	defaultStoreTimeout     = 3 * time.Second
 	storeBurst              = 20 // calls
 	unreadableRetry         = 30 * time.Second
+	alarmInterval           = time.Minute // between alarms of the same cause
 	jitterShare             = 0.25
 )
 
@@ -89,6 +90,8 @@
 	last     headAt        // as last read by guard or start
 	failed   PublicationID // the last that could not be read
 	failedAt time.Time
+	behind   PublicationID // of the head that last raised an alarm by being old
+	behindAt time.Time
 }
 
 // NewFollower returns a Follower that has nothing in force yet.
--- a/internal/steering/followstatus.go
+++ b/internal/steering/followstatus.go
@@ -140,17 +140,29 @@
 
 // noteBehind notes a head that is not the one in force, and raises the alarm when that begins.
 func (f *Follower) noteBehind(kind AlarmKind, h *head, have *Configuration) {
-	f.mu.Lock()
-	if b := f.status.StoreBehind; b != nil && b.Head == h.Revision {
-		f.mu.Unlock()
+	if !f.setBehind(h) {
 		return
 	}
-	f.status.StoreBehind = &StoreBehind{Head: h.Revision, Since: utcNow()}
-	f.mu.Unlock()
 	reason := "store: " + string(h.Publication) + ", in force: " + string(have.Publication)
 	f.options.OnAlarm(Alarm{Kind: kind, InForce: have.Revision, Other: h.Revision, Reason: reason})
 }
 
+// setBehind sets the status for a head that went back and reports whether the alarm is due: not again
+// within a while for the same head, which a store with lagging replicas shows now and then.
+func (f *Follower) setBehind(h *head) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if b := f.status.StoreBehind; b != nil && b.Head == h.Revision {
+		return false
+	}
+	f.status.StoreBehind = &StoreBehind{Head: h.Revision, Since: utcNow()}
+	if f.behind == h.Publication && time.Since(f.behindAt) < alarmInterval {
+		return false
+	}
+	f.behind, f.behindAt = h.Publication, time.Now()
+	return true
+}
+
 // noteSound notes a head that agrees with what is in force or is above it.
 func (f *Follower) noteSound(h *head) {
 	f.mu.Lock()
--- a/internal/steering/tree.go
+++ b/internal/steering/tree.go
@@ -80,8 +80,9 @@
 func findFiles(paths []string, report *Report) []string {
 	var files []string
 	for _, path := range paths {
+		faults := len(report.Faults)
 		found := filesBelow(path, report)
-		if len(found) == 0 {
+		if len(found) == 0 && len(report.Faults) == faults {
 			report.fault(Position{path, 1, 1}, "", "no steering file", platformFileName+" or *"+steeringFileSuffix)
 		}
 		files = append(files, found...)
