--- a/internal/demo/network.go
+++ b/internal/demo/network.go
@@ -38,7 +38,8 @@
 	mu     sync.RWMutex
 	places map[string]place // by host:port
 	cut    map[steering.ZoneName]bool
-	dead   map[string]bool // hosts whose processes were killed
+	dead   map[string]bool          // hosts whose processes were killed
+	paused map[string]chan struct{} // hosts that neither send nor receive; closed when they go on
 	open   map[*conn]bool
 	closed bool
 
@@ -95,6 +96,7 @@
 		places: make(map[string]place),
 		cut:    make(map[steering.ZoneName]bool),
 		dead:   make(map[string]bool),
+		paused: make(map[string]chan struct{}),
 		open:   make(map[*conn]bool),
 	}
 	for _, l := range p.Links {
@@ -118,11 +120,50 @@
 }
 
 // silence makes every open connection lose what is sent on it from now on; new ones work.
-func (n *network) silence() {
+func (n *network) silence() { n.silenceIf(func(*conn) bool { return true }) }
+
+// silenceIf silences the open connections that match.
+func (n *network) silenceIf(match func(c *conn) bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for c := range n.open {
-		c.muted.Store(true)
+		if match(c) {
+			c.muted.Store(true)
+		}
+	}
+}
+
+// pause holds back what a host sends and is sent, as while its process is stopped, or lets it go on.
+func (n *network) pause(host string, paused bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	gate := n.paused[host]
+	switch {
+	case paused && gate == nil:
+		n.paused[host] = make(chan struct{})
+	case !paused && gate != nil:
+		close(gate)
+		delete(n.paused, host)
+	}
+}
+
+// awaitResume waits while either end of a connection is paused.
+func (n *network) awaitResume(c *conn) {
+	for {
+		n.mu.RLock()
+		gate := n.paused[c.from.host]
+		if gate == nil {
+			gate = n.paused[c.to.host]
+		}
+		n.mu.RUnlock()
+		if gate == nil {
+			return
+		}
+		select {
+		case <-gate:
+		case <-c.closed:
+			return
+		}
 	}
 }
 
@@ -155,6 +196,13 @@
 	}
 }
 
+// down reports whether the process on host was killed.
+func (n *network) down(host string) bool {
+	n.mu.RLock()
+	defer n.mu.RUnlock()
+	return n.dead[host]
+}
+
 func (n *network) isDead(from, to place) bool {
 	n.mu.RLock()
 	defer n.mu.RUnlock()
@@ -171,8 +219,7 @@
 			return nil, &net.OpError{Op: "dial", Net: proto, Err: syscall.ECONNREFUSED}
 		}
 		if n.isCut(from, to) {
-			<-ctx.Done()
-			return nil, ctx.Err()
+			return nil, n.timeOut(ctx, proto)
 		}
 		const handshake = 2 // one-way delays
 		if err := sleep(ctx, handshake*n.delay(from, to)); err != nil {
@@ -186,6 +233,15 @@
 	}
 }
 
+// timeOut waits as long as a connection attempt without any answer does, and returns its error.
+func (n *network) timeOut(ctx context.Context, proto string) error {
+	const connectTimeout = time.Second
+	if err := sleep(ctx, connectTimeout); err != nil {
+		return err
+	}
+	return &net.OpError{Op: "dial", Net: proto, Err: syscall.ETIMEDOUT}
+}
+
 func (n *network) isCut(from, to place) bool {
 	if from.caller && from.region == to.region || from.zone == to.zone {
 		return false
@@ -330,6 +386,7 @@
 		if !ok {
 			return
 		}
+		c.network.awaitResume(c)
 		if c.lost() {
 			continue
 		}
@@ -347,6 +404,7 @@
 		if n > 0 {
 			c.tell(&transfer{conn: c, from: c.to, to: c.from, answer: true, data: buf[:n]})
 		}
+		c.network.awaitResume(c)
 		if n > 0 && !c.lost() && !c.in.put(buf[:n]) {
 			return
 		}
--- a/internal/demo/world.go
+++ b/internal/demo/world.go
@@ -52,6 +52,7 @@
 type entryVM struct {
 	row     vm.VM
 	app     *fx.App
+	daemon  *entry.Daemon
 	stopped bool
 }
 
@@ -95,7 +96,9 @@
 func (w *world) startPlatform() error {
 	const listLag = 500 * time.Millisecond
 	w.platform = standin.NewPlatform(standin.PlatformOptions{VMListLag: listLag})
-	listener, err := w.listen(w.home)
+	at := w.home
+	at.host = "platform"
+	listener, err := w.listen(at)
 	if err != nil {
 		return err
 	}
@@ -133,7 +136,7 @@
 	w.platform.PutVM(e.row)
 	e.app = fx.New(entry.Module(entry.Options{
 		Settings: settings, Listeners: &l, Dial: w.network.dialer(at), LogTo: w.opts.Log,
-	}), fx.NopLogger)
+	}), fx.Populate(&e.daemon), fx.NopLogger)
 	if err := e.app.Err(); err != nil {
 		return err
 	}
@@ -160,15 +163,11 @@
 
 // publish puts the steering files in force and waits until every entry VM serves.
 func (w *world) publish(ctx context.Context) error {
-	operator := &http.Transport{DialContext: w.network.dialer(w.home)}
-	defer operator.CloseIdleConnections()
-	client := platform.NewClient(platform.ClientOptions{
-		StoreURL: w.platformAt, VMListURL: w.platformAt, Name: "publish", Transport: operator,
-	})
-	publisher := steering.NewPublisher(steering.PublisherOptions{Store: client})
-	if _, err := publisher.Publish(ctx, w.deployment.tree, steering.PublishOptions{}); err != nil {
+	if _, err := w.publishTree(ctx, w.deployment.tree); err != nil {
 		return err
 	}
+	operator := w.operator()
+	defer operator.CloseIdleConnections()
 	for _, e := range w.entries {
 		if err := e.awaitReady(ctx, operator, len(w.entries)); err != nil {
 			return err
@@ -177,6 +176,25 @@
 	return nil
 }
 
+// operator returns the transport of an operator beside the store.
+func (w *world) operator() *http.Transport {
+	at := w.home
+	at.host = "operator"
+	return &http.Transport{DialContext: w.network.dialer(at)}
+}
+
+// publishTree puts steering files in force and returns the revision.
+func (w *world) publishTree(ctx context.Context, tree *steering.Tree) (steering.Revision, error) {
+	operator := w.operator()
+	defer operator.CloseIdleConnections()
+	client := platform.NewClient(platform.ClientOptions{
+		StoreURL: w.platformAt, VMListURL: w.platformAt, Name: "publish", Transport: operator,
+	})
+	publisher := steering.NewPublisher(steering.PublisherOptions{Store: client})
+	result, err := publisher.Publish(ctx, tree, steering.PublishOptions{})
+	return result.Revision, err
+}
+
 // awaitReady waits until the entry VM serves and knows that all of them live.
 func (e *entryVM) awaitReady(ctx context.Context, t *http.Transport, all int) error {
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -5,6 +5,7 @@
 	"io"
 	stdlog "log"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -24,6 +25,7 @@
 	parts daemonParts
 	stop  context.CancelFunc
 	loops sync.WaitGroup
+	cut   atomic.Int64
 }
 
 // daemonParts is what a Daemon runs.
@@ -59,6 +61,12 @@
 	return d
 }
 
+// Revision returns the revision in force on this VM, 0 while there is none.
+func (d *Daemon) Revision() steering.Revision { return d.parts.Follower.Revision() }
+
+// Cut returns how many requests were still in flight when a planned stop ended its wait for them.
+func (d *Daemon) Cut() int64 { return d.cut.Load() }
+
 // start begins every loop and then the servers.
 func (d *Daemon) start(context.Context) error {
 	p := &d.parts
@@ -135,6 +143,7 @@
 	case <-p.Handler.Drained():
 	case <-ctx.Done():
 	}
+	d.cut.Store(int64(p.Handler.InFlight()))
 	p.Recorder.Record(&review.Record{
 		Kind: review.KindStop, Constraint: review.ConstraintDrain, Result: "drained", Took: time.Since(began),
 	})
