steering: taking up a revision that does not go on from the one before raises the alarm forked

After a restore, a publisher that does not ask the VMs makes revisions that lack what was lost. The first one above the revision in force was taken without a word; it still is (refusing would split the fleet between old and new VMs), with the alarm.

--- a/internal/steering/follow_test.go
+++ b/internal/steering/follow_test.go
@@ -174,6 +174,9 @@
 				if f.Revision() != 4 || f.Status().StoreBehind != nil {
 					t.Fatalf("status %+v", f.Status())
 				}
+				if a := w.alarms[len(w.alarms)-1]; a.Kind != steering.AlarmForked || a.InForce != 4 || a.Other != 3 {
+					t.Fatalf("alarms %v", w.alarms)
+				}
 			}
 		})
 	}
--- a/internal/steering/followstatus.go
+++ b/internal/steering/followstatus.go
@@ -54,7 +54,8 @@
 const (
 	// AlarmStoreBehind: the store's head is older than what is in force (restored, stale read).
 	AlarmStoreBehind AlarmKind = "store-behind"
-	// AlarmForked: the store's head has the revision in force with another content.
+	// AlarmForked: the store's head has the revision in force with another content, or a higher one
+	// that was taken up does not go on from the one before. Changes of that one may be missing.
 	AlarmForked AlarmKind = "forked"
 	// AlarmUnreadable: a revision cannot be read; the one before stays in force.
 	AlarmUnreadable AlarmKind = "unreadable"
@@ -70,7 +71,7 @@
 
 // Error implements error, so that an alarm can be logged as one.
 func (a Alarm) Error() string {
-	return fmt.Sprintf("%s: revision %d stays in force, other revision %d %s", a.Kind, a.InForce, a.Other, a.Reason)
+	return fmt.Sprintf("%s: revision %d is in force, other revision %d %s", a.Kind, a.InForce, a.Other, a.Reason)
 }
 
 // Status returns what the follower knows of itself.
@@ -143,8 +144,16 @@
 	if !f.setBehind(h) {
 		return
 	}
-	reason := "store: " + string(h.Publication) + ", in force: " + string(have.Publication)
-	f.options.OnAlarm(Alarm{Kind: kind, InForce: have.Revision, Other: h.Revision, Reason: reason})
+	f.options.OnAlarm(Alarm{Kind: kind, InForce: have.Revision, Other: h.Revision, Reason: twoPublications(h, have)})
+}
+
+// alarmForked says that h was taken up although it does not go on from what was in force.
+func (f *Follower) alarmForked(h *head, had *Configuration) {
+	f.options.OnAlarm(Alarm{Kind: AlarmForked, InForce: h.Revision, Other: had.Revision, Reason: twoPublications(h, had)})
+}
+
+func twoPublications(h *head, had *Configuration) string {
+	return "store: " + string(h.Publication) + ", in force before: " + string(had.Publication)
 }
 
 // setBehind sets the status for a head that went back and reports whether the alarm is due: not again
--- a/internal/steering/followstore.go
+++ b/internal/steering/followstore.go
@@ -128,10 +128,31 @@
 		f.noteStore(err)
 		return err
 	}
-	f.take(s, SourceStore)
+	forked := f.forkedFrom(ctx, h, before)
+	if f.take(s, SourceStore) && forked {
+		f.alarmForked(h, before.configuration)
+	}
 	return nil
 }
 
+// forkedFrom reports whether h does not go on from what was in force: the store went back and a
+// publication was made there that did not know of it.
+func (f *Follower) forkedFrom(ctx context.Context, h *head, before *state) bool {
+	if before == nil {
+		return false
+	}
+	have := before.configuration
+	made, known := h.publicationAt(have.Revision)
+	if !known {
+		earlier, err := loadHistory(ctx, &budgeted{f.options.Store, f.budget}, h)
+		if err != nil {
+			return false
+		}
+		made, known = madeRevision(earlier, have.Revision)
+	}
+	return known && made != have.Publication
+}
+
 // isNewer compares h with what was in force and raises the alarm for a head that went back.
 func (f *Follower) isNewer(h *head, before *state) bool {
 	if before == nil {
--- a/internal/steering/layout.go
+++ b/internal/steering/layout.go
@@ -120,6 +120,21 @@
 	return append([]PublicationID{h.Snapshot.Publication}, h.Deltas...)
 }
 
+// publicationAt returns the publication that made a revision, if h names it.
+func (h *head) publicationAt(revision Revision) (PublicationID, bool) {
+	return madeRevision(h.publications(), revision)
+}
+
+// madeRevision returns which of ids made a revision.
+func madeRevision(ids []PublicationID, revision Revision) (PublicationID, bool) {
+	for _, id := range ids {
+		if p, err := parsePublication(id); err == nil && p.revision == revision {
+			return id, true
+		}
+	}
+	return "", false
+}
+
 func encodeHead(h *head) ([]byte, error) {
 	text, err := json.Marshal(h)
 	if err != nil {
