Let a retry use an ejected server at last; poll load each fifth round

Cause: in a zone of two servers a retry after a failure found the other server ejected and was refused, though a slow answer goes before none. The VM list is matched by name through a map: it was a walk over all servers for each one.

--- a/internal/upstream/ejection.go
+++ b/internal/upstream/ejection.go
@@ -157,6 +157,20 @@
 	return nil
 }
 
+// takeLast takes a slot of an ejected server for a retry that has no other server left: a slow
+// answer goes before none, and a failing server before a refusal.
+func (p *Pool) takeLast(v *view) *server {
+	if len(v.query.Exclude) == 0 || v.query.Hedge {
+		return nil
+	}
+	for i, s := range v.snap.servers {
+		if v.state(i) == stateEjected && !v.excluded(s) && s.take(v.limit(s)) {
+			return s
+		}
+	}
+	return nil
+}
+
 // endTrial restores s if the trial went well and else ejects it for longer. A trial that shows
 // nothing is repeated after as long a time.
 func (p *Pool) endTrial(s *server, r *Reservation, result *request.AttemptResult, at int64) {
--- a/internal/upstream/ejection_test.go
+++ b/internal/upstream/ejection_test.go
@@ -132,6 +132,22 @@
 	}
 }
 
+func TestRetryUsesAnEjectedServerAtLast(t *testing.T) {
+	p := newTestPool(2, Options{})
+	_, now := drive(p, start, 500, nil, map[vm.Name]request.Failure{"saldo-01": request.FailureReset})
+	if len(ejectedNames(p, now)) != 1 {
+		t.Fatalf("ejected %v", ejectedNames(p, now))
+	}
+	tried := Query{Exclude: []vm.Name{"saldo-02"}, NoTrial: true, Now: now}
+	if r := mustAcquire(t, p, tried); r.Server.Name != "saldo-01" {
+		t.Fatalf("retry went to %s again", r.Server.Name)
+	}
+	tried.Hedge = true
+	if _, err := p.Acquire(tried); err == nil {
+		t.Fatal("hedge to an ejected server")
+	}
+}
+
 // TestEjectionNeverEmptiesAService drives pools whose servers fail, stall, leave and restart at
 // random: as long as one server stays, some server takes work.
 func TestEjectionNeverEmptiesAService(t *testing.T) {
--- a/internal/upstream/members.go
+++ b/internal/upstream/members.go
@@ -17,12 +17,12 @@
 	if old.epoch.IsZero() {
 		next.epoch = now.Add(-time.Hour) // times stay above 0, which means never
 	}
-	known, first := len(old.servers) > 0, oldest(servers)
+	known, first := old.byName(), oldest(servers)
 	for _, listed := range servers {
-		s := old.life(listed)
-		if s == nil {
+		s := known[listed.Name]
+		if s == nil || !sameLife(&s.vm, &listed) {
 			s = newServer(listed)
-			p.startRamp(s, known, first, next.at(now))
+			p.startRamp(s, len(known) > 0, first, next.at(now))
 		}
 		s.listLeaving.Store(listed.State == vm.StateLeaving)
 		next.add(s)
@@ -36,22 +36,22 @@
 	return &server{vm: listed, slots: int32(max(listed.Slots, 1))}
 }
 
-// life returns the server that listed is still the same life of, or nil. A server that only began
-// to leave is the same; a live one at another address or with a later beginning was restarted.
-func (s *snapshot) life(listed vm.VM) *server {
+// sameLife reports whether listed is the same life of the server known. A server that only began to
+// leave is the same; a live one at another address or with a later beginning was restarted.
+func sameLife(known *vm.VM, listed *vm.VM) bool {
+	if known.Address != listed.Address || known.Slots != listed.Slots {
+		return false
+	}
+	return listed.State != vm.StateLive || known.Since.Equal(listed.Since)
+}
+
+// byName returns the servers by their names.
+func (s *snapshot) byName() map[vm.Name]*server {
+	servers := make(map[vm.Name]*server, len(s.servers))
 	for _, known := range s.servers {
-		if known.vm.Name != listed.Name {
-			continue
-		}
-		same := known.vm.Address == listed.Address && known.vm.Slots == listed.Slots
-		if listed.State == vm.StateLive && !known.vm.Since.Equal(listed.Since) {
-			same = false
-		}
-		if same {
-			return known
-		}
+		servers[known.vm.Name] = known
 	}
-	return nil
+	return servers
 }
 
 // startRamp begins the ramp of a new server. At the first update only a server that began lately,
--- a/internal/upstream/poller.go
+++ b/internal/upstream/poller.go
@@ -30,8 +30,11 @@
 	Source Source
 	// Interval is the time between two polls of a server, while PerSecond allows it.
 	Interval time.Duration
-	// PerSecond bounds the polls of this VM over all servers; a poll is two requests.
+	// PerSecond bounds the polls of this VM over all servers.
 	PerSecond float64
+	// LoadEvery is the number of rounds after which the load endpoint is polled too. Answers
+	// carry the load as well, and it decides nothing but drains.
+	LoadEvery int
 	// Timeout bounds one poll.
 	Timeout time.Duration
 	// Concurrent bounds the polls under way.
@@ -46,10 +49,11 @@
 }
 
 // NewPoller returns a poller; by default one poll of each server a second, 50 a second in all,
-// 32 under way, each within 500 ms.
+// 32 under way, each within 500 ms, with the load in each fifth round.
 func NewPoller(o PollerOptions) *Poller {
 	setDefault(&o.Interval, time.Second)
 	setDefault(&o.PerSecond, 50)
+	setDefault(&o.LoadEvery, 5)
 	setDefault(&o.Timeout, 500*time.Millisecond)
 	setDefault(&o.Concurrent, 32)
 	return &Poller{options: o, running: make(chan struct{}, o.Concurrent)}
@@ -59,11 +63,12 @@
 type target struct {
 	pool   *Pool
 	server vm.VM
+	load   bool // poll the load endpoint as well
 }
 
 // Run polls until ctx ends and returns once no poll is under way.
 func (p *Poller) Run(ctx context.Context) {
-	for ctx.Err() == nil {
+	for round := 0; ctx.Err() == nil; round++ {
 		targets := p.targets()
 		if len(targets) == 0 {
 			wait(ctx, p.options.Interval)
@@ -74,6 +79,7 @@
 			if !wait(ctx, jitter(gap)) {
 				break
 			}
+			t.load = round%p.options.LoadEvery == 0
 			p.start(ctx, t)
 		}
 	}
@@ -120,6 +126,9 @@
 	if err == nil && draining {
 		t.pool.Drain(t.server.Name, time.Now())
 	}
+	if !t.load {
+		return
+	}
 	load, err := p.options.Source.Load(ctx, t.server)
 	if err == nil {
 		t.pool.Observe(t.server.Name, load, time.Now())
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -160,6 +160,9 @@
 	if s == nil {
 		s, trial = p.take(&v), false
 	}
+	if s == nil {
+		s = p.takeLast(&v)
+	}
 	if s == nil {
 		p.giveTotal(q.Class)
 		return nil, v.refuse()
