--- a/internal/demo/network.go
+++ b/internal/demo/network.go
@@ -4,7 +4,9 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -30,6 +32,7 @@
 // network connects loopback addresses with the delays, link rates and cuts of a deployment.
 type network struct {
 	delays delays
+	wires  transport
 	links  map[linkKey]*wire // fixed after construction
 
 	mu     sync.RWMutex
@@ -37,6 +40,18 @@
 	cut    map[steering.ZoneName]bool
 	dead   map[string]bool // hosts whose processes were killed
 	open   map[*conn]bool
+	closed bool
+
+	// observe, if set, is told of every run of bytes that is sent, before it leaves. Set it before use.
+	observe func(sent *transfer)
+}
+
+// transfer is a run of bytes that one end of a connection sends.
+type transfer struct {
+	conn     *conn
+	from, to place
+	answer   bool // sent by the end that accepted the connection
+	data     []byte
 }
 
 type linkKey struct{ from, to steering.RegionName }
@@ -53,11 +68,28 @@
 	peakMax int64     // bytes a second
 }
 
+// transport is what the network's connections are made of.
+type transport interface {
+	listen(address string) (net.Listener, error)
+	dial(ctx context.Context, address string) (net.Conn, error)
+}
+
+// tcp is the transport over loopback addresses.
+type tcp struct{}
+
+func (tcp) listen(address string) (net.Listener, error) { return net.Listen("tcp", address) }
+
+func (tcp) dial(ctx context.Context, address string) (net.Conn, error) {
+	var d net.Dialer
+	return d.DialContext(ctx, "tcp", address)
+}
+
 // bitsPerMbit converts link capacities.
 const bitsPerMbit = 1e6
 
-func newNetwork(p *steering.Platform, d delays) *network {
+func newNetwork(p *steering.Platform, d delays, t transport) *network {
 	n := &network{
+		wires:  t,
 		delays: d,
 		links:  make(map[linkKey]*wire),
 		places: make(map[string]place),
@@ -112,6 +144,17 @@
 	}
 }
 
+// close breaks every connection.
+func (n *network) close() {
+	n.mu.Lock()
+	n.closed = true
+	open := slices.Collect(maps.Keys(n.open))
+	n.mu.Unlock()
+	for _, c := range open {
+		c.breakOff()
+	}
+}
+
 func (n *network) isDead(from, to place) bool {
 	n.mu.RLock()
 	defer n.mu.RUnlock()
@@ -135,8 +178,7 @@
 		if err := sleep(ctx, handshake*n.delay(from, to)); err != nil {
 			return nil, err
 		}
-		var d net.Dialer
-		raw, err := d.DialContext(ctx, proto, address)
+		raw, err := n.wires.dial(ctx, address)
 		if err != nil {
 			return nil, err
 		}
@@ -175,9 +217,13 @@
 	c.in = newPipe(d, n.links[linkKey{to.region, from.region}])
 	n.mu.Lock()
 	n.open[c] = true
+	closed := n.closed
 	n.mu.Unlock()
 	go c.pumpOut()
 	go c.pumpIn()
+	if closed {
+		c.breakOff()
+	}
 	return c
 }
 
@@ -219,6 +265,7 @@
 
 // Write queues b; it blocks while too much is queued.
 func (c *conn) Write(b []byte) (int, error) {
+	c.tell(&transfer{conn: c, from: c.from, to: c.to, data: b})
 	if !c.out.put(append([]byte(nil), b...)) {
 		return 0, net.ErrClosed
 	}
@@ -268,6 +315,12 @@
 	_ = c.Conn.Close()
 }
 
+func (c *conn) tell(t *transfer) {
+	if observe := c.network.observe; observe != nil {
+		observe(t)
+	}
+}
+
 func (c *conn) lost() bool { return c.muted.Load() || c.network.isCut(c.from, c.to) }
 
 func (c *conn) pumpOut() {
@@ -291,6 +344,9 @@
 	for {
 		buf := make([]byte, chunk)
 		n, err := c.Conn.Read(buf)
+		if n > 0 {
+			c.tell(&transfer{conn: c, from: c.to, to: c.from, answer: true, data: buf[:n]})
+		}
 		if n > 0 && !c.lost() && !c.in.put(buf[:n]) {
 			return
 		}
--- a/internal/steering/follower.go
+++ b/internal/steering/follower.go
@@ -25,6 +25,7 @@
 	defaultStoreTimeout     = 3 * time.Second
 	storeBurst              = 20 // calls
 	unreadableRetry         = 30 * time.Second
+	alarmInterval           = time.Minute // between alarms of the same cause
 	jitterShare             = 0.25
 )
 
@@ -36,7 +37,8 @@
 	// default it always does. Others follow their peers, and read the store if these fail.
 	WatchStore func() bool
 	// FetchFromPeers returns the highest configuration above a revision that a peer has, as
-	// FetchRevision answers it; revision 0: none. above 0 asks for the whole.
+	// FetchRevision answers it; revision 0: none. above 0 asks for the whole. It returns an error, for
+	// example *NoPeerError, if no peer answered; without one the peers count as reached.
 	FetchFromPeers func(ctx context.Context, above Revision) ([]byte, Revision, error)
 	// OnRevision is called for each configuration taken up, in order, one call at a time. It must
 	// not call Offer.
@@ -88,6 +90,8 @@
 	last     headAt        // as last read by guard or start
 	failed   PublicationID // the last that could not be read
 	failedAt time.Time
+	behind   PublicationID // of the head that last raised an alarm by being old
+	behindAt time.Time
 }
 
 // NewFollower returns a Follower that has nothing in force yet.
