--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -96,7 +96,6 @@
 	nextTrial     atomic.Int64 // earliest end of an ejection; math.MaxInt64: none
 	nextReview    atomic.Int64
 	median        [steering.ClassCount]atomicFloat // of the servers' latency, nanoseconds
-	tail          [steering.ClassCount]quantile
 
 	mu sync.Mutex // guards writers: Update, drains, ejections and their ends
 }
@@ -121,9 +120,6 @@
 	p.random.seed(p.options.Seed)
 	p.nextTrial.Store(math.MaxInt64)
 	p.snapshot.Store(&snapshot{})
-	for class := range p.tail {
-		p.tail[class].target = hedgeQuantile
-	}
 	return p
 }
 
@@ -142,12 +138,6 @@
 // InFlight returns the attempts in flight from this VM.
 func (p *Pool) InFlight() int { return int(p.inFlight.Load()) }
 
-// HedgeAfter returns the latency that 95% of the attempts of class stay under, as seen lately, or
-// 0 while too few were seen.
-func (p *Pool) HedgeAfter(class steering.Class) time.Duration {
-	return time.Duration(p.tail[class].value())
-}
-
 // Acquire takes a slot of a server, or returns *NoServerError. The slot is held until Done.
 func (p *Pool) Acquire(q Query) (*Reservation, error) {
 	snap := p.snapshot.Load()
--- a/internal/upstream/reservation.go
+++ b/internal/upstream/reservation.go
@@ -83,7 +83,6 @@
 
 func (p *Pool) sample(s *server, class steering.Class, latency float64, at int64) {
 	s.classes[class].sample(latency, sampleLimit*p.median[class].load(), at)
-	p.tail[class].add(latency)
 }
 
 // sampleAtLeast learns from an attempt that was ended before its answer, if it already took longer
--- a/internal/upstream/simulation_test.go
+++ b/internal/upstream/simulation_test.go
@@ -58,6 +58,7 @@
 
 type simEntry struct {
 	pool   *Pool
+	tail   quantile // of the lookups' latency
 	budget *Budget
 	queue  [2][]*lookup // by class
 }
@@ -100,7 +101,7 @@
 		s.fleet = append(s.fleet, &simServer{name: server.Name})
 	}
 	for i := range e.entries {
-		entry := &simEntry{pool: NewPool(e.options(i)), budget: NewBudget(BudgetOptions{})}
+		entry := &simEntry{pool: NewPool(e.options(i)), budget: NewBudget(BudgetOptions{}), tail: quantile{target: hedgeQuantile}}
 		entry.pool.Update(listed(e.servers), start)
 		s.entrances = append(s.entrances, entry)
 	}
@@ -171,7 +172,7 @@
 	}
 	i := slices.IndexFunc(s.fleet, func(f *simServer) bool { return f.name == r.Server.Name })
 	s.send(l, r, s.fleet[i])
-	if after := l.entry.pool.HedgeAfter(steering.ClassInteractive); s.hedges && !hedge && after > 0 && l.class == steering.ClassInteractive {
+	if after := time.Duration(l.entry.tail.value()); s.hedges && !hedge && after > 0 && l.class == steering.ClassInteractive {
 		s.after(after, func() { s.hedge(l) })
 	}
 	return true
@@ -236,6 +237,9 @@
 		return
 	}
 	finish(r, s.now-sent, s.clock())
+	if l.class == steering.ClassInteractive {
+		l.entry.tail.add(float64(s.now - sent))
+	}
 	for class := range l.entry.queue {
 		for q := &l.entry.queue[class]; len(*q) > 0 && s.place((*q)[0], false); {
 			*q = (*q)[1:]
