Give the pacer a burst of 10 ms, so that late timers lose no rate

Timers fire up to milliseconds late, and a bucket of 2 ms, half of it kept for lookups, was full by then. The bound of 90% in each window holds as before, since the burst is taken off the rate.

--- a/internal/link/pacer.go
+++ b/internal/link/pacer.go
@@ -17,7 +17,7 @@
 	maxQuantum  = 64 << 10               // bytes granted at a time at most
 	quantumTime = 125 * time.Microsecond // time at full rate that a quantum takes
 	minBurst    = 64 << 10               // bytes the bucket holds at least
-	burstTime   = 2 * time.Millisecond   // time at full rate that the bucket holds
+	burstTime   = 10 * time.Millisecond  // time at full rate that the bucket holds
 	mbit        = 1e6 / 8                // bytes
 )
 
