--- a/internal/demo/network.go
+++ b/internal/demo/network.go
@@ -4,7 +4,9 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -30,13 +32,27 @@
 // network connects loopback addresses with the delays, link rates and cuts of a deployment.
 type network struct {
 	delays delays
+	wires  transport
 	links  map[linkKey]*wire // fixed after construction
 
 	mu     sync.RWMutex
 	places map[string]place // by host:port
 	cut    map[steering.ZoneName]bool
-	dead   map[string]bool // hosts whose processes were killed
+	dead   map[string]bool          // hosts whose processes were killed
+	paused map[string]chan struct{} // hosts that neither send nor receive; closed when they go on
 	open   map[*conn]bool
+	closed bool
+
+	// observe, if set, is told of every run of bytes that is sent, before it leaves. Set it before use.
+	observe func(sent *transfer)
+}
+
+// transfer is a run of bytes that one end of a connection sends.
+type transfer struct {
+	conn     *conn
+	from, to place
+	answer   bool // sent by the end that accepted the connection
+	data     []byte
 }
 
 type linkKey struct{ from, to steering.RegionName }
@@ -53,16 +69,34 @@
 	peakMax int64     // bytes a second
 }
 
+// transport is what the network's connections are made of.
+type transport interface {
+	listen(address string) (net.Listener, error)
+	dial(ctx context.Context, address string) (net.Conn, error)
+}
+
+// tcp is the transport over loopback addresses.
+type tcp struct{}
+
+func (tcp) listen(address string) (net.Listener, error) { return net.Listen("tcp", address) }
+
+func (tcp) dial(ctx context.Context, address string) (net.Conn, error) {
+	var d net.Dialer
+	return d.DialContext(ctx, "tcp", address)
+}
+
 // bitsPerMbit converts link capacities.
 const bitsPerMbit = 1e6
 
-func newNetwork(p *steering.Platform, d delays) *network {
+func newNetwork(p *steering.Platform, d delays, t transport) *network {
 	n := &network{
+		wires:  t,
 		delays: d,
 		links:  make(map[linkKey]*wire),
 		places: make(map[string]place),
 		cut:    make(map[steering.ZoneName]bool),
 		dead:   make(map[string]bool),
+		paused: make(map[string]chan struct{}),
 		open:   make(map[*conn]bool),
 	}
 	for _, l := range p.Links {
@@ -86,11 +120,50 @@
 }
 
 // silence makes every open connection lose what is sent on it from now on; new ones work.
-func (n *network) silence() {
+func (n *network) silence() { n.silenceIf(func(*conn) bool { return true }) }
+
+// silenceIf silences the open connections that match.
+func (n *network) silenceIf(match func(c *conn) bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for c := range n.open {
-		c.muted.Store(true)
+		if match(c) {
+			c.muted.Store(true)
+		}
+	}
+}
+
+// pause holds back what a host sends and is sent, as while its process is stopped, or lets it go on.
+func (n *network) pause(host string, paused bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	gate := n.paused[host]
+	switch {
+	case paused && gate == nil:
+		n.paused[host] = make(chan struct{})
+	case !paused && gate != nil:
+		close(gate)
+		delete(n.paused, host)
+	}
+}
+
+// awaitResume waits while either end of a connection is paused.
+func (n *network) awaitResume(c *conn) {
+	for {
+		n.mu.RLock()
+		gate := n.paused[c.from.host]
+		if gate == nil {
+			gate = n.paused[c.to.host]
+		}
+		n.mu.RUnlock()
+		if gate == nil {
+			return
+		}
+		select {
+		case <-gate:
+		case <-c.closed:
+			return
+		}
 	}
 }
 
@@ -112,6 +185,24 @@
 	}
 }
 
+// close breaks every connection.
+func (n *network) close() {
+	n.mu.Lock()
+	n.closed = true
+	open := slices.Collect(maps.Keys(n.open))
+	n.mu.Unlock()
+	for _, c := range open {
+		c.breakOff()
+	}
+}
+
+// down reports whether the process on host was killed.
+func (n *network) down(host string) bool {
+	n.mu.RLock()
+	defer n.mu.RUnlock()
+	return n.dead[host]
+}
+
 func (n *network) isDead(from, to place) bool {
 	n.mu.RLock()
 	defer n.mu.RUnlock()
@@ -128,15 +219,13 @@
 			return nil, &net.OpError{Op: "dial", Net: proto, Err: syscall.ECONNREFUSED}
 		}
 		if n.isCut(from, to) {
-			<-ctx.Done()
-			return nil, ctx.Err()
+			return nil, n.timeOut(ctx, proto)
 		}
 		const handshake = 2 // one-way delays
 		if err := sleep(ctx, handshake*n.delay(from, to)); err != nil {
 			return nil, err
 		}
-		var d net.Dialer
-		raw, err := d.DialContext(ctx, proto, address)
+		raw, err := n.wires.dial(ctx, address)
 		if err != nil {
 			return nil, err
 		}
@@ -144,6 +233,15 @@
 	}
 }
 
+// timeOut waits as long as a connection attempt without any answer does, and returns its error.
+func (n *network) timeOut(ctx context.Context, proto string) error {
+	const connectTimeout = time.Second
+	if err := sleep(ctx, connectTimeout); err != nil {
+		return err
+	}
+	return &net.OpError{Op: "dial", Net: proto, Err: syscall.ETIMEDOUT}
+}
+
 func (n *network) isCut(from, to place) bool {
 	if from.caller && from.region == to.region || from.zone == to.zone {
 		return false
@@ -175,9 +273,13 @@
 	c.in = newPipe(d, n.links[linkKey{to.region, from.region}])
 	n.mu.Lock()
 	n.open[c] = true
+	closed := n.closed
 	n.mu.Unlock()
 	go c.pumpOut()
 	go c.pumpIn()
+	if closed {
+		c.breakOff()
+	}
 	return c
 }
 
@@ -219,6 +321,7 @@
 
 // Write queues b; it blocks while too much is queued.
 func (c *conn) Write(b []byte) (int, error) {
+	c.tell(&transfer{conn: c, from: c.from, to: c.to, data: b})
 	if !c.out.put(append([]byte(nil), b...)) {
 		return 0, net.ErrClosed
 	}
@@ -268,6 +371,12 @@
 	_ = c.Conn.Close()
 }
 
+func (c *conn) tell(t *transfer) {
+	if observe := c.network.observe; observe != nil {
+		observe(t)
+	}
+}
+
 func (c *conn) lost() bool { return c.muted.Load() || c.network.isCut(c.from, c.to) }
 
 func (c *conn) pumpOut() {
@@ -277,6 +386,7 @@
 		if !ok {
 			return
 		}
+		c.network.awaitResume(c)
 		if c.lost() {
 			continue
 		}
@@ -291,6 +401,10 @@
 	for {
 		buf := make([]byte, chunk)
 		n, err := c.Conn.Read(buf)
+		if n > 0 {
+			c.tell(&transfer{conn: c, from: c.to, to: c.from, answer: true, data: buf[:n]})
+		}
+		c.network.awaitResume(c)
 		if n > 0 && !c.lost() && !c.in.put(buf[:n]) {
 			return
 		}
--- a/internal/steering/follower.go
+++ b/internal/steering/follower.go
@@ -18,12 +18,14 @@
 const (
 	defaultStoreCallsPerMin = 240
 	defaultGuardPoll        = 2 * time.Second
+	startPoll               = 500 * time.Millisecond // while nothing is in force yet
 	defaultPeerPoll         = 2 * time.Second
 	defaultStoreFallback    = 10 * time.Second
 	defaultPeerTimeout      = 2 * time.Second
 	defaultStoreTimeout     = 3 * time.Second
 	storeBurst              = 20 // calls
 	unreadableRetry         = 30 * time.Second
+	alarmInterval           = time.Minute // between alarms of the same cause
 	jitterShare             = 0.25
 )
 
@@ -35,7 +37,8 @@
 	// default it always does. Others follow their peers, and read the store if these fail.
 	WatchStore func() bool
 	// FetchFromPeers returns the highest configuration above a revision that a peer has, as
-	// FetchRevision answers it; revision 0: none. above 0 asks for the whole.
+	// FetchRevision answers it; revision 0: none. above 0 asks for the whole. It returns an error, for
+	// example *NoPeerError, if no peer answered; without one the peers count as reached.
 	FetchFromPeers func(ctx context.Context, above Revision) ([]byte, Revision, error)
 	// OnRevision is called for each configuration taken up, in order, one call at a time. It must
 	// not call Offer.
@@ -84,8 +87,11 @@
 
 	mu       sync.Mutex // guards what follows
 	status   Status
+	last     headAt        // as last read by guard or start
 	failed   PublicationID // the last that could not be read
 	failedAt time.Time
+	behind   PublicationID // of the head that last raised an alarm by being old
+	behindAt time.Time
 }
 
 // NewFollower returns a Follower that has nothing in force yet.
@@ -130,6 +136,9 @@
 // Run follows store and peers until ctx ends and then returns nil.
 func (f *Follower) Run(ctx context.Context) error {
 	f.fetchFromPeers(ctx)
+	if f.Current() == nil && f.options.Store != nil {
+		_, _ = f.readStore(ctx) // status tells why it failed; the loops go on
+	}
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { f.followPeers(ctx); return nil })
 	if f.options.Store != nil {
@@ -139,6 +148,14 @@
 	return group.Wait()
 }
 
+// interval returns d, shortened while nothing is in force yet.
+func (f *Follower) interval(d time.Duration) time.Duration {
+	if f.Current() == nil {
+		return min(d, startPoll)
+	}
+	return d
+}
+
 // pause waits for about d, jittered, or until ctx ends, and reports whether ctx goes on.
 func pause(ctx context.Context, d time.Duration) bool {
 	spread := 1 + jitterShare*(2*rand.Float64()-1)
--- a/internal/steering/followstatus.go
+++ b/internal/steering/followstatus.go
@@ -54,7 +54,8 @@
 const (
 	// AlarmStoreBehind: the store's head is older than what is in force (restored, stale read).
 	AlarmStoreBehind AlarmKind = "store-behind"
-	// AlarmForked: the store's head has the revision in force with another content.
+	// AlarmForked: the store's head has the revision in force with another content, or a higher one
+	// that was taken up does not go on from the one before. Changes of that one may be missing.
 	AlarmForked AlarmKind = "forked"
 	// AlarmUnreadable: a revision cannot be read; the one before stays in force.
 	AlarmUnreadable AlarmKind = "unreadable"
@@ -70,7 +71,7 @@
 
 // Error implements error, so that an alarm can be logged as one.
 func (a Alarm) Error() string {
-	return fmt.Sprintf("%s: revision %d stays in force, other revision %d %s", a.Kind, a.InForce, a.Other, a.Reason)
+	return fmt.Sprintf("%s: revision %d is in force, other revision %d %s", a.Kind, a.InForce, a.Other, a.Reason)
 }
 
 // Status returns what the follower knows of itself.
@@ -140,15 +141,35 @@
 
 // noteBehind notes a head that is not the one in force, and raises the alarm when that begins.
 func (f *Follower) noteBehind(kind AlarmKind, h *head, have *Configuration) {
+	if !f.setBehind(h) {
+		return
+	}
+	f.options.OnAlarm(Alarm{Kind: kind, InForce: have.Revision, Other: h.Revision, Reason: twoPublications(h, have)})
+}
+
+// alarmForked says that h was taken up although it does not go on from what was in force.
+func (f *Follower) alarmForked(h *head, had *Configuration) {
+	f.options.OnAlarm(Alarm{Kind: AlarmForked, InForce: h.Revision, Other: had.Revision, Reason: twoPublications(h, had)})
+}
+
+func twoPublications(h *head, had *Configuration) string {
+	return "store: " + string(h.Publication) + ", in force before: " + string(had.Publication)
+}
+
+// setBehind sets the status for a head that went back and reports whether the alarm is due: not again
+// within a while for the same head, which a store with lagging replicas shows now and then.
+func (f *Follower) setBehind(h *head) bool {
 	f.mu.Lock()
+	defer f.mu.Unlock()
 	if b := f.status.StoreBehind; b != nil && b.Head == h.Revision {
-		f.mu.Unlock()
-		return
+		return false
 	}
 	f.status.StoreBehind = &StoreBehind{Head: h.Revision, Since: utcNow()}
-	f.mu.Unlock()
-	reason := "store: " + string(h.Publication) + ", in force: " + string(have.Publication)
-	f.options.OnAlarm(Alarm{Kind: kind, InForce: have.Revision, Other: h.Revision, Reason: reason})
+	if f.behind == h.Publication && time.Since(f.behindAt) < alarmInterval {
+		return false
+	}
+	f.behind, f.behindAt = h.Publication, time.Now()
+	return true
 }
 
 // noteSound notes a head that agrees with what is in force or is above it.
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -21,11 +21,11 @@
 	Service steering.ServiceName
 	Zone    steering.ZoneName
 	Policy  Policy
-	Seed    uint64 // of the random choices
+	Seed    uint64 // of the random choices; 0: not repeatable
 
 	Warmup        time.Duration // a new or restarted server gets its slots over this time
 	Floor         float64       // share of the servers that ejection leaves in use, 0 to 1
-	Reserve       float64       // share of a server's slots kept for interactive work, 0 to 1
+	Reserve       float64       // slots kept for interactive work above its mean, in square roots of the mean; negative: none kept
 	HedgeRoom     float64       // share of all slots above which no hedge is placed, 0 to 1
 	SlowFactor    float64       // latency as a multiple of the median that ejects a server
 	SlowMargin    time.Duration // latency above the median that it takes besides SlowFactor
@@ -46,7 +46,7 @@
 	setDefault(&o.Policy, PolicyLeastLoaded)
 	setDefault(&o.Warmup, 10*time.Second)
 	setDefault(&o.Floor, 0.5)
-	setDefault(&o.Reserve, 0.2)
+	setDefault(&o.Reserve, 1)
 	setDefault(&o.HedgeRoom, 0.8)
 	setDefault(&o.SlowFactor, 4)
 	setDefault(&o.SlowMargin, 5*time.Millisecond)
@@ -83,18 +83,26 @@
 	selector selector
 	snapshot atomic.Pointer[snapshot]
 	share    atomicFloat // part of each server's slots that this VM may use
-	inFlight atomic.Int64
 	random   randomSource
 
+	_        cacheLine // what each decision writes lies apart from what it reads
+	inFlight atomic.Int64
+	lower    atomic.Int64 // in flight, but not interactive
+	_        cacheLine
+
 	interactiveAt atomic.Int64 // last interactive query, to the tenth of a second
+	interactive   atomicFloat  // mean of interactive work in flight, as queries found it
+	usableSlots   atomic.Int64 // of the servers in use
 	nextTrial     atomic.Int64 // earliest end of an ejection; math.MaxInt64: none
 	nextReview    atomic.Int64
 	median        [steering.ClassCount]atomicFloat // of the servers' latency, nanoseconds
-	tail          [steering.ClassCount]quantile
 
 	mu sync.Mutex // guards writers: Update, drains, ejections and their ends
 }
 
+// cacheLine keeps fields on different lines of a processor's cache.
+type cacheLine [64]byte
+
 // snapshot is an immutable list of servers; their counters are atomics.
 type snapshot struct {
 	epoch   time.Time // origin of the times kept as nanoseconds
@@ -109,12 +117,9 @@
 	p := &Pool{options: options.withDefaults()}
 	p.selector = newSelector(p.options.Policy)
 	p.share.store(1)
-	p.random.state.Store(p.options.Seed)
+	p.random.seed(p.options.Seed)
 	p.nextTrial.Store(math.MaxInt64)
 	p.snapshot.Store(&snapshot{})
-	for class := range p.tail {
-		p.tail[class].target = hedgeQuantile
-	}
 	return p
 }
 
@@ -128,25 +133,11 @@
 }
 
 // Slots returns the slots that this VM may use now over all servers in use.
-func (p *Pool) Slots() int {
-	total := 0
-	for _, s := range p.snapshot.Load().servers {
-		if !s.leaving() && !s.ejected() {
-			total += int(s.slots)
-		}
-	}
-	return int(float64(total) * p.share.load())
-}
+func (p *Pool) Slots() int { return int(float64(p.usableSlots.Load()) * p.share.load()) }
 
 // InFlight returns the attempts in flight from this VM.
 func (p *Pool) InFlight() int { return int(p.inFlight.Load()) }
 
-// HedgeAfter returns the latency that 95% of the attempts of class stay under, as seen lately, or
-// 0 while too few were seen.
-func (p *Pool) HedgeAfter(class steering.Class) time.Duration {
-	return time.Duration(p.tail[class].value())
-}
-
 // Acquire takes a slot of a server, or returns *NoServerError. The slot is held until Done.
 func (p *Pool) Acquire(q Query) (*Reservation, error) {
 	snap := p.snapshot.Load()
@@ -160,7 +151,10 @@
 		s, trial = p.take(&v), false
 	}
 	if s == nil {
-		p.inFlight.Add(-1)
+		s = p.takeLast(&v)
+	}
+	if s == nil {
+		p.giveTotal(q.Class)
 		return nil, v.refuse()
 	}
 	s.begin(q.Class, v.now)
@@ -171,35 +165,70 @@
 	return r, nil
 }
 
-// noteClass remembers that interactive work is about, for which slots are then reserved.
+// noteClass follows how much interactive work is about, for which slots are then reserved.
 func (p *Pool) noteClass(v *view) {
 	const step = int64(100 * time.Millisecond)
 	const memory = int64(10 * time.Second)
+	const sampleEvery = 8
+	const weight = 0.08 // of a new sample in the mean
 	last := p.interactiveAt.Load()
-	if v.query.Class == steering.ClassInteractive {
-		if v.now-last > step {
-			p.interactiveAt.Store(v.now)
-		}
+	if v.query.Class != steering.ClassInteractive {
+		v.reserve = p.options.Reserve >= 0 && last != 0 && v.now-last < memory
+		return
+	}
+	if v.now-last > step {
+		p.interactiveAt.Store(v.now)
+	}
+	if p.random.intn(sampleEvery) != 0 {
 		return
 	}
-	v.reserve = last != 0 && v.now-last < memory
+	inFlight := float64(p.inFlight.Load() - p.lower.Load())
+	p.interactive.update(func(mean float64) float64 { return mean + weight*(inFlight-mean) })
 }
 
 // takeTotal counts the attempt against this VM's part of all slots.
 func (p *Pool) takeTotal(v *view) bool {
-	n := p.inFlight.Add(1)
 	allowed := float64(v.snap.slots) * v.share
 	if v.query.Hedge {
 		allowed *= p.options.HedgeRoom
 	}
-	if float64(n) <= max(allowed, 1) {
+	if !takeBelow(&p.inFlight, allowed) {
+		v.full = true
+		return false
+	}
+	if v.query.Class == steering.ClassInteractive {
 		return true
 	}
-	p.inFlight.Add(-1)
-	v.full = true
+	allowed = float64(v.snap.slots) * v.share
+	if v.reserve {
+		mean := p.interactive.load()
+		allowed -= max(math.Floor(mean+p.options.Reserve*math.Sqrt(mean)), 1)
+	}
+	if !takeBelow(&p.lower, allowed) {
+		p.inFlight.Add(-1)
+		v.full = true
+		return false
+	}
+	return true
+}
+
+// takeBelow counts one more unless that is above allowed; a first one always is allowed.
+func takeBelow(count *atomic.Int64, allowed float64) bool {
+	if float64(count.Add(1)) <= max(allowed, 1) {
+		return true
+	}
+	count.Add(-1)
 	return false
 }
 
+// giveTotal undoes takeTotal.
+func (p *Pool) giveTotal(class steering.Class) {
+	if class != steering.ClassInteractive {
+		p.lower.Add(-1)
+	}
+	p.inFlight.Add(-1)
+}
+
 // take lets the policy choose until a chosen server has a slot; at last it tries each server.
 func (p *Pool) take(v *view) *server {
 	const tries = 3
--- a/internal/upstream/reservation.go
+++ b/internal/upstream/reservation.go
@@ -32,7 +32,7 @@
 	p, s := r.pool, r.server
 	at := int64(now.Sub(r.epoch))
 	s.end(r.class, r.start)
-	p.inFlight.Add(-1)
+	p.giveTotal(r.class)
 	if result.Load != nil {
 		p.observe(s, *result.Load, at)
 	}
@@ -83,7 +83,6 @@
 
 func (p *Pool) sample(s *server, class steering.Class, latency float64, at int64) {
 	s.classes[class].sample(latency, sampleLimit*p.median[class].load(), at)
-	p.tail[class].add(latency)
 }
 
 // sampleAtLeast learns from an attempt that was ended before its answer, if it already took longer
