--- a/internal/lookup/rank.go
+++ b/internal/lookup/rank.go
@@ -106,52 +106,41 @@
 	return uint64(math.Float32bits(score))<<placeBits | uint64(uint32(place))
 }
 
-// bestIn returns the best VM of a zone for key, and the next best of its group; -1 for none.
+// bestIn returns the best VM of a zone for key, and the next best; -1 for none.
 func (s *snapshot) bestIn(zone int32, key uint64) (first, second int32) {
-	g := s.zones[zone].choose(key)
-	if len(g.vms) == 1 {
-		return g.vms[0].index, -1
-	}
-	if g.uniform {
-		return g.bestOfEqual(key)
-	}
-	return g.best(key)
+	z := &s.zones[zone]
+	switch {
+	case len(z.vms) == 1:
+		return z.vms[0].index, -1
+	case z.slots != nil:
+		return z.fromSlots(fold(key, z.salt))
+	case z.uniform:
+		return z.bestOfEqual(key)
+	}
+	return z.best(key)
 }
 
-func (g *group) best(key uint64) (first, second int32) {
+func (z *zone) best(key uint64) (first, second int32) {
 	least, next := uint64(math.MaxUint64), uint64(math.MaxUint64)
-	for i := range g.vms {
-		v := &g.vms[i]
+	for i := range z.vms {
+		v := &z.vms[i]
 		score := packed(exponential(fold(key, v.salt))*v.inverse, i)
 		next = min(next, max(least, score))
 		least = min(least, score)
 	}
-	return g.vms[uint32(least)].index, g.vms[uint32(next)].index
+	return z.vms[uint32(least)].index, z.vms[uint32(next)].index
 }
 
 // bestOfEqual is best where all weights are the same: the order of the hashes is that of the scores.
-func (g *group) bestOfEqual(key uint64) (first, second int32) {
-	const places = 1<<16 - 1
+func (z *zone) bestOfEqual(key uint64) (first, second int32) {
+	const places = weighedVMs - 1
 	least, next := uint64(math.MaxUint64), uint64(math.MaxUint64)
-	for i := range g.vms {
-		score := fold(key, g.vms[i].salt)&^places | uint64(i)
+	for i := range z.vms {
+		score := fold(key, z.vms[i].salt)&^places | uint64(i)
 		next = min(next, max(least, score))
 		least = min(least, score)
 	}
-	return g.vms[least&places].index, g.vms[next&places].index
-}
-
-// choose returns the best group for key.
-func (z *zone) choose(key uint64) *group {
-	if len(z.groups) == 1 {
-		return &z.groups[0]
-	}
-	least := uint64(math.MaxUint64)
-	for i := range z.groups {
-		g := &z.groups[i]
-		least = min(least, packed(exponential(fold(key, g.salt))*g.inverse, i))
-	}
-	return &z.groups[uint32(least)]
+	return z.vms[least&places].index, z.vms[next&places].index
 }
 
 // add adds a VM to d if there is one and room for it.
--- a/internal/lookup/snapshot.go
+++ b/internal/lookup/snapshot.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 
@@ -39,17 +38,9 @@
 	region   steering.RegionName
 	salt     uint64
 	vms      []candidate
-	groups   []group
-	capacity float64 // requests/s, in the unit of View.Demand
-}
-
-// group is a part of the VMs of a zone. Choosing a group first and a VM of it then takes far fewer
-// hashes than weighing all VMs of a large zone.
-type group struct {
-	vms     []candidate
-	inverse float32 // 1/sum of weights
-	salt    uint64
-	uniform bool // all VMs have the same weight
+	slots    []uint16 // into vms; nil for a zone with few VMs
+	uniform  bool     // all VMs have the same weight
+	capacity float64  // requests/s, in the unit of View.Demand
 }
 
 // candidate is a VM in a choice by weighted rendezvous hashing.
@@ -160,30 +151,19 @@
 		z.capacity += limits[i]
 	}
 	for i := range b.snap.zones {
-		b.snap.zones[i].group()
+		b.snap.zones[i].prepare()
 	}
 	b.filled = make([]float64, len(b.snap.zones))
 }
 
-// group splits the VMs of z into about as many groups as each of them has VMs. The groups of a VM
-// stay the same while others come and go, unless the number of groups changes.
-func (z *zone) group() {
-	n := max(1, int(math.Round(math.Sqrt(float64(len(z.vms))/2))))
-	z.groups = make([]group, n)
+// prepare makes z ready for choices among its VMs.
+func (z *zone) prepare() {
+	z.uniform = true
 	for _, v := range z.vms {
-		g := &z.groups[v.salt%uint64(n)]
-		g.vms = append(g.vms, v)
-		g.inverse += 1 / v.inverse
+		z.uniform = z.uniform && v.inverse == z.vms[0].inverse
 	}
-	z.groups = slices.DeleteFunc(z.groups, func(g group) bool { return len(g.vms) == 0 })
-	for i := range z.groups {
-		g := &z.groups[i]
-		g.inverse = 1 / g.inverse
-		g.uniform = true
-		for _, v := range g.vms {
-			g.uniform = g.uniform && v.inverse == g.vms[0].inverse
-		}
-		g.salt = mix(z.salt, uint64(i))
+	if len(z.vms) > weighedVMs {
+		z.slots = fillSlots(z.vms)
 	}
 }
 
