--- a/internal/lookup/scale_test.go
+++ b/internal/lookup/scale_test.go
@@ -85,13 +85,15 @@
 	for _, s := range sizes {
 		b.Run(fmt.Sprintf("vms=%d/blocks=%d", s.vms, s.blocks), func(b *testing.B) {
 			sites, view := s.table(b)
+			now := time.Now() // with its monotonic clock, as in a daemon
+			view.LearnedAt = now
 			table := NewTable(Options{Sites: sites})
 			table.Update(view)
 			random := rand.New(rand.NewPCG(3, 4))
 			queries := make([]Query, 1<<16)
 			for i := range queries {
 				region := view.Platform.Regions[random.IntN(s.regions)].Name
-				queries[i] = Query{Service: "certdesk", Origin: region, Block: Block(random.IntN(ListedBlocks)), Now: start}
+				queries[i] = Query{Service: "certdesk", Origin: region, Block: Block(random.IntN(ListedBlocks)), Now: now}
 			}
 			b.ReportAllocs()
 			i := 0
--- a/internal/lookup/snapshot.go
+++ b/internal/lookup/snapshot.go
@@ -88,13 +88,28 @@
 	delays  map[regionPair]time.Duration
 	blocks  map[steering.ZoneName]int // listed, by the zone nearest to them
 	filled  []float64                 // requests/s by zone
+	earlier *snapshot                 // nil for the first
 }
 
-func build(view *View, options *Options, sites *Sites) *snapshot {
+// zoneByName returns the zone called name, or nil.
+func (s *snapshot) zoneByName(name steering.ZoneName) *zone {
+	if s == nil {
+		return nil
+	}
+	for i := range s.zones {
+		if s.zones[i].name == name {
+			return &s.zones[i]
+		}
+	}
+	return nil
+}
+
+func build(view *View, options *Options, sites *Sites, earlier *snapshot) *snapshot {
 	b := &builder{
 		view:    view,
 		options: options,
 		sites:   sites,
+		earlier: earlier,
 		snap:    &snapshot{revision: view.Revision, learnedAt: view.LearnedAt, sites: sites, home: -1},
 		byName:  make(map[steering.ZoneName]int32),
 		delays:  make(map[regionPair]time.Duration, len(view.Platform.Links)),
@@ -151,22 +166,43 @@
 		z.capacity += limits[i]
 	}
 	for i := range b.snap.zones {
-		b.snap.zones[i].prepare()
+		b.snap.zones[i].prepare(b.earlier.zoneByName(b.snap.zones[i].name))
 	}
 	b.filled = make([]float64, len(b.snap.zones))
 }
 
-// prepare makes z ready for choices among its VMs.
-func (z *zone) prepare() {
+// prepare makes z ready for choices among its VMs. It takes over the slots of an earlier state of the
+// zone with the same VMs and weights.
+func (z *zone) prepare(earlier *zone) {
 	z.uniform = true
 	for _, v := range z.vms {
 		z.uniform = z.uniform && v.inverse == z.vms[0].inverse
 	}
-	if len(z.vms) > weighedVMs {
+	switch {
+	case len(z.vms) <= weighedVMs:
+	case earlier != nil && z.sameVMs(earlier):
+		z.slots = earlier.slots
+	default:
 		z.slots = fillSlots(z.vms)
 	}
 }
 
+// sameVMs tells whether the VMs of z and their relative weights are those of other.
+func (z *zone) sameVMs(other *zone) bool {
+	const same = 0.02 // of a weight
+	if len(z.vms) != len(other.vms) {
+		return false
+	}
+	for i := range z.vms {
+		a, b := &z.vms[i], &other.vms[i]
+		now, then := a.inverse/z.vms[0].inverse, b.inverse/other.vms[0].inverse
+		if a.salt != b.salt || now > then*(1+same) || now < then*(1-same) {
+			return false
+		}
+	}
+	return true
+}
+
 func (b *builder) zoneIndex(name steering.ZoneName) int32 {
 	if i, known := b.byName[name]; known {
 		return i
--- a/internal/lookup/table.go
+++ b/internal/lookup/table.go
@@ -58,7 +58,9 @@
 }
 
 // Update replaces what is known of entry VMs.
-func (t *Table) Update(view View) { t.current.Store(build(&view, &t.options, t.options.Sites)) }
+func (t *Table) Update(view View) {
+	t.current.Store(build(&view, &t.options, t.options.Sites, t.current.Load()))
+}
 
 // Decide returns which entry VMs a caller should use, best first. It allocates nothing.
 func (t *Table) Decide(q Query) Decision {
