review, lookup: carry lost counts, save budget, rank plans before requests; utilization without demand

A VM's carried rate was compared with demand in another unit where no demand is given, so a full VM kept its callers.

--- a/internal/lookup/scale_test.go
+++ b/internal/lookup/scale_test.go
@@ -169,7 +169,11 @@
 		table.Update(left)
 		callers := make(map[string]int)
 		total := 0
+		const oneOf = 8 // blocks looked up
 		for p := range s.placed() {
+			if p.Block%oneOf != 0 {
+				continue
+			}
 			d := table.Decide(Query{Service: "certdesk", Block: p.Block, Now: start})
 			callers[string(d.Entries[0].Zone)]++
 			total++
--- a/internal/lookup/snapshot.go
+++ b/internal/lookup/snapshot.go
@@ -222,6 +222,10 @@
 func (b *builder) limits(vms []VMView) []float64 {
 	total := b.totalDemand()
 	mean := total / float64(max(1, len(vms)))
+	carried := 0.0
+	for _, v := range vms {
+		carried += v.Carried
+	}
 	limits := make([]float64, len(vms))
 	sum := 0.0
 	for i, v := range vms {
@@ -230,7 +234,8 @@
 			limits[i] = min(limits[i], v.Capacity)
 		}
 		if over := v.Utilization / fullUtilization; over > 1 {
-			limits[i] = min(limits[i], max(v.Carried, mean/2)/over)
+			part := total * v.Carried / max(carried, 1e-9)
+			limits[i] = min(limits[i], max(part, mean/2)/over)
 		}
 		sum += limits[i]
 	}
--- a/internal/review/accumulator.go
+++ b/internal/review/accumulator.go
@@ -49,7 +49,7 @@
 
 func (t *tally) add(r *Record) {
 	t.records++
-	if rank(r) != rankRoutine {
+	if rank(r) <= rankRefusal {
 		return
 	}
 	if len(t.slowest) < samplesSlowest {
--- a/internal/review/explain_test.go
+++ b/internal/review/explain_test.go
@@ -120,3 +120,24 @@
 		}
 	})
 }
+
+// The plan that a request followed is found behind thousands of routine records.
+func TestPlanIsFoundBehindManyRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(2)
+		l := f.nodes[0].log
+		l.Record(&Record{Kind: KindPlan, Service: "certdesk", PlanEpoch: 88, Result: "batinah 0.6, muscat 0.4"})
+		var id ID
+		for range 8000 {
+			id = request(l, "certdesk", "u1", outcomeDone, time.Millisecond)
+			time.Sleep(time.Millisecond)
+		}
+		story, err := Explain(t.Context(), f.sources(nil), id)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if story.Steps[0].Role != RoleBasis || story.Steps[0].Record.Kind != KindPlan {
+			t.Errorf("first step %+v", story.Steps[0])
+		}
+	})
+}
--- a/internal/review/line.go
+++ b/internal/review/line.go
@@ -15,7 +15,7 @@
 		return
 	}
 	if !debugEnabled(logger) {
-		records = slices.DeleteFunc(records, func(r *Record) bool { return rank(r) == rankRoutine })
+		records = slices.DeleteFunc(records, func(r *Record) bool { return rank(r) > rankRefusal })
 	}
 	sortByTime(records)
 	for _, r := range records {
@@ -25,7 +25,7 @@
 
 func writeLine(logger logrus.FieldLogger, r *Record) {
 	entry := logger.WithFields(lineFields(r))
-	if rank(r) == rankRoutine {
+	if rank(r) > rankRefusal {
 		entry.Debug(string(r.Kind))
 		return
 	}
--- a/internal/review/mirror.go
+++ b/internal/review/mirror.go
@@ -40,13 +40,17 @@
 	bytes       int            // in pending
 	buffer      []*Record      // of the last read
 	dropped     uint64         // records lost since the last batch
+	sampledOut  int            // records counted only, of batches that were dropped
+	budget      float64        // bytes that may be sent now
 	recordBytes float64        // compressed size of a record, running mean
 	last        time.Time      // up to when batches were cut
 }
 
 type pendingBatch struct {
-	data    []byte
-	records int
+	data       []byte
+	records    int
+	dropped    uint64 // records that its coverage calls lost
+	sampledOut int    // records that its coverage calls counted only
 }
 
 // NewMirror returns a Mirror of what o.Log records from now on.
@@ -63,6 +67,7 @@
 	return &Mirror{
 		options:     o,
 		cursor:      o.Log.cursor(),
+		budget:      float64(o.BytesPerSec),
 		recordBytes: initialRecordBytes,
 		last:        time.Now(),
 	}
@@ -94,7 +99,10 @@
 	if len(records) == 0 && now.Sub(m.last) < mirrorHeartbeat {
 		return
 	}
-	chosen, sampledOut := m.choose(records, now.Sub(m.last))
+	m.refill(now.Sub(m.last))
+	chosen, sampledOut := m.choose(records)
+	sampledOut += m.sampledOut
+	m.sampledOut = 0
 	for first := true; first || len(chosen) > 0; first = false {
 		part := chosen[:min(len(chosen), maxBatchRecords)]
 		chosen = chosen[len(part):]
@@ -116,19 +124,29 @@
 		m.drop("mirror", whole)
 		return
 	}
+	carried := m.dropped
 	m.dropped = 0
 	m.drop("mirror", whole-len(batch.Records))
+	m.budget -= float64(len(data))
 	log.history.add(data, batch.Coverage)
 	m.learnSize(len(data), len(batch.Records))
-	m.pending = append(m.pending, pendingBatch{data: data, records: len(batch.Records)})
+	m.pending = append(m.pending, pendingBatch{
+		data: data, records: len(batch.Records), dropped: carried, sampledOut: sampledOut,
+	})
 	m.bytes += len(data)
 	m.trim()
 }
 
+// refill adds the budget of a time, up to that of a second.
+func (m *Mirror) refill(since time.Duration) {
+	rate := float64(m.options.BytesPerSec)
+	m.budget = min(rate, m.budget+rate*since.Seconds())
+}
+
 // choose returns the records that go into a batch for the time since the last one, and how many
 // routine ones do not.
-func (m *Mirror) choose(records []*Record, since time.Duration) ([]*Record, int) {
-	budget := int(float64(m.options.BytesPerSec) * since.Seconds() / m.recordBytes)
+func (m *Mirror) choose(records []*Record) ([]*Record, int) {
+	budget := int(max(0, m.budget) / m.recordBytes)
 	if len(records) <= budget {
 		return records, 0
 	}
@@ -148,7 +166,8 @@
 	return chosen, len(records) - len(chosen)
 }
 
-// sampled tells whether r is in the sample of share; a request and its attempts are in it together.
+// sampled tells whether r is in the sample of share; a request and its attempts are in it together,
+// unless they end in different batches while the share changes.
 func sampled(r *Record, share float64) bool {
 	root := r.ID
 	if r.Parent != "" {
@@ -169,8 +188,11 @@
 // trim drops the oldest batches above the bound.
 func (m *Mirror) trim() {
 	for m.bytes > m.options.PendingBytes && len(m.pending) > 1 {
-		m.drop("mirror", m.pending[0].records)
-		m.bytes -= len(m.pending[0].data)
+		lost := &m.pending[0]
+		m.drop("mirror", lost.records)
+		m.dropped += lost.dropped
+		m.sampledOut += lost.sampledOut
+		m.bytes -= len(lost.data)
 		m.pending = m.pending[1:]
 	}
 }
--- a/internal/review/rank.go
+++ b/internal/review/rank.go
@@ -13,6 +13,7 @@
 const (
 	rankChange  = iota // what changed how the system steers
 	rankRefusal        // what a caller did not get
+	rankBasis          // what many requests rest on; counted, with samples
 	rankRoutine        // all else; counted, with samples
 )
 
@@ -27,5 +28,8 @@
 	if r.Outcome == outcomeUnknown || r.Outcome == outcomeNotRun {
 		return rankRefusal
 	}
+	if r.Kind == KindPlan || r.Kind == KindGrant {
+		return rankBasis
+	}
 	return rankRoutine
 }
