--- a/internal/demo/load.go
+++ b/internal/demo/load.go
@@ -109,7 +109,7 @@
 // run sends requests at random moments, whatever became of earlier ones, until ctx ends, and waits
 // for the answers.
 func (f *flow) run(ctx context.Context, t *tally) {
-	random := rand.New(rand.NewPCG(f.seed, 1))
+	random := newRandom(f.seed)
 	var calls sync.WaitGroup
 	defer calls.Wait()
 	if f.perSecond <= 0 {
@@ -226,6 +226,8 @@
 	}
 }
 
+func newRandom(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, 1)) }
+
 // logNormal returns a factor whose median is 1.
 func logNormal(random *rand.Rand) float64 {
 	return math.Exp(serviceSpread * random.NormFloat64())
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -64,6 +64,9 @@
 // Revision returns the revision in force on this VM, 0 while there is none.
 func (d *Daemon) Revision() steering.Revision { return d.parts.Follower.Revision() }
 
+// Records returns the decision records of this VM.
+func (d *Daemon) Records() *review.Log { return d.parts.Records }
+
 // Cut returns how many requests were still in flight when a planned stop ended its wait for them.
 func (d *Daemon) Cut() int64 { return d.cut.Load() }
 
