steering: a change too large for one value is published whole

A publication that changed everything of a large configuration at once would have been refused, as its delta is above the store's limit for a value. Shown with 1,800 services whose paths do not compress (TestLargeConfigurationIsPublishedInChunks).

--- a/internal/steering/commit.go
+++ b/internal/steering/commit.go
@@ -18,7 +18,7 @@
 	}
 	h, err := r.writeParts(ctx, b, next, encoded)
 	if err != nil {
-		r.clean(ctx, ownKeys(b, p))
+		r.clean(ctx, ownKeys(p))
 		return true, r.lost(err)
 	}
 	return r.moveHead(ctx, b, h, p)
@@ -37,12 +37,19 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	if len(encoded) > kv.MaxValueBytes {
-		return nil, nil, &EncodingError{Fault: FaultSize}
-	}
 	return next, encoded, nil
 }
 
+// needsWhole reports whether a change cannot be published as a delta: there is nothing that it could
+// go on from, or it is too large for a value or for its readers.
+func needsWhole(b basis, encoded []byte) bool {
+	if b.state.configuration.Revision == 0 || len(encoded) > kv.MaxValueBytes {
+		return true
+	}
+	_, err := decodeDelta(encoded)
+	return err != nil
+}
+
 // writeParts writes everything that the new head refers to, and returns that head.
 func (r *publishRun) writeParts(ctx context.Context, b basis, next *state, encoded []byte) (*head, error) {
 	c := next.configuration
@@ -54,7 +61,7 @@
 		Digest:      next.digests.all(),
 		Snapshot:    b.head.Snapshot,
 	}
-	if b.state.configuration.Revision == 0 {
+	if needsWhole(b, encoded) {
 		var err error
 		h.Snapshot, err = r.writeSnapshot(ctx, b, next)
 		return h, err
@@ -158,18 +165,18 @@
 		return true, nil
 	case !errors.As(err, &conflict):
 		if !uncertain {
-			r.clean(ctx, ownKeys(b, p))
+			r.clean(ctx, ownKeys(p))
 		}
 		return true, r.lost(err)
 	case uncertain:
-		return r.settleConflict(ctx, b, p)
+		return r.settleConflict(ctx, p)
 	}
-	r.clean(ctx, ownKeys(b, p))
+	r.clean(ctx, ownKeys(p))
 	return false, nil
 }
 
 // settleConflict finds out whether an uncertain try moved the head that is now at another version.
-func (r *publishRun) settleConflict(ctx context.Context, b basis, p publication) (bool, error) {
+func (r *publishRun) settleConflict(ctx context.Context, p publication) (bool, error) {
 	verdict, err := r.publisher.look(ctx, p)
 	switch {
 	case err != nil:
@@ -181,16 +188,14 @@
 		return true, r.lost(&StaleReadError{Expected: p.replaces})
 	}
 	r.tried = slices.DeleteFunc(r.tried, func(tried publication) bool { return tried == p })
-	r.clean(ctx, ownKeys(b, p))
+	r.clean(ctx, ownKeys(p))
 	return false, nil
 }
 
-// ownKeys returns the keys that only this try wrote. A snapshot of b's state may belong to others too.
-func ownKeys(b basis, p publication) []string {
-	if b.state.configuration.Revision == 0 {
-		return []string{chunkKey(p.id(), 0), historyKey(p.id())}
-	}
-	return []string{deltaKey(p.id())}
+// ownKeys returns the keys that only this try can have written. A snapshot of b's state may belong to
+// others too, one of the state after it does not.
+func ownKeys(p publication) []string {
+	return []string{deltaKey(p.id()), chunkKey(p.id(), 0), historyKey(p.id())}
 }
 
 // removeOld removes what the head before referred to and h does not.
--- /dev/null
+++ b/internal/steering/large_test.go
@@ -0,0 +1,62 @@
+package steering
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/azureflow/azureflow/internal/platform/kv"
+	"github.com/azureflow/azureflow/internal/standin/memkv"
+)
+
+// largeTree returns a tree whose configuration does not compress below the size of several values.
+func largeTree(seed uint64) *Tree {
+	random := rand.New(rand.NewPCG(seed, 0))
+	c := benchConfiguration(1800)
+	src := &source{file: "large"}
+	tree := &Tree{platform: &c.Platform, platformSource: src}
+	for i := range c.Services {
+		for j := range c.Services[i].Operations {
+			c.Services[i].Operations[j].Path = randomPath(random)
+		}
+		tree.services = append(tree.services, loadedService{c.Services[i], src})
+	}
+	return tree
+}
+
+func randomPath(random *rand.Rand) string {
+	path := "/"
+	for len(path) < maxPathBytes-16 {
+		path += fmt.Sprintf("%016x", random.Uint64())
+	}
+	return path
+}
+
+func TestLargeConfigurationIsPublishedInChunks(t *testing.T) {
+	store := memkv.New(memkv.Options{})
+	p := NewPublisher(PublisherOptions{Store: store})
+	follower := NewFollower(FollowerOptions{Store: store})
+	for seed := range uint64(2) {
+		tree := largeTree(seed)
+		result, err := p.Publish(t.Context(), tree, PublishOptions{})
+		if err != nil || result.Revision != Revision(seed+1) {
+			t.Fatalf("got %+v %v", result.Revision, err)
+		}
+		if _, err := follower.readStore(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		want, err := ContentDigest(tree.Configuration())
+		if err != nil || follower.Status().Digest != want || follower.Revision() != result.Revision {
+			t.Fatalf("digest %v, want %v, %v", follower.Status().Digest, want, err)
+		}
+	}
+	entries, _, err := store.List(t.Context(), snapshotPrefix)
+	if err != nil || len(entries) < 2 || len(entries) > 3 {
+		t.Fatalf("%d chunks, %v", len(entries), err)
+	}
+	for _, entry := range entries {
+		if len(entry.Value) > kv.MaxValueBytes {
+			t.Errorf("%s holds %d bytes", entry.Key, len(entry.Value))
+		}
+	}
+}
