Close idle connections when several went silent together; hedge on new connections

Now hedges dial anew, two suspected servers within a second close the idle connections, and the caller closes its own when a sending stays silent.

--- a/caller/call.go
+++ b/caller/call.go
@@ -90,6 +90,7 @@
 				next = c.start(ctx, entries, started)
 			}
 		case <-silent.C:
+			c.client.connections.suspect()
 			if next && ctx.Err() == nil {
 				next = c.start(ctx, entries, started)
 			}
--- a/caller/caller.go
+++ b/caller/caller.go
@@ -75,14 +75,16 @@
 
 // Client sends requests through entry VMs. It is safe for concurrent use.
 type Client struct {
-	opts    Options
-	lookups *lookups
+	opts        Options
+	lookups     *lookups
+	connections connections
 }
 
 // New returns a Client.
 func New(opts Options) *Client {
 	opts.setDefaults()
 	c := &Client{opts: opts}
+	c.connections.idle, _ = opts.HTTP.(idleCloser)
 	c.lookups = &lookups{client: c, services: make(map[string]*serviceLookup)}
 	return c
 }
--- a/internal/request/attempt.go
+++ b/internal/request/attempt.go
@@ -37,6 +37,7 @@
 	conn     *gatedConn // the connection in use, nil before one is got
 	start    int64      // bytes written on conn before this attempt
 	foreign  bool       // a connection that cannot be counted was got
+	reused   bool       // conn carried another attempt before
 	ended    bool
 	answered bool
 	silent   bool // cut because nothing moved on its connection
@@ -73,6 +74,7 @@
 		return
 	}
 	a.conn = c
+	a.reused = info.Reused
 	a.start = c.count()
 }
 
@@ -148,6 +150,13 @@
 	a.firstByte = time.Since(a.started)
 }
 
+// reusedWithoutByte reports whether the attempt went out on a reused connection that brought nothing.
+func (a *attempt) reusedWithoutByte() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.reused && !a.answered && a.sentLocked()
+}
+
 // lose cancels an attempt because another one of its request won.
 func (a *attempt) lose() {
 	a.mu.Lock()
--- a/internal/request/handler.go
+++ b/internal/request/handler.go
@@ -15,6 +15,7 @@
 	routes    routeCache
 	queue     *Queue
 	stop      stopper
+	silences  silences
 	sequence  atomic.Uint64
 	entry     string // NAME/INCARNATION
 	gated     bool   // attempts can be counted and sealed, see gatedConn
@@ -35,6 +36,7 @@
 		}),
 	}
 	_, h.gated = opts.Transport.(*Transport)
+	h.silences.idle, _ = opts.Transport.(interface{ CloseIdleConnections() })
 	h.stop.drained = make(chan struct{})
 	return h
 }
--- a/internal/request/race.go
+++ b/internal/request/race.go
@@ -57,14 +57,12 @@
 func (r *race) launch() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	made := r.x.made()
-	if r.settled || r.winner != nil || r.x.ctx.Err() != nil || made >= r.x.h.opts.MaxAttempts {
+	if r.settled || r.winner != nil || r.x.ctx.Err() != nil || r.x.made() >= r.x.h.opts.MaxAttempts {
 		return
 	}
 	if p := r.x.placeHedge(); p != nil {
 		r.pending++
-		last := made+1 == r.x.h.opts.MaxAttempts
-		go r.run(sending{placement: p, extra: true, hedge: true, newConn: last, register: r.add})
+		go r.run(sending{placement: p, extra: true, hedge: true, newConn: true, register: r.add})
 	}
 	r.delay *= 2
 	r.timer.Reset(r.delay)
@@ -105,8 +103,12 @@
 	}
 	r.winner = a
 	for _, other := range r.running {
-		if other != a {
-			other.lose()
+		if other == a {
+			continue
+		}
+		other.lose()
+		if a.hedge && other.reusedWithoutByte() {
+			r.x.h.silences.suspect(other.placement.Server.Name, time.Now())
 		}
 	}
 }
--- a/internal/request/send.go
+++ b/internal/request/send.go
@@ -155,6 +155,7 @@
 	e.Failure = x.failure(&p)
 	if e.Failure == FailureSilent {
 		e.Cause = &SilentError{Silent: p.silent}
+		x.h.silences.suspect(a.placement.Server.Name, time.Now())
 	}
 	x.settle(a, e)
 	return e
