--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -321,3 +321,17 @@
 		t.Fatalf("previous %v", got)
 	}
 }
+
+// TestSilentLookupIsLeft: a lookup that one entry VM does not answer goes to the next beside it.
+func TestSilentLookupIsLeft(t *testing.T) {
+	silent := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }))
+	defer silent.Close()
+	f := newFleet(t, done)
+	c := caller.New(caller.Options{
+		Entries: []string{silent.Listener.Addr().String(), f[0].server.Listener.Addr().String()},
+		HTTP:    &http.Transport{}, LookupTimeout: time.Hour, Timeout: time.Hour,
+	})
+	if text, err := settle(c, caller.CallOptions{}); err != nil || text != "whole" {
+		t.Fatalf("%q, %v", text, err)
+	}
+}
--- a/caller/lookup.go
+++ b/caller/lookup.go
@@ -15,6 +15,10 @@
 	maxLookupBytes    = 64 << 10
 	staleRetry        = 500 * time.Millisecond // between lookups while none is answered
 	minLookupLifetime = 100 * time.Millisecond
+
+	minLookupSilence    = 20 * time.Millisecond // an entry VM may take to answer a lookup
+	maxLookupSilence    = 150 * time.Millisecond
+	lookupDeadlineParts = 8 // the same, as a part of the time left
 )
 
 // EntryVM is an entry VM as a lookup answer names it.
@@ -113,27 +117,70 @@
 	return s
 }
 
-// ask asks the entry VMs known last, then the bootstrap addresses, until one answers.
+// lookupReply is what became of one lookup.
+type lookupReply struct {
+	answer cachedLookup
+	err    error
+}
+
+// ask asks the entry VMs known last, then the bootstrap addresses, until one answers. While one stays
+// silent, the next is asked beside it.
 func (l *lookups) ask(ctx context.Context, service string, known []EntryVM) (cachedLookup, error) {
-	addresses := make([]string, 0, len(known)+len(l.client.opts.Entries))
-	for _, e := range known {
-		addresses = append(addresses, e.Address)
-	}
-	addresses = append(addresses, l.client.opts.Entries...)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	addresses := l.addresses(known)
+	replies := make(chan lookupReply, len(addresses))
 	failure := &LookupError{Service: service}
-	for _, address := range addresses {
-		answer, err := l.askOne(ctx, service, address)
-		if err == nil {
-			return answer, nil
+	asked, pending := 0, 0
+	next := func() {
+		if asked == len(addresses) || ctx.Err() != nil {
+			return
 		}
-		failure.Cause = err
-		if ctx.Err() != nil {
-			break
+		address := addresses[asked]
+		asked++
+		pending++
+		go func() {
+			answer, err := l.askOne(ctx, service, address)
+			replies <- lookupReply{answer, err}
+		}()
+	}
+	for next(); pending > 0; {
+		silent := time.NewTimer(lookupSilence(ctx))
+		select {
+		case r := <-replies:
+			silent.Stop()
+			if r.err == nil {
+				return r.answer, nil
+			}
+			failure.Cause = r.err
+			pending--
+			next()
+		case <-silent.C:
+			l.client.connections.suspect()
+			next()
 		}
 	}
 	return cachedLookup{}, failure
 }
 
+// addresses returns whom to ask, in order.
+func (l *lookups) addresses(known []EntryVM) []string {
+	addresses := make([]string, 0, len(known)+len(l.client.opts.Entries))
+	for _, e := range known {
+		addresses = append(addresses, e.Address)
+	}
+	return append(addresses, l.client.opts.Entries...)
+}
+
+// lookupSilence returns how long to wait for one entry VM before the next is asked beside it.
+func lookupSilence(ctx context.Context) time.Duration {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return maxLookupSilence
+	}
+	return max(minLookupSilence, min(maxLookupSilence, time.Until(deadline)/lookupDeadlineParts))
+}
+
 func (l *lookups) askOne(ctx context.Context, service, address string) (cachedLookup, error) {
 	ctx, cancel := context.WithTimeout(ctx, l.client.opts.LookupTimeout)
 	defer cancel()
