Give the caller a budget for second sendings; keep part of the entry VM's for silent connections

A caller doubled every lookup slower than a third of its deadline: in a brown-out all of them. Now 5% of its calls and 4 saved up (TestSlowEntriesAreNotDoubled: 100 slow calls, at most 9 doubled). First hedges leave 6 of 10 saved attempts, so that the budget is not empty when connections go silent.

--- a/caller/call.go
+++ b/caller/call.go
@@ -53,6 +53,7 @@
 func (c *call) run(ctx context.Context, entries []EntryVM) (*Answer, error) {
 	ctx, cancel := c.withDeadline(ctx)
 	c.results = make(chan *sending, c.client.opts.MaxSendings)
+	c.client.budget.PayIn(resendShare)
 	var started []*sending
 	answer, err := c.loop(ctx, entries, &started)
 	if answer == nil {
@@ -91,7 +92,7 @@
 			}
 		case <-silent.C:
 			c.client.connections.suspect()
-			if next && ctx.Err() == nil {
+			if next && ctx.Err() == nil && c.mayDouble() {
 				next = c.start(ctx, entries, started)
 			}
 		case <-ctx.Done():
@@ -102,6 +103,10 @@
 	return nil, c.failure(ctx.Err())
 }
 
+// mayDouble reports whether the call may run beside a silent sending of it. What may not run twice is
+// not sent to an upstream twice by a second entry VM, so that it costs no budget.
+func (c *call) mayDouble() bool { return !c.safe || c.client.budget.Take(0) }
+
 // silentAfter returns how long to wait for a sending before the next one is started beside it.
 func (c *call) silentAfter() time.Duration {
 	left := time.Until(c.deadline) / silentDeadlineParts
--- a/caller/caller.go
+++ b/caller/caller.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"slices"
 	"time"
+
+	"github.com/azureflow/azureflow/internal/request"
 )
 
 // Defaults of Options.
@@ -20,7 +22,9 @@
 	dialTimeout          = time.Second
 	idleTimeout          = 30 * time.Second
 	idlePerEntry         = 64
-	silentDeadlineParts  = 3 // a sending is silent after this part of the time left
+	resendBurst          = 4    // second sendings beside a silent one that may be saved up
+	resendShare          = 0.05 // of the calls, once these are spent
+	silentDeadlineParts  = 4    // a sending is silent after this part of the time left
 	// An entry VM is told less time than there is, so that its refusal arrives before the deadline.
 	answerMarginParts = 10
 	maxAnswerMargin   = 250 * time.Millisecond
@@ -78,12 +82,13 @@
 	opts        Options
 	lookups     *lookups
 	connections connections
+	budget      *request.ExtraBudget
 }
 
 // New returns a Client.
 func New(opts Options) *Client {
 	opts.setDefaults()
-	c := &Client{opts: opts}
+	c := &Client{opts: opts, budget: request.NewExtraBudget(resendBurst)}
 	c.connections.idle, _ = opts.HTTP.(idleCloser)
 	c.lookups = &lookups{client: c, services: make(map[string]*serviceLookup)}
 	return c
--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -335,3 +335,27 @@
 		t.Fatalf("%q, %v", text, err)
 	}
 }
+
+// TestSlowEntriesAreNotDoubled: while every entry VM is slow, second sendings beside slow ones stay within
+// a budget, so that callers start no storm.
+func TestSlowEntriesAreNotDoubled(t *testing.T) {
+	const calls = 100
+	slow := func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(20 * time.Millisecond)
+		done(w, r)
+	}
+	f := newFleet(t, slow, slow)
+	c := caller.New(caller.Options{
+		Entries: []string{f[0].server.Listener.Addr().String()}, HTTP: &http.Transport{}, SilentAfter: time.Millisecond,
+	})
+	for range calls {
+		answer, err := c.Do(context.Background(), "kasse", "GET", "/balances/1", nil, caller.CallOptions{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = answer.Body.Close()
+	}
+	if extra := len(f[0].saw()) + len(f[1].saw()) - calls; extra > 4+calls/20 {
+		t.Fatalf("%d extra sendings of %d calls", extra, calls)
+	}
+}
--- a/internal/request/budget.go
+++ b/internal/request/budget.go
@@ -3,46 +3,42 @@
 import "sync/atomic"
 
 const (
-	maxExtraShare = 0.05 // of the requests of a service, retries and hedges together
+	maxExtraShare = 0.05 // of the requests, retries and hedges together
 	budgetUnit    = 1000 // of one extra attempt
-	budgetBurst   = 10   // extra attempts that may be saved up
+	budgetBurst   = 10   // extra attempts of a service that may be saved up
+	budgetReserve = 6    // extra attempts that hedges leave for silent connections and retries
 )
 
-// extraBudget bounds the extra attempts of a service to a share of its requests. Each request pays in
-// its share; an extra attempt takes one whole.
-type extraBudget struct {
+// ExtraBudget bounds extra attempts to a share of the requests. Each request pays in its share; an extra
+// attempt takes one whole. It is safe for concurrent use.
+type ExtraBudget struct {
+	burst int64        // in budgetUnits
 	saved atomic.Int64 // in budgetUnits
 }
 
-// newExtraBudget returns a budget that starts full.
-func newExtraBudget() *extraBudget {
-	b := &extraBudget{}
-	b.saved.Store(budgetBurst * budgetUnit)
+// NewExtraBudget returns a budget that starts full, with burst extra attempts.
+func NewExtraBudget(burst int) *ExtraBudget {
+	b := &ExtraBudget{burst: int64(burst) * budgetUnit}
+	b.saved.Store(b.burst)
 	return b
 }
 
-// payIn adds the share of one request, at most maxExtraShare.
-func (b *extraBudget) payIn(share float64) {
+// PayIn adds the share of one request, at most 0.05.
+func (b *ExtraBudget) PayIn(share float64) {
 	gain := int64(min(share, maxExtraShare) * budgetUnit)
-	if gain <= 0 {
-		return
-	}
-	for {
+	for gain > 0 {
 		old := b.saved.Load()
-		if old >= budgetBurst*budgetUnit {
-			return
-		}
-		if b.saved.CompareAndSwap(old, min(old+gain, budgetBurst*budgetUnit)) {
+		if old >= b.burst || b.saved.CompareAndSwap(old, min(old+gain, b.burst)) {
 			return
 		}
 	}
 }
 
-// take spends one extra attempt. It returns false if the budget is empty.
-func (b *extraBudget) take() bool {
+// Take spends one extra attempt if more than keep are saved up.
+func (b *ExtraBudget) Take(keep int64) bool {
 	for {
 		old := b.saved.Load()
-		if old < budgetUnit {
+		if old < (keep+1)*budgetUnit {
 			return false
 		}
 		if b.saved.CompareAndSwap(old, old-budgetUnit) {
@@ -51,5 +47,5 @@
 	}
 }
 
-// putBack returns an extra attempt that was not made.
-func (b *extraBudget) putBack() { b.saved.Add(budgetUnit) }
+// PutBack returns an extra attempt that was not made.
+func (b *ExtraBudget) PutBack() { b.saved.Add(budgetUnit) }
--- a/internal/request/exchange.go
+++ b/internal/request/exchange.go
@@ -218,7 +218,7 @@
 
 // run sends the request until an attempt brings an answer or no further one is allowed.
 func (x *exchange) run() (*attempt, error) {
-	x.route.budget.payIn(x.route.service.Budgets.Retries + x.route.service.Budgets.Hedges)
+	x.route.budget.PayIn(x.route.service.Budgets.Retries + x.route.service.Budgets.Hedges)
 	p, err := x.admit(nil)
 	for err == nil {
 		a, failed := x.race(p)
@@ -265,7 +265,7 @@
 	if e, ok := failed.(*AttemptError); ok && e.free() {
 		return x.admit(nil)
 	}
-	x.route.budget.putBack()
+	x.route.budget.PutBack()
 	return nil, failed
 }
 
@@ -296,7 +296,7 @@
 	if !x.route.operation.Idempotent && !failed.NotRun {
 		return false
 	}
-	return failed.paid || failed.free() || x.route.takeExtra(x.route.service.Budgets.Retries)
+	return failed.paid || failed.free() || x.route.takeExtra(x.route.service.Budgets.Retries, 0)
 }
 
 // made returns the number of attempts made.
--- a/internal/request/race.go
+++ b/internal/request/race.go
@@ -13,11 +13,12 @@
 	delay time.Duration
 	ended chan struct{} // one value for each extra attempt that has ended
 
-	mu      sync.Mutex
-	running []*attempt
-	winner  *attempt
-	settled bool // the first attempt has ended
-	pending int  // extra attempts that have not ended
+	mu       sync.Mutex
+	running  []*attempt
+	winner   *attempt
+	settled  bool // the first attempt has ended
+	launched bool // an extra attempt was due
+	pending  int  // extra attempts that have not ended
 }
 
 // race sends one attempt, and further ones if the operation allows it.
@@ -60,7 +61,7 @@
 	if r.settled || r.winner != nil || r.x.ctx.Err() != nil || r.x.made() >= r.x.h.opts.MaxAttempts {
 		return
 	}
-	if p := r.x.placeHedge(); p != nil {
+	if p := r.x.placeHedge(r.keep()); p != nil {
 		r.pending++
 		go r.run(sending{placement: p, extra: true, hedge: true, newConn: true, register: r.add})
 	}
@@ -68,16 +69,27 @@
 	r.timer.Reset(r.delay)
 }
 
+// keep returns what an extra attempt leaves in the budget: a first hedge is only against a slow answer; later
+// ones, and all while connections go silent, may spend the rest.
+func (r *race) keep() int64 {
+	first := !r.launched
+	r.launched = true
+	if first && !r.x.h.silences.active(time.Now()) {
+		return budgetReserve
+	}
+	return 0
+}
+
 // placeHedge returns the right to send an extra attempt, paid from the budget, or nil.
-func (x *exchange) placeHedge() *Placement {
-	if !x.route.takeExtra(x.route.service.Budgets.Hedges) {
+func (x *exchange) placeHedge(keep int64) *Placement {
+	if !x.route.takeExtra(x.route.service.Budgets.Hedges, keep) {
 		return nil
 	}
 	q := x.query(x.triedServers())
 	q.Hedge = true
 	p, err := x.h.opts.Placer.Place(q)
 	if err != nil {
-		x.route.budget.putBack()
+		x.route.budget.PutBack()
 		return nil
 	}
 	return p
--- a/internal/request/routes.go
+++ b/internal/request/routes.go
@@ -17,12 +17,12 @@
 	service   *steering.Service
 	operation *steering.Operation
 	latency   *latencyWindowed
-	budget    *extraBudget
+	budget    *ExtraBudget
 }
 
-// takeExtra spends one extra attempt of a kind that the service allows at all.
-func (r *route) takeExtra(share float64) bool {
-	return share > 0 && r.budget.take()
+// takeExtra spends one extra attempt of a kind that the service allows at all, if more than keep are left.
+func (r *route) takeExtra(share float64, keep int64) bool {
+	return share > 0 && r.budget.Take(keep)
 }
 
 // routeTable finds the operation of a request under one revision. It is immutable.
@@ -42,7 +42,7 @@
 
 	mu        sync.Mutex // of the writer
 	latencies map[operationKey]*latencyWindowed
-	budgets   map[steering.ServiceName]*extraBudget
+	budgets   map[steering.ServiceName]*ExtraBudget
 }
 
 type operationKey struct {
@@ -98,12 +98,12 @@
 	return r.latencies[k]
 }
 
-func (r *routeCache) budget(s steering.ServiceName) *extraBudget {
+func (r *routeCache) budget(s steering.ServiceName) *ExtraBudget {
 	if r.budgets == nil {
-		r.budgets = make(map[steering.ServiceName]*extraBudget)
+		r.budgets = make(map[steering.ServiceName]*ExtraBudget)
 	}
 	if r.budgets[s] == nil {
-		r.budgets[s] = newExtraBudget()
+		r.budgets[s] = NewExtraBudget(budgetBurst)
 	}
 	return r.budgets[s]
 }
--- a/internal/request/silence.go
+++ b/internal/request/silence.go
@@ -32,6 +32,13 @@
 	s.idle.CloseIdleConnections()
 }
 
+// active reports whether connections went silent together a short while ago.
+func (s *silences) active(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.closed.IsZero() && now.Sub(s.closed) < silenceWindow
+}
+
 // confirm reports whether the idle connections should be closed.
 func (s *silences) confirm(server vm.Name, now time.Time) bool {
 	s.mu.Lock()
