--- a/internal/contract/book.go
+++ b/internal/contract/book.go
@@ -46,7 +46,6 @@
 	InUse  int    // slots now
 	Peak   int    // most slots in use
 	Denied uint64 // calls of Acquire without success
-	Usable int    // slots now
 }
 
 // Book holds the slots that one VM may use. Acquire and Release take no lock.
--- a/internal/contract/borrower.go
+++ b/internal/contract/borrower.go
@@ -45,7 +45,7 @@
 		o.RenewAfter = 2 * time.Second
 	}
 	if o.IdleAfter <= 0 {
-		o.IdleAfter = 5 * time.Second
+		o.IdleAfter = time.Second
 	}
 	if o.AsksPerStep <= 0 {
 		o.AsksPerStep = 32
--- a/internal/contract/grantor.go
+++ b/internal/contract/grantor.go
@@ -43,10 +43,12 @@
 	Zone       steering.ZoneName
 	Book       *Book
 	Leadership func(now time.Time) Leadership
-	TTL        time.Duration    // of a grant
-	Drift      float64          // part by which a clock may run fast or slow
-	Tick       time.Duration    // interval of Run
-	Now        func() time.Time // clock of this VM
+	// Member says whether a holder stands in Zone; such holders go first. nil: none does.
+	Member func(holder vm.Name) bool
+	TTL    time.Duration    // of a grant
+	Drift  float64          // part by which a clock may run fast or slow
+	Tick   time.Duration    // interval of Run
+	Now    func() time.Time // clock of this VM
 
 	ignoreLapse bool // a defect, for tests of the checks
 }
@@ -61,6 +63,9 @@
 	if o.Tick <= 0 {
 		o.Tick = DefaultTick
 	}
+	if o.Member == nil {
+		o.Member = func(vm.Name) bool { return false }
+	}
 	if o.Now == nil {
 		o.Now = time.Now
 	}
@@ -171,6 +176,7 @@
 	loan.request = req.RequestId
 	loan.askedAt = now
 	loan.want = int64(req.Slots)
+	loan.member = g.opt.Member(id.name)
 	loan.confirm(req.GrantId, now.Add(stretch(g.opt.TTL, g.opt.Drift)))
 	loan.reply = g.grant(l, loan, now)
 	return loan.reply, nil
--- a/internal/contract/ledger.go
+++ b/internal/contract/ledger.go
@@ -1,7 +1,6 @@
 package contract
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -29,6 +28,7 @@
 	request uint64  // last request_id
 	reply   *peer.AskGrantReply
 	want    int64
+	member  bool // the holder stands in the zone
 	askedAt time.Time
 }
 
@@ -95,16 +95,26 @@
 	return sum
 }
 
-// fair returns the fair part of l in total slots.
+// fair returns the fair part of l in total slots: the VMs of the zone first, then the others.
 func (g *ledger) fair(total int64, l *loan, now time.Time) int64 {
-	wants := []int64{l.want, max(0, g.ownWant-g.own)}
-	for _, other := range g.loans {
-		if other != l && now.Sub(other.askedAt) < wantLife {
-			wants = append(wants, other.want)
+	members := []int64{max(0, g.ownWant-g.own)}
+	var others []int64
+	for _, k := range g.loans {
+		switch {
+		case k == l || now.Sub(k.askedAt) >= wantLife:
+		case k.member:
+			members = append(members, k.want)
+		default:
+			others = append(others, k.want)
 		}
 	}
-	slices.SortFunc(wants[2:], func(a, b int64) int { return cmp.Compare(a, b) })
-	return fairShares(total, wants)[0]
+	if l.member {
+		return fairShares(total, append(members, l.want))[len(members)]
+	}
+	for _, share := range fairShares(total, members) {
+		total -= share
+	}
+	return fairShares(total, append(others, l.want))[len(others)]
 }
 
 func (g *ledger) loan(id holderID) *loan {
--- a/internal/contract/need.go
+++ b/internal/contract/need.go
@@ -9,7 +9,8 @@
 	headroomPart = 8 // a need is the peak and one part in headroomPart of it, or a slot
 	decayPart    = 8 // of the distance to a lower need, taken back at each reading
 	growthFactor = 2 // by which a need grows at most in one reading
-	minGrowth    = 4 // slots by which a need may grow whatever it was
+	minGrowth    = 4 // slots by which a need may grow that is above 0
+	firstGrowth  = 2 // slots by which a need may grow from 0
 )
 
 // need follows how many slots a VM wants of a service in a zone.
@@ -31,8 +32,7 @@
 		want += max(1, float64(peak)/headroomPart)
 	}
 	if missed > 0 {
-		grown := max(float64(peak)*growthFactor, float64(peak+minGrowth))
-		want = max(want, min(grown, float64(peak)+float64(missed)))
+		want = max(want, min(grown(peak), float64(peak)+float64(missed)))
 	}
 	if want >= n.value {
 		n.value = want
@@ -45,6 +45,14 @@
 	return int64(n.value + 0.5)
 }
 
+// grown returns the most that a need with the given peak may become in one reading.
+func grown(peak int64) float64 {
+	if peak == 0 {
+		return firstGrowth
+	}
+	return float64(max(peak*growthFactor, peak+minGrowth))
+}
+
 // fairShares divides total over wants: each gets what it wants up to a common level.
 func fairShares(total int64, wants []int64) []int64 {
 	order := make([]int, len(wants))
--- a/internal/entry/domains.go
+++ b/internal/entry/domains.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -90,12 +91,13 @@
 
 func (d *domains) start(name steering.ZoneName) *domain {
 	out := &domain{zone: name, home: name == d.deps.self.Zone}
+	options := d.electorOptions(name, out.home)
 	out.grantor = contract.NewGrantor(contract.GrantorOptions{
 		Zone:       name,
+		Member:     func(holder vm.Name) bool { return slices.Contains(options.Members(), holder) },
 		Book:       d.deps.book,
 		Leadership: func(now time.Time) contract.Leadership { return out.elector.Leadership(now) },
 	})
-	options := d.electorOptions(name, out.home)
 	options.OnFloor = out.grantor.SetFloorParts
 	out.elector = zone.NewElector(options)
 	d.runs.Go(func() { out.elector.Run(d.ctx) })
--- a/internal/region/compute.go
+++ b/internal/region/compute.go
@@ -18,7 +18,7 @@
 func (t *target) origin(o int) OriginPlan {
 	origin := &t.in.Origins[o]
 	t.stay(o)
-	s := newShift(t.in, origin, t.shares[o])
+	s := newShift(t.in, origin, t.before[o], t.shares[o])
 	shares, moved := s.apply()
 	out := OriginPlan{Region: origin.Region, Moved: moved, Excess: t.excess[o], Constraint: t.bound[o]}
 	out.Moves = s.moves(moved)
@@ -50,7 +50,7 @@
 	origin := &t.in.Origins[o]
 	for r := range t.in.Regions {
 		reg := &t.in.Regions[r]
-		held := origin.previous(reg.Name) - t.shares[o][r]
+		held := t.before[o][r] - t.shares[o][r]
 		if reg.Lost || held <= 0 || (reg.Name != origin.Region && !reg.leaving(t.in.At)) {
 			continue
 		}
--- a/internal/region/inputs.go
+++ b/internal/region/inputs.go
@@ -93,21 +93,38 @@
 	return 0
 }
 
-// load returns the slots of region r that the previous plans of all origins use.
-func (in *Inputs) load(r int) float64 {
-	sum := 0.0
+// matrix returns the previous shares by origin and region.
+func (in *Inputs) matrix() [][]float64 {
+	out := make([][]float64, len(in.Origins))
 	for o := range in.Origins {
-		sum += in.Origins[o].previous(in.Regions[r].Name) * in.Origins[o].Demand
+		out[o] = make([]float64, len(in.Regions))
+		for r := range in.Regions {
+			out[o][r] = in.Origins[o].previous(in.Regions[r].Name)
+		}
 	}
-	return sum
+	return out
 }
 
-// link returns the direction from one region to another, or nil.
-func (in *Inputs) link(from, to steering.RegionName) *LinkInput {
+// linkMatrix returns the links by origin and region.
+func (in *Inputs) linkMatrix() [][]*LinkInput {
+	origins := make(map[steering.RegionName]int, len(in.Origins))
+	for o := range in.Origins {
+		origins[in.Origins[o].Region] = o
+	}
+	regions := make(map[steering.RegionName]int, len(in.Regions))
+	for r := range in.Regions {
+		regions[in.Regions[r].Name] = r
+	}
+	out := make([][]*LinkInput, len(in.Origins))
+	for o := range out {
+		out[o] = make([]*LinkInput, len(in.Regions))
+	}
 	for i := range in.Links {
-		if in.Links[i].From == from && in.Links[i].To == to {
-			return &in.Links[i]
+		o, fromKnown := origins[in.Links[i].From]
+		r, toKnown := regions[in.Links[i].To]
+		if fromKnown && toKnown {
+			out[o][r] = &in.Links[i]
 		}
 	}
-	return nil
+	return out
 }
--- a/internal/region/shift.go
+++ b/internal/region/shift.go
@@ -20,11 +20,11 @@
 	capped bool
 }
 
-func newShift(in *Inputs, origin *OriginInput, to []float64) *shift {
+func newShift(in *Inputs, origin *OriginInput, before, to []float64) *shift {
 	s := &shift{in: in, origin: origin, to: to, from: make([]float64, len(in.Regions))}
 	for r := range in.Regions {
 		if !in.Regions[r].Lost {
-			s.from[r] = origin.previous(in.Regions[r].Name)
+			s.from[r] = before[r]
 		}
 	}
 	return s
--- a/internal/region/target.go
+++ b/internal/region/target.go
@@ -15,8 +15,10 @@
 // target is where the traffic of the origins would go if no cap held it.
 type target struct {
 	in     *Inputs
-	shares [][]float64 // by origin and region, as in Inputs
-	excess []float64   // by origin: share that found no room
+	before [][]float64    // previous shares, by origin and region
+	links  [][]*LinkInput // by origin and region; nil: none
+	shares [][]float64    // by origin and region, as in Inputs
+	excess []float64      // by origin: share that found no room
 	bound  []review.Constraint
 	left   []float64 // by region: slots not planned yet
 	free   []float64 // by region: slots that nobody used before and nobody was given yet
@@ -25,6 +27,8 @@
 func newTarget(in *Inputs) *target {
 	t := &target{
 		in:     in,
+		before: in.matrix(),
+		links:  in.linkMatrix(),
 		shares: make([][]float64, len(in.Origins)),
 		excess: make([]float64, len(in.Origins)),
 		bound:  make([]review.Constraint, len(in.Origins)),
@@ -33,7 +37,7 @@
 	}
 	for r := range in.Regions {
 		t.left[r] = t.room(r, pushFill)
-		t.free[r] = max(0, t.left[r]-max(in.load(r), in.Regions[r].Carried))
+		t.free[r] = max(0, t.left[r]-max(t.load(r), in.Regions[r].Carried))
 	}
 	for o := range in.Origins {
 		t.shares[o] = make([]float64, len(in.Regions))
@@ -73,7 +77,7 @@
 	if t.in.Regions[r].drained(t.in.At) {
 		t.bound[o] = review.ConstraintDrain
 	}
-	before := origin.previous(origin.Region)
+	before := t.before[o][r]
 	push := fit(t.room(r, pushFill), origin.Demand)
 	pull := min(fit(t.room(r, pullFill), origin.Demand), before+fit(t.free[r], origin.Demand))
 	share := min(max(before, pull), push)
@@ -90,7 +94,7 @@
 	held := 0.0
 	for r := range t.in.Regions {
 		if t.in.Regions[r].Name != origin.Region {
-			held += origin.previous(t.in.Regions[r].Name)
+			held += t.before[o][r]
 		}
 	}
 	if rest < tiny || held < tiny {
@@ -101,7 +105,7 @@
 		if t.in.Regions[r].Name == origin.Region {
 			continue
 		}
-		want := origin.previous(t.in.Regions[r].Name) * scale
+		want := t.before[o][r] * scale
 		t.take(o, r, min(want, t.most(o, r)))
 	}
 }
@@ -152,9 +156,9 @@
 	if !t.in.Regions[r].takes(t.in.At) {
 		return 0
 	}
-	held := max(0, origin.previous(t.in.Regions[r].Name)-t.shares[o][r])
+	held := max(0, t.before[o][r]-t.shares[o][r])
 	share := min(fit(t.left[r], origin.Demand), held+fit(t.free[r], origin.Demand))
-	link := t.in.link(origin.Region, t.in.Regions[r].Name)
+	link := t.links[o][r]
 	if link == nil {
 		return share
 	}
@@ -179,12 +183,21 @@
 
 func (t *target) take(o, r int, share float64) {
 	origin := &t.in.Origins[o]
-	held := max(0, origin.previous(t.in.Regions[r].Name)-t.shares[o][r])
+	held := max(0, t.before[o][r]-t.shares[o][r])
 	t.shares[o][r] += share
 	t.left[r] = max(0, t.left[r]-share*origin.Demand)
 	t.free[r] = max(0, t.free[r]-max(0, share-held)*origin.Demand)
 }
 
+// load returns the slots of region r that the previous plans of all origins use.
+func (t *target) load(r int) float64 {
+	sum := 0.0
+	for o := range t.before {
+		sum += t.before[o][r] * t.in.Origins[o].Demand
+	}
+	return sum
+}
+
 func (t *target) placed(o int) float64 {
 	sum := 0.0
 	for _, s := range t.shares[o] {
--- a/internal/zone/floor.go
+++ b/internal/zone/floor.go
@@ -112,7 +112,7 @@
 }
 
 // wanted returns the record that this VM as leader wants: itself, its heirs, and the floor divided
-// between the members. A new member gets half of the leader's part, so that nobody else has to
+// between the members. New members get an even part of the leader's, so that nobody else has to
 // shrink first; the part of a VM that is gone is free until a leader that stands in the zone takes it.
 func (e *Elector) wanted(now time.Time) Record {
 	next := e.record.clone()
@@ -130,13 +130,17 @@
 	if free := 1 - next.sum(); free > 0 {
 		next.add(e.opt.Self, free)
 	}
+	var joined []vm.Name
 	for _, m := range e.opt.Members() {
-		half := next.part(e.opt.Self).Part / 2
-		if m != e.opt.Self && next.part(m).Part == 0 && half > 0 && e.isHeard(m, now) {
-			next.add(e.opt.Self, -half)
-			next.add(m, half)
+		if m != e.opt.Self && next.part(m).Part == 0 && e.isHeard(m, now) {
+			joined = append(joined, m)
 		}
 	}
+	each := next.part(e.opt.Self).Part / float64(len(joined)+1)
+	for _, m := range joined {
+		next.add(e.opt.Self, -each)
+		next.add(m, each)
+	}
 	return next
 }
 
--- a/internal/zone/vouch.go
+++ b/internal/zone/vouch.go
@@ -41,8 +41,8 @@
 	kept bool          // it promised before for the same leadership and did not run since
 }
 
-// StepVouch does one round of the part of Run that talks to the heirs: while the store lease is
-// not renewed, it keeps the leadership going as long as every heir promises to keep off. After a
+// StepVouch does one round of the part of Run that talks to the heirs: when the store lease is not
+// renewed, the leadership goes on as long as every heir promises to keep off. After a
 // gap it goes on only if every heir promised before and never ran since, because nobody else may
 // have led then.
 func (e *Elector) StepVouch(ctx context.Context) {
@@ -69,8 +69,9 @@
 	}
 }
 
-// vouchNeeded says whether the leadership lapses soon or has lapsed. Promises count only if the
-// store knows this VM's heirs.
+// vouchNeeded says whether the promises lapse soon or have lapsed. They are asked for also while
+// the store is up, so that an outage that begins together with a cut finds them given. They count
+// only if the store knows this VM's heirs.
 func (e *Elector) vouchNeeded(now time.Time) bool {
 	mine := e.state.VM == e.opt.Self && e.state.Epoch != 0
 	known := e.hasRead && e.record.Leader == e.opt.Self && e.record.Epoch == e.state.Epoch
@@ -80,7 +81,7 @@
 	if !e.leads(now) && (now.Before(e.promised) || len(e.record.Heirs) == 0) {
 		return false
 	}
-	return e.leaseTo.Sub(now) < e.opt.TTL/2
+	return e.vouchTo.Sub(now) < e.opt.VouchTTL*3/4
 }
 
 // promises asks all heirs and returns what holds of each answer.
