--- a/internal/demo/world.go
+++ b/internal/demo/world.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"log"
@@ -12,6 +13,7 @@
 
 	"go.uber.org/fx"
 
+	"github.com/azureflow/azureflow/internal/admin"
 	"github.com/azureflow/azureflow/internal/entry"
 	"github.com/azureflow/azureflow/internal/platform"
 	"github.com/azureflow/azureflow/internal/standin"
@@ -50,6 +52,7 @@
 type entryVM struct {
 	row     vm.VM
 	app     *fx.App
+	daemon  *entry.Daemon
 	stopped bool
 }
 
@@ -63,7 +66,7 @@
 	if p.host == "" {
 		p.host = host
 	}
-	l, err := net.Listen("tcp", host+":0")
+	l, err := w.network.wires.listen(host + ":0")
 	if err != nil {
 		return nil, err
 	}
@@ -72,10 +75,10 @@
 }
 
 // start brings the deployment up, publishes its steering files and waits until all entry VMs serve.
-func startWorld(ctx context.Context, opts Options, d *deployment) (*world, error) {
+func startWorld(ctx context.Context, opts Options, d *deployment, t transport) (*world, error) {
 	w := &world{opts: opts, deployment: d}
 	p := &d.config.Platform
-	w.network = newNetwork(p, delays{zones: p.ZoneDelay.Std(), callers: p.ClientDelay.Std()})
+	w.network = newNetwork(p, delays{zones: p.ZoneDelay.Std(), callers: p.ClientDelay.Std()}, t)
 	w.home = place{region: p.Regions[0].Name, zone: p.Regions[0].Zones[0]}
 	for _, step := range []func() error{w.startPlatform, w.startUpstreams, w.startEntries} {
 		if err := step(); err != nil {
@@ -93,7 +96,9 @@
 func (w *world) startPlatform() error {
 	const listLag = 500 * time.Millisecond
 	w.platform = standin.NewPlatform(standin.PlatformOptions{VMListLag: listLag})
-	listener, err := w.listen(w.home)
+	at := w.home
+	at.host = "platform"
+	listener, err := w.listen(at)
 	if err != nil {
 		return err
 	}
@@ -131,7 +136,7 @@
 	w.platform.PutVM(e.row)
 	e.app = fx.New(entry.Module(entry.Options{
 		Settings: settings, Listeners: &l, Dial: w.network.dialer(at), LogTo: w.opts.Log,
-	}), fx.NopLogger)
+	}), fx.Populate(&e.daemon), fx.NopLogger)
 	if err := e.app.Err(); err != nil {
 		return err
 	}
@@ -158,24 +163,44 @@
 
 // publish puts the steering files in force and waits until every entry VM serves.
 func (w *world) publish(ctx context.Context) error {
-	client := platform.NewClient(platform.ClientOptions{StoreURL: w.platformAt, VMListURL: w.platformAt, Name: "publish"})
-	publisher := steering.NewPublisher(steering.PublisherOptions{Store: client})
-	if _, err := publisher.Publish(ctx, w.deployment.tree, steering.PublishOptions{}); err != nil {
+	if _, err := w.publishTree(ctx, w.deployment.tree); err != nil {
 		return err
 	}
+	operator := w.operator()
+	defer operator.CloseIdleConnections()
 	for _, e := range w.entries {
-		if err := e.awaitReady(ctx); err != nil {
+		if err := e.awaitReady(ctx, operator, len(w.entries)); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-func (e *entryVM) awaitReady(ctx context.Context) error {
+// operator returns the transport of an operator beside the store.
+func (w *world) operator() *http.Transport {
+	at := w.home
+	at.host = "operator"
+	return &http.Transport{DialContext: w.network.dialer(at)}
+}
+
+// publishTree puts steering files in force and returns the revision.
+func (w *world) publishTree(ctx context.Context, tree *steering.Tree) (steering.Revision, error) {
+	operator := w.operator()
+	defer operator.CloseIdleConnections()
+	client := platform.NewClient(platform.ClientOptions{
+		StoreURL: w.platformAt, VMListURL: w.platformAt, Name: "publish", Transport: operator,
+	})
+	publisher := steering.NewPublisher(steering.PublisherOptions{Store: client})
+	result, err := publisher.Publish(ctx, tree, steering.PublishOptions{})
+	return result.Revision, err
+}
+
+// awaitReady waits until the entry VM serves and knows that all of them live.
+func (e *entryVM) awaitReady(ctx context.Context, t *http.Transport, all int) error {
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
 	for {
-		if e.ready(ctx) {
+		if e.ready(ctx, t, all) {
 			return nil
 		}
 		select {
@@ -186,17 +211,36 @@
 	}
 }
 
-func (e *entryVM) ready(ctx context.Context) bool {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+e.row.AdminAddress+"/readyz", nil)
-	if err != nil {
+func (e *entryVM) ready(ctx context.Context, t *http.Transport, all int) bool {
+	var health struct{ Status string }
+	var vms admin.Page[admin.VMRow]
+	if e.get(ctx, t, "/readyz", &health) != nil || e.get(ctx, t, "/v1/vms", &vms) != nil {
 		return false
 	}
-	answer, err := http.DefaultClient.Do(req)
+	live := 0
+	for _, row := range vms.Items {
+		if row.State == string(vm.Live) {
+			live++
+		}
+	}
+	return live == all
+}
+
+// get reads a page of the administration API.
+func (e *entryVM) get(ctx context.Context, t *http.Transport, page string, into any) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+e.row.AdminAddress+page, nil)
 	if err != nil {
-		return false
+		return err
+	}
+	answer, err := t.RoundTrip(req)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = answer.Body.Close() }()
+	if answer.StatusCode != http.StatusOK {
+		return &NotReadyError{VM: e.row.Name}
 	}
-	_ = answer.Body.Close()
-	return answer.StatusCode == http.StatusOK
+	return json.NewDecoder(answer.Body).Decode(into)
 }
 
 // drain stops an entry VM as planned and returns how long that took.
@@ -233,4 +277,5 @@
 	for _, c := range w.closers {
 		_ = c.Close()
 	}
+	w.network.close()
 }
--- a/internal/upstream/ejection_test.go
+++ b/internal/upstream/ejection_test.go
@@ -58,10 +58,13 @@
 func TestStallIsSeenBeforeItsFirstAnswer(t *testing.T) {
 	p := newTestPool(4, Options{})
 	_, now := drive(p, start, 1000, nil, nil)
+	var held []*Reservation
 	for range 8 { // two on each server, none of which saldo-01 answers
-		r := mustAcquire(t, p, Query{Now: now})
+		held = append(held, mustAcquire(t, p, Query{Now: now}))
+	}
+	for _, r := range held {
 		if r.Server.Name != "saldo-01" {
-			defer finish(r, 8*time.Millisecond, now)
+			finish(r, 8*time.Millisecond, now.Add(8*time.Millisecond))
 		}
 	}
 	sent, now := drive(p, now.Add(100*time.Millisecond), 100, nil, nil)
@@ -129,6 +132,22 @@
 	}
 }
 
+func TestRetryUsesAnEjectedServerAtLast(t *testing.T) {
+	p := newTestPool(2, Options{})
+	_, now := drive(p, start, 500, nil, map[vm.Name]request.Failure{"saldo-01": request.FailureReset})
+	if len(ejectedNames(p, now)) != 1 {
+		t.Fatalf("ejected %v", ejectedNames(p, now))
+	}
+	tried := Query{Exclude: []vm.Name{"saldo-02"}, NoTrial: true, Now: now}
+	if r := mustAcquire(t, p, tried); r.Server.Name != "saldo-01" {
+		t.Fatalf("retry went to %s again", r.Server.Name)
+	}
+	tried.Hedge = true
+	if _, err := p.Acquire(tried); err == nil {
+		t.Fatal("hedge to an ejected server")
+	}
+}
+
 // TestEjectionNeverEmptiesAService drives pools whose servers fail, stall, leave and restart at
 // random: as long as one server stays, some server takes work.
 func TestEjectionNeverEmptiesAService(t *testing.T) {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -21,7 +21,7 @@
 	Service steering.ServiceName
 	Zone    steering.ZoneName
 	Policy  Policy
-	Seed    uint64 // of the random choices
+	Seed    uint64 // of the random choices; 0: not repeatable
 
 	Warmup        time.Duration // a new or restarted server gets its slots over this time
 	Floor         float64       // share of the servers that ejection leaves in use, 0 to 1
@@ -83,20 +83,26 @@
 	selector selector
 	snapshot atomic.Pointer[snapshot]
 	share    atomicFloat // part of each server's slots that this VM may use
+	random   randomSource
+
+	_        cacheLine // what each decision writes lies apart from what it reads
 	inFlight atomic.Int64
 	lower    atomic.Int64 // in flight, but not interactive
-	random   randomSource
+	_        cacheLine
 
 	interactiveAt atomic.Int64 // last interactive query, to the tenth of a second
 	interactive   atomicFloat  // mean of interactive work in flight, as queries found it
+	usableSlots   atomic.Int64 // of the servers in use
 	nextTrial     atomic.Int64 // earliest end of an ejection; math.MaxInt64: none
 	nextReview    atomic.Int64
 	median        [steering.ClassCount]atomicFloat // of the servers' latency, nanoseconds
-	tail          [steering.ClassCount]quantile
 
 	mu sync.Mutex // guards writers: Update, drains, ejections and their ends
 }
 
+// cacheLine keeps fields on different lines of a processor's cache.
+type cacheLine [64]byte
+
 // snapshot is an immutable list of servers; their counters are atomics.
 type snapshot struct {
 	epoch   time.Time // origin of the times kept as nanoseconds
@@ -111,12 +117,9 @@
 	p := &Pool{options: options.withDefaults()}
 	p.selector = newSelector(p.options.Policy)
 	p.share.store(1)
-	p.random.state.Store(p.options.Seed)
+	p.random.seed(p.options.Seed)
 	p.nextTrial.Store(math.MaxInt64)
 	p.snapshot.Store(&snapshot{})
-	for class := range p.tail {
-		p.tail[class].target = hedgeQuantile
-	}
 	return p
 }
 
@@ -130,25 +133,11 @@
 }
 
 // Slots returns the slots that this VM may use now over all servers in use.
-func (p *Pool) Slots() int {
-	total := 0
-	for _, s := range p.snapshot.Load().servers {
-		if !s.leaving() && !s.ejected() {
-			total += int(s.slots)
-		}
-	}
-	return int(float64(total) * p.share.load())
-}
+func (p *Pool) Slots() int { return int(float64(p.usableSlots.Load()) * p.share.load()) }
 
 // InFlight returns the attempts in flight from this VM.
 func (p *Pool) InFlight() int { return int(p.inFlight.Load()) }
 
-// HedgeAfter returns the latency that 95% of the attempts of class stay under, as seen lately, or
-// 0 while too few were seen.
-func (p *Pool) HedgeAfter(class steering.Class) time.Duration {
-	return time.Duration(p.tail[class].value())
-}
-
 // Acquire takes a slot of a server, or returns *NoServerError. The slot is held until Done.
 func (p *Pool) Acquire(q Query) (*Reservation, error) {
 	snap := p.snapshot.Load()
@@ -161,6 +150,9 @@
 	if s == nil {
 		s, trial = p.take(&v), false
 	}
+	if s == nil {
+		s = p.takeLast(&v)
+	}
 	if s == nil {
 		p.giveTotal(q.Class)
 		return nil, v.refuse()
@@ -177,7 +169,8 @@
 func (p *Pool) noteClass(v *view) {
 	const step = int64(100 * time.Millisecond)
 	const memory = int64(10 * time.Second)
-	const weight = 0.01 // of a new sample in the mean
+	const sampleEvery = 8
+	const weight = 0.08 // of a new sample in the mean
 	last := p.interactiveAt.Load()
 	if v.query.Class != steering.ClassInteractive {
 		v.reserve = p.options.Reserve >= 0 && last != 0 && v.now-last < memory
@@ -186,6 +179,9 @@
 	if v.now-last > step {
 		p.interactiveAt.Store(v.now)
 	}
+	if p.random.intn(sampleEvery) != 0 {
+		return
+	}
 	inFlight := float64(p.inFlight.Load() - p.lower.Load())
 	p.interactive.update(func(mean float64) float64 { return mean + weight*(inFlight-mean) })
 }
