--- a/internal/contract/contract_test.go
+++ b/internal/contract/contract_test.go
@@ -82,6 +82,26 @@
 	}
 }
 
+func TestLessCapacityShrinksWhatComesNext(t *testing.T) {
+	now := time.Now()
+	book := NewBook(BookOptions{Self: "e1"})
+	g := newGrantor(book, 20, GrantorOptions{Now: func() time.Time { return now }})
+	first := ask(t, g, &peer.AskGrantRequest{Slots: 10, RequestId: 1})
+	g.SetCapacity(service, Capacity{Slots: 8, FloorShare: 0.25}) // servers left
+	if n := book.Usable(service, home, now); n != 0 {
+		t.Errorf("%d slots usable at home while 10 of 8 are lent", n)
+	}
+	now = now.Add(2 * time.Second)
+	if next := ask(t, g, &peer.AskGrantRequest{Slots: 10, RequestId: 2, GrantId: first.GrantId}); next.Slots != 6 {
+		t.Errorf("renewed to %v, want the 6 slots above the floor", next)
+	}
+	now = now.Add(2 * DefaultTTL)
+	g.Tick(now)
+	if n := book.Usable(service, home, now); n != 8 {
+		t.Errorf("%d slots usable at home after the grants lapsed, want 8", n)
+	}
+}
+
 func TestGrantLapsesDuringPause(t *testing.T) {
 	book := NewBook(BookOptions{Self: "e2"})
 	now := time.Now()
--- a/internal/zone/elector.go
+++ b/internal/zone/elector.go
@@ -160,7 +160,8 @@
 	return e
 }
 
-// Run renews, watches and runs for the leadership until ctx ends; then it gives the leadership up.
+// Run renews, watches and runs for the leadership until ctx ends. The lease is then left to lapse,
+// because grants that were made under it live on.
 func (e *Elector) Run(ctx context.Context) {
 	var loops sync.WaitGroup
 	loops.Go(func() { e.loop(ctx, e.opt.Interval, e.StepStore) })
