--- a/internal/contract/grantor.go
+++ b/internal/contract/grantor.go
@@ -147,9 +147,12 @@
 func (g *Grantor) Tick(now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	held := g.leadership(now).Held
 	for _, l := range g.ledgers {
 		l.expire(now)
-		l.ownWant = l.need.read(g.opt.Book.account(l.key))
+		if held { // else the peak is the Borrower's to read
+			l.ownWant = l.need.read(g.opt.Book.account(l.key))
+		}
 		g.settle(l, now)
 	}
 }
