--- a/internal/zone/measure_test.go
+++ b/internal/zone/measure_test.go
@@ -228,6 +228,17 @@
 	return out
 }
 
+// vouches returns the calls to heirs so far.
+func (w *world) vouches() uint64 {
+	sum := uint64(0)
+	for _, n := range w.order() {
+		for _, e := range n.electors {
+			sum += e.Stats().Vouches
+		}
+	}
+	return sum
+}
+
 // TestStoreCallsGrowWithZones counts the store calls of a minute at rest.
 func TestStoreCallsGrowWithZones(t *testing.T) {
 	type size struct{ zones, vms int }
@@ -237,11 +248,12 @@
 			w.places = grid(s.zones, s.vms)
 			w.startAll()
 			time.Sleep(40 * time.Second)
-			before := w.store.StoreCounts()
+			before, vouches := w.store.StoreCounts(), w.vouches()
 			time.Sleep(time.Minute)
+			vouches = w.vouches() - vouches
 			after := w.store.StoreCounts()
 			reads, writes := after.Reads()-before.Reads(), after.Writes()-before.Writes()
-			t.Logf("%3d zones of %2d VMs: %.2f reads/s, %.2f writes/s", s.zones, s.vms, float64(reads)/60, float64(writes)/60)
+			t.Logf("%3d zones of %2d VMs: %.2f reads/s, %.2f writes/s, %.2f promises/s asked of heirs", s.zones, s.vms, float64(reads)/60, float64(writes)/60, float64(vouches)/60)
 			if s.zones == 107 && (reads > 2000*60 || writes > 200*60) {
 				t.Error("more store calls than the platform allows")
 			}
