--- a/internal/lookup/snapshot.go
+++ b/internal/lookup/snapshot.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 
@@ -39,17 +38,9 @@
 	region   steering.RegionName
 	salt     uint64
 	vms      []candidate
-	groups   []group
-	capacity float64 // requests/s, in the unit of View.Demand
-}
-
-// group is a part of the VMs of a zone. Choosing a group first and a VM of it then takes far fewer
-// hashes than weighing all VMs of a large zone.
-type group struct {
-	vms     []candidate
-	inverse float32 // 1/sum of weights
-	salt    uint64
-	uniform bool // all VMs have the same weight
+	slots    []uint16 // into vms; nil for a zone with few VMs
+	uniform  bool     // all VMs have the same weight
+	capacity float64  // requests/s, in the unit of View.Demand
 }
 
 // candidate is a VM in a choice by weighted rendezvous hashing.
@@ -97,13 +88,28 @@
 	delays  map[regionPair]time.Duration
 	blocks  map[steering.ZoneName]int // listed, by the zone nearest to them
 	filled  []float64                 // requests/s by zone
+	earlier *snapshot                 // nil for the first
+}
+
+// zoneByName returns the zone called name, or nil.
+func (s *snapshot) zoneByName(name steering.ZoneName) *zone {
+	if s == nil {
+		return nil
+	}
+	for i := range s.zones {
+		if s.zones[i].name == name {
+			return &s.zones[i]
+		}
+	}
+	return nil
 }
 
-func build(view *View, options *Options, sites *Sites) *snapshot {
+func build(view *View, options *Options, sites *Sites, earlier *snapshot) *snapshot {
 	b := &builder{
 		view:    view,
 		options: options,
 		sites:   sites,
+		earlier: earlier,
 		snap:    &snapshot{revision: view.Revision, learnedAt: view.LearnedAt, sites: sites, home: -1},
 		byName:  make(map[steering.ZoneName]int32),
 		delays:  make(map[regionPair]time.Duration, len(view.Platform.Links)),
@@ -160,31 +166,41 @@
 		z.capacity += limits[i]
 	}
 	for i := range b.snap.zones {
-		b.snap.zones[i].group()
+		b.snap.zones[i].prepare(b.earlier.zoneByName(b.snap.zones[i].name))
 	}
 	b.filled = make([]float64, len(b.snap.zones))
 }
 
-// group splits the VMs of z into about as many groups as each of them has VMs. The groups of a VM
-// stay the same while others come and go, unless the number of groups changes.
-func (z *zone) group() {
-	n := max(1, int(math.Round(math.Sqrt(float64(len(z.vms))/2))))
-	z.groups = make([]group, n)
+// prepare makes z ready for choices among its VMs. It takes over the slots of an earlier state of the
+// zone with the same VMs and weights.
+func (z *zone) prepare(earlier *zone) {
+	z.uniform = true
 	for _, v := range z.vms {
-		g := &z.groups[v.salt%uint64(n)]
-		g.vms = append(g.vms, v)
-		g.inverse += 1 / v.inverse
+		z.uniform = z.uniform && v.inverse == z.vms[0].inverse
+	}
+	switch {
+	case len(z.vms) <= weighedVMs:
+	case earlier != nil && z.sameVMs(earlier):
+		z.slots = earlier.slots
+	default:
+		z.slots = fillSlots(z.vms)
 	}
-	z.groups = slices.DeleteFunc(z.groups, func(g group) bool { return len(g.vms) == 0 })
-	for i := range z.groups {
-		g := &z.groups[i]
-		g.inverse = 1 / g.inverse
-		g.uniform = true
-		for _, v := range g.vms {
-			g.uniform = g.uniform && v.inverse == g.vms[0].inverse
+}
+
+// sameVMs tells whether the VMs of z and their relative weights are those of other.
+func (z *zone) sameVMs(other *zone) bool {
+	const same = 0.02 // of a weight
+	if len(z.vms) != len(other.vms) {
+		return false
+	}
+	for i := range z.vms {
+		a, b := &z.vms[i], &other.vms[i]
+		now, then := a.inverse/z.vms[0].inverse, b.inverse/other.vms[0].inverse
+		if a.salt != b.salt || now > then*(1+same) || now < then*(1-same) {
+			return false
 		}
-		g.salt = mix(z.salt, uint64(i))
 	}
+	return true
 }
 
 func (b *builder) zoneIndex(name steering.ZoneName) int32 {
@@ -206,6 +222,10 @@
 func (b *builder) limits(vms []VMView) []float64 {
 	total := b.totalDemand()
 	mean := total / float64(max(1, len(vms)))
+	carried := 0.0
+	for _, v := range vms {
+		carried += v.Carried
+	}
 	limits := make([]float64, len(vms))
 	sum := 0.0
 	for i, v := range vms {
@@ -214,7 +234,8 @@
 			limits[i] = min(limits[i], v.Capacity)
 		}
 		if over := v.Utilization / fullUtilization; over > 1 {
-			limits[i] = min(limits[i], max(v.Carried, mean/2)/over)
+			part := total * v.Carried / max(carried, 1e-9)
+			limits[i] = min(limits[i], max(part, mean/2)/over)
 		}
 		sum += limits[i]
 	}
