--- a/cmd/azureflow/publish.go
+++ b/cmd/azureflow/publish.go
@@ -8,8 +8,10 @@
 	"strconv"
 	"time"
 
+	"github.com/azureflow/azureflow/internal/peer"
 	"github.com/azureflow/azureflow/internal/platform"
 	"github.com/azureflow/azureflow/internal/steering"
+	"github.com/azureflow/azureflow/internal/vm"
 )
 
 // publishCommand puts steering files in force.
@@ -38,7 +40,12 @@
 // Run implements the command.
 func (c *publishCommand) Run(ctx context.Context) error {
 	client := c.client()
-	publisher := steering.NewPublisher(steering.PublisherOptions{Store: client})
+	pool := peer.NewPool(nil)
+	defer func() { _ = pool.Close() }()
+	publisher := steering.NewPublisher(steering.PublisherOptions{
+		Store:          client,
+		HighestInForce: steering.PeersHighest(pool, peerAddresses(client)),
+	})
 	if c.Settle != "" {
 		return c.settle(ctx, publisher)
 	}
@@ -73,6 +80,23 @@
 	return platform.NewClient(platform.ClientOptions{StoreURL: c.Store, VMListURL: list, Name: "publish"})
 }
 
+// peerAddresses returns a function that lists the peer addresses of the entry VMs.
+func peerAddresses(list platform.VMList) func(ctx context.Context) ([]string, error) {
+	return func(ctx context.Context) ([]string, error) {
+		rows, err := list.VMs(ctx)
+		if err != nil {
+			return nil, err
+		}
+		var addresses []string
+		for _, row := range rows {
+			if row.Kind == vm.KindEntry && row.PeerAddress != "" {
+				addresses = append(addresses, row.PeerAddress)
+			}
+		}
+		return addresses, nil
+	}
+}
+
 func (c *publishCommand) settle(ctx context.Context, p *steering.Publisher) error {
 	settlement, err := p.Settle(ctx, c.Settle)
 	if err != nil {
--- a/internal/entry/adminsources.go
+++ b/internal/entry/adminsources.go
@@ -93,7 +93,7 @@
 
 func (a *adminSources) ready() error {
 	if !a.topology.ready.Load() {
-		return &NotReadyError{Reason: "no configuration is in force yet"}
+		return &NotReadyError{Reason: "no configuration is in force yet, or the VM list was not read yet"}
 	}
 	return nil
 }
--- a/internal/entry/domains.go
+++ b/internal/entry/domains.go
@@ -113,7 +113,7 @@
 		Incarnation: d.deps.self.Incarnation,
 		Home:        home,
 		Members:     func() []vm.Name { return d.entries(func(e *vm.Entry) bool { return e.VM.Zone == name }) },
-		Heirs:       func() []vm.Name { return d.heirs() },
+		Heirs:       func() []vm.Name { return d.heirs(name) },
 		Heard:       d.heard,
 		Listed:      d.listed,
 		Vouch:       d.deps.peers.askGrantAt,
@@ -122,11 +122,13 @@
 	}
 }
 
-// heirs returns the other entry VMs of the region.
-func (d *domains) heirs() []vm.Name {
-	return d.entries(func(e *vm.Entry) bool {
-		return e.VM.Region == d.deps.self.Region && e.VM.Name != d.deps.self.Name
-	})
+// heirs returns the VMs that may take a zone over: its other members first, then those of the region's
+// other zones.
+func (d *domains) heirs(name steering.ZoneName) []vm.Name {
+	members := d.entries(func(e *vm.Entry) bool { return e.VM.Zone == name && e.VM.Name != d.deps.self.Name })
+	others := d.entries(func(e *vm.Entry) bool { return e.VM.Region == d.deps.self.Region && e.VM.Zone != name })
+	others = slices.DeleteFunc(others, func(n vm.Name) bool { return n == d.deps.self.Name })
+	return append(members, others...)
 }
 
 func (d *domains) entries(keep func(*vm.Entry) bool) []vm.Name {
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -131,7 +131,7 @@
 		}
 		return reply.GetConfiguration(), steering.Revision(reply.GetRevision()), nil
 	}
-	return nil, 0, lastErr
+	return nil, 0, &steering.NoPeerError{Cause: lastErr}
 }
 
 // byRevision returns up to 3 other live entry VMs, the highest revision first.
--- a/internal/entry/placer.go
+++ b/internal/entry/placer.go
@@ -137,8 +137,15 @@
 	release := func(result request.AttemptResult) {
 		count.inFlight.Add(-1)
 		count.finished.Add(1)
-		p.book.Release(permit)
-		res.Done(result, time.Now())
+		free := func() {
+			p.book.Release(permit)
+			res.Done(result, time.Now())
+		}
+		if mayStillRun(result.Failure) {
+			time.AfterFunc(s.cancelGrace(), free)
+			return
+		}
+		free()
 	}
 	return &request.Placement{
 		Server:     res.Server,
@@ -150,6 +157,23 @@
 	}
 }
 
+// mayStillRun reports whether the server may be at work on an attempt that this VM gave up.
+func mayStillRun(f request.Failure) bool {
+	return f == request.FailureCancelled || f == request.FailureSilent
+}
+
+// cancelGrace is the time for which the slot of an attempt that was given up stays taken: until then the
+// server may not have heard of it.
+func (s *placement) cancelGrace() time.Duration {
+	const margin = 25 * time.Millisecond
+	grace := margin
+	cfg := s.placer.config()
+	if link := cfg.Platform.Link(s.placer.self.Region, s.choice.Region); link != nil {
+		grace += link.Delay.Std()
+	}
+	return grace + cfg.Platform.ZoneDelay.Std()
+}
+
 func (s *placement) reject(zone steering.ZoneName, reason string) {
 	s.candidates = append(s.candidates, review.Candidate{Name: string(zone), Reason: reason})
 }
--- a/internal/entry/topology.go
+++ b/internal/entry/topology.go
@@ -82,7 +82,8 @@
 	t.recordChanges(plans, inputs)
 	t.table.Replace(plans)
 	t.rooms.signalAll()
-	if !t.ready.Swap(true) {
+	// Without the VM list no server is known; a request would be refused for no reason of its own.
+	if !view.ListAt.IsZero() && !t.ready.Swap(true) {
 		t.log.WithFields(logrus.Fields{"revision": cfg.Revision}).Info("ready")
 	}
 }
--- a/internal/steering/defaults.go
+++ b/internal/steering/defaults.go
@@ -59,7 +59,7 @@
 			QueuePerService:    512,
 			InFlightPerCaller:  64,
 			ConnsPerServer:     8,
-			RecordsInMemory:    50_000,
+			RecordsInMemory:    4096,
 			DrainTimeout:       Duration(30 * time.Second),
 			SilentAfter:        Duration(2 * time.Second),
 			StoreCallsPerMin:   240,
