--- a/cmd/azureflow/e2e_test.go
+++ b/cmd/azureflow/e2e_test.go
@@ -17,6 +17,7 @@
 	"testing"
 	"time"
 
+	"github.com/azureflow/azureflow/internal/admin"
 	"github.com/azureflow/azureflow/internal/standin"
 	"github.com/azureflow/azureflow/internal/vm"
 )
@@ -271,6 +272,7 @@
 	}
 	for _, e := range s.entries {
 		s.await(e.name+" ready", func() error { return s.get("http://"+e.admin+"/readyz", nil) })
+		s.await(e.name+" knows the upstreams", func() error { return s.knowsUpstreams(e) })
 	}
 
 	first := s.call(s.entries[0].address, "certdesk", "/certificates/7", "--origin", "batinah")
@@ -287,6 +289,18 @@
 	t.Run("planned stop", func(t *testing.T) { stopEntryMidRequest(t, s) })
 }
 
+// knowsUpstreams returns nil once an entry VM has read a VM list with all upstreams.
+func (s *system) knowsUpstreams(e *entryProcess) error {
+	var page admin.Page[admin.UpstreamRow]
+	if err := s.get("http://"+e.admin+"/v1/upstreams", &page); err != nil {
+		return err
+	}
+	if len(page.Items) < len(s.servers) {
+		return io.ErrNoProgress
+	}
+	return nil
+}
+
 // patientExample copies the example of Sohar with deadlines so long that a slow machine meets them.
 func (s *system) patientExample() string {
 	s.t.Helper()
--- a/internal/demo/session_test.go
+++ b/internal/demo/session_test.go
@@ -128,15 +128,67 @@
 	}
 }
 
-// TestGoldenSession runs one whole session and compares its story with the golden file.
+// sessionStep is a phase of a session, begun at a virtual time since its start.
+type sessionStep struct {
+	at    time.Duration
+	title string
+	do    func(s *story, w *world, round int)
+}
+
+// daySteps are a day without cuts: service, a store outage, stragglers, a planned stop.
+var daySteps = []sessionStep{
+	{10 * time.Second, "callers of every region use every operation", (*story).serveAll},
+	{30 * time.Second, "the platform's store and VM list go down", func(s *story, w *world, round int) {
+		w.platform.SetFaults("", standin.PlatformFaults{Down: true, VMListDown: true})
+		time.Sleep(15 * time.Second)
+		s.serveAll(w, round)
+	}},
+	{60 * time.Second, "the platform is back", func(s *story, w *world, round int) {
+		w.platform.SetFaults("", standin.PlatformFaults{})
+	}},
+	{80 * time.Second, "every fourth server is 20 times slower", func(s *story, w *world, round int) {
+		w.slow(20)
+		s.serveAll(w, round)
+		w.slow(0)
+	}},
+	{120 * time.Second, "operator stops the last entry VM as planned", func(s *story, w *world, round int) {
+		w.drain(w.victim())
+		time.Sleep(10 * time.Second)
+		s.serveAll(w, round)
+	}},
+}
+
+// cutSteps cut the last zone off and heal it.
+var cutSteps = []sessionStep{
+	{10 * time.Second, "the last zone is cut off from the others and the platform", func(s *story, w *world, round int) {
+		w.network.setCut(w.lastZone(), true)
+		time.Sleep(10 * time.Second)
+		s.serveAll(w, round)
+	}},
+	{50 * time.Second, "the zone is back", func(s *story, w *world, round int) {
+		w.network.setCut(w.lastZone(), false)
+		time.Sleep(30 * time.Second)
+		s.serveAll(w, round)
+	}},
+}
+
+// TestGoldenSession compares the stories of whole sessions with golden files.
 func TestGoldenSession(t *testing.T) {
-	for _, name := range []string{"sohar", "zollbrugg"} {
-		t.Run(name, func(t *testing.T) {
-			var got string
-			synctest.Test(t, func(t *testing.T) { got = session(t, name) })
-			compareGolden(t, filepath.Join("testdata", name+".golden"), got)
-		})
-	}
+	goldenSession(t, "sohar", "sohar-day", daySteps)
+	goldenSession(t, "zollbrugg", "zollbrugg-day", daySteps)
+}
+
+// TestGoldenZoneCut compares the story of a zone that is cut off and comes back.
+func TestGoldenZoneCut(t *testing.T) {
+	goldenSession(t, "sohar", "sohar-cut", cutSteps)
+}
+
+func goldenSession(t *testing.T, deployment, name string, steps []sessionStep) {
+	t.Run(name, func(t *testing.T) {
+		var got string
+		synctest.Test(t, func(t *testing.T) { got = session(t, deployment, steps) })
+		compareGolden(t, filepath.Join("testdata", name+".golden"), got)
+	})
 }
 
 func compareGolden(t *testing.T, file, got string) {
@@ -156,49 +208,27 @@
 	}
 }
 
-// session publishes, serves, drains, slows, loses the store and a region, and stops as planned.
-func session(t *testing.T, name string) string {
-	d, err := loadDeployment(name)
+// session publishes, runs the steps and returns the story.
+func session(t *testing.T, deployment string, steps []sessionStep) string {
+	d, err := loadDeployment(deployment)
 	if err != nil {
 		t.Fatal(err)
 	}
 	s := &story{began: time.Now()}
-	s.begin(0, "operator publishes the steering files of "+name)
-	w, err := startWorld(context.Background(), Options{Deployment: name}.withDefaults(), d, newMemory())
+	s.begin(0, "operator publishes the steering files of "+deployment)
+	w, err := startWorld(context.Background(), Options{Deployment: deployment}.withDefaults(), d, newMemory())
 	if err != nil {
 		t.Fatal(err)
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	var following sync.WaitGroup
 	following.Go(func() { s.follow(ctx, w) })
-
-	s.begin(10*time.Second, "callers of every region use every operation")
-	s.serveAll(w, 1)
-	s.begin(30*time.Second, "the platform's store and VM list go down")
-	w.platform.SetFaults("", standin.PlatformFaults{Down: true, VMListDown: true})
-	time.Sleep(15 * time.Second)
-	s.serveAll(w, 2)
-	s.begin(60*time.Second, "the platform is back")
-	w.platform.SetFaults("", standin.PlatformFaults{})
-	s.begin(80*time.Second, "every fourth server is 20 times slower")
-	w.slow(20)
-	s.serveAll(w, 3)
-	w.slow(0)
-	zone := w.lastZone()
-	s.begin(120*time.Second, string(zone)+" is cut off")
-	w.network.setCut(zone, true)
-	time.Sleep(10 * time.Second)
-	s.serveAll(w, 4)
-	s.begin(160*time.Second, string(zone)+" is back")
-	w.network.setCut(zone, false)
-	time.Sleep(30 * time.Second)
-	s.serveAll(w, 5)
-	s.begin(220*time.Second, "operator stops "+string(w.victim().row.Name)+" as planned")
-	w.drain(w.victim())
-	time.Sleep(10 * time.Second)
-	s.serveAll(w, 6)
-	s.begin(260*time.Second, "review")
-
+	for i, step := range steps {
+		s.begin(step.at, step.title)
+		step.do(s, w, i+1)
+	}
+	const quiet = 30 * time.Second
+	s.begin(steps[len(steps)-1].at+time.Minute+quiet, "review")
 	stop()
 	following.Wait()
 	w.stop()
