--- a/internal/entry/placer.go
+++ b/internal/entry/placer.go
@@ -121,7 +121,9 @@
 		s.reject(zone, "no slot under contract")
 		return nil
 	}
-	res, err := pool.Acquire(upstream.Query{Class: q.Operation.Class, Exclude: q.Exclude, Hedge: q.Hedge, Now: q.Now})
+	res, err := pool.Acquire(upstream.Query{
+		Class: q.Operation.Class, Exclude: q.Exclude, Hedge: q.Hedge, NoTrial: !q.Operation.Idempotent, Now: q.Now,
+	})
 	if err != nil {
 		s.placer.book.Release(permit)
 		s.rejectServers(zone, err)
