--- /dev/null
+++ b/internal/vm/exchange_test.go
@@ -0,0 +1,348 @@
+package vm
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math"
+	"runtime"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/azureflow/azureflow/internal/peer"
+	"github.com/azureflow/azureflow/internal/steering"
+)
+
+// Sizes of the target.
+const (
+	targetZones   = 107
+	targetRegions = 47
+)
+
+// fleetSizes are the numbers of entry VMs that costs are measured at.
+var fleetSizes = []int{7, 40, 400, 4300}
+
+// stateOf returns the heartbeat of VM i of a fleet, with a number of loads and as many origins.
+func stateOf(i, loads, origins int, heartbeat uint64) *peer.VMState {
+	zone := i % targetZones
+	s := &peer.VMState{
+		Name:        fmt.Sprintf("entry-%04d", i),
+		Incarnation: 1_764_844_800_000_000_000 + uint64(i),
+		Region:      fmt.Sprintf("region-%02d", zone%targetRegions),
+		Zone:        fmt.Sprintf("zone-%03d", zone),
+		Address:     fmt.Sprintf("10.%d.%d.%d:8080", zone, i/250, i%250),
+		PeerAddress: fmt.Sprintf("10.%d.%d.%d:8081", zone, i/250, i%250),
+		Revision:    14_000,
+		Heartbeat:   heartbeat,
+	}
+	for j := range loads {
+		s.Loads = append(s.Loads, &peer.ServiceLoad{
+			Service: fmt.Sprintf("service-%04d", j), Zone: s.Zone, InFlight: 20, HeldSlots: 60, CapacitySlots: 300,
+		})
+	}
+	for j := range origins {
+		s.Origins = append(s.Origins, &peer.OriginLoad{
+			Service: fmt.Sprintf("service-%04d", j), Origin: s.Region, InFlight: 20, Queued: 1,
+		})
+	}
+	return s
+}
+
+// leaderStates returns the leaders of n zones.
+func leaderStates(n int) []*peer.LeaderState {
+	out := make([]*peer.LeaderState, n)
+	for i := range out {
+		out[i] = &peer.LeaderState{Zone: fmt.Sprintf("zone-%03d", i), Vm: fmt.Sprintf("entry-%04d", i), Epoch: 100_000}
+	}
+	return out
+}
+
+// message returns a heartbeat that passes on a number of states and names a number of leaders.
+func message(known, loads, leaders int) *peer.ExchangeRequest {
+	req := &peer.ExchangeRequest{Self: stateOf(0, loads, loads, 1_000_000), Leaders: leaderStates(leaders)}
+	for i := range known {
+		req.Known = append(req.Known, stateOf(i+1, loads, loads, 1_000_000))
+	}
+	return req
+}
+
+// line is a fit by least squares; residual is the largest distance of a point from it.
+type line struct{ base, slope, residual float64 }
+
+func fit(x, y []float64) line {
+	var mx, my, sxy, sxx float64
+	for i := range x {
+		mx += x[i] / float64(len(x))
+		my += y[i] / float64(len(x))
+	}
+	for i := range x {
+		sxy += (x[i] - mx) * (y[i] - my)
+		sxx += (x[i] - mx) * (x[i] - mx)
+	}
+	l := line{slope: sxy / sxx}
+	l.base = my - l.slope*mx
+	for i := range x {
+		l.residual = max(l.residual, math.Abs(y[i]-l.base-l.slope*x[i]))
+	}
+	return l
+}
+
+// TestExchangeBytes prints the bytes of a heartbeat by what it carries. It asserts that the states
+// passed on, and so the message, are bounded by the number of changes and not by the fleet.
+func TestExchangeBytes(t *testing.T) {
+	series := []struct {
+		name  string
+		sizes []int
+		bytes func(n int) int
+	}{
+		{"states passed on, no load", []int{0, 2, 4, 8, 16}, func(n int) int { return proto.Size(message(n, 0, 0)) }},
+		{"loads and origins of the sender", []int{0, 3, 30, 300, 1800}, func(n int) int { return proto.Size(message(0, n, 0)) }},
+		{"leaders named", []int{0, 6, 24, 54, targetZones}, func(n int) int { return proto.Size(message(0, 0, n)) }},
+	}
+	for _, s := range series {
+		var x, y []float64
+		for _, n := range s.sizes {
+			x, y = append(x, float64(n)), append(y, float64(s.bytes(n)))
+		}
+		l := fit(x, y)
+		t.Logf("%s: sizes %v, bytes %v: %.1f + %.2f each, residual %.1f", s.name, s.sizes, y, l.base, l.slope, l.residual)
+	}
+}
+
+// TestChangedIsBounded holds that what one heartbeat passes on does not grow with the fleet.
+func TestChangedIsBounded(t *testing.T) {
+	const limit = 16
+	for _, n := range fleetSizes {
+		d := fleet(n, 0)
+		if got := len(d.Changed(time.Time{}, limit)); got > limit {
+			t.Errorf("fleet of %d: %d states passed on, more than %d", n, got, limit)
+		}
+	}
+}
+
+// TestChangesBeyondTheLimit prints how many of the states that changed at once a peer is told in the
+// exchanges that follow.
+func TestChangesBeyondTheLimit(t *testing.T) {
+	for _, n := range []int{10, 40, 400} {
+		x := NewExchanger(ExchangerOptions{Directory: fleet(n+1, 0)})
+		at := time.Unix(1_764_844_801, 0)
+		var told []int
+		for i := range 4 {
+			told = append(told, len(x.changesFor("entry-peer", at.Add(time.Duration(i)*time.Second))))
+		}
+		t.Logf("%d states changed at once: told in four exchanges %v", n, told)
+	}
+}
+
+// TestListBytes prints the bytes of the VM list by its rows.
+func TestListBytes(t *testing.T) {
+	var x, y []float64
+	for _, n := range fleetSizes {
+		rows := make([]VM, n)
+		for i := range rows {
+			rows[i] = rowOf(stateOf(i, 0, 0, 0))
+			rows[i].Since = time.Unix(1_764_844_800, 0).UTC()
+		}
+		data, err := json.Marshal(rows)
+		if err != nil {
+			t.Fatal(err)
+		}
+		x, y = append(x, float64(n)), append(y, float64(len(data)))
+	}
+	l := fit(x, y)
+	t.Logf("rows %v, bytes %v: %.1f + %.2f each, residual %.1f", x, y, l.base, l.slope, l.residual)
+}
+
+// fleet returns the directory of VM 0 that has heard of n VMs, itself included.
+func fleet(n, loads int) *Directory {
+	now := time.Unix(1_764_844_800, 0)
+	d := NewDirectory(VM{Name: "entry-0000", Kind: KindEntry, Zone: "zone-000", State: StateLive}, DirectoryOptions{})
+	states := make([]*peer.VMState, 0, n)
+	for i := 1; i < n; i++ {
+		states = append(states, stateOf(i, loads, loads, 1))
+	}
+	d.Merge(states, now)
+	return d
+}
+
+func BenchmarkExchangeCodec(b *testing.B) {
+	cases := []struct{ known, loads, leaders int }{
+		{0, 0, 0}, {0, 3, 6}, {4, 3, 6}, {8, 3, 6}, {16, 3, 6}, {16, 3, targetZones}, {0, 30, 0}, {0, 300, 0}, {0, 1800, 0},
+	}
+	for _, c := range cases {
+		b.Run(fmt.Sprintf("known=%d/loads=%d/leaders=%d", c.known, c.loads, c.leaders), func(b *testing.B) {
+			req := message(c.known, c.loads, c.leaders)
+			b.ReportAllocs()
+			for b.Loop() {
+				data, err := proto.Marshal(req)
+				if err != nil {
+					b.Fatal(err)
+				}
+				if err := proto.Unmarshal(data, &peer.ExchangeRequest{}); err != nil {
+					b.Fatal(err)
+				}
+				b.ReportMetric(float64(len(data)), "bytes")
+			}
+		})
+	}
+}
+
+// BenchmarkMerge is one heartbeat heard: a merge of one state and the new snapshot.
+func BenchmarkMerge(b *testing.B) {
+	for _, n := range fleetSizes {
+		b.Run(fmt.Sprintf("vms=%d", n), func(b *testing.B) {
+			d := fleet(n, 3)
+			now := time.Unix(1_764_844_801, 0)
+			beat := uint64(1)
+			states := []*peer.VMState{nil}
+			b.ReportAllocs()
+			for b.Loop() {
+				beat++
+				states[0] = stateOf(1+int(beat)%(n-1), 3, 3, beat)
+				d.Merge(states, now)
+			}
+		})
+	}
+}
+
+// BenchmarkChanged is the search for what a peer has to learn when nothing changed.
+func BenchmarkChanged(b *testing.B) {
+	for _, n := range fleetSizes {
+		b.Run(fmt.Sprintf("vms=%d", n), func(b *testing.B) {
+			d := fleet(n, 0)
+			since := time.Unix(1_764_844_801, 0)
+			for b.Loop() {
+				d.Changed(since, 16)
+			}
+		})
+	}
+}
+
+// BenchmarkUpdateList is one reading of the VM list.
+func BenchmarkUpdateList(b *testing.B) {
+	for _, n := range fleetSizes {
+		b.Run(fmt.Sprintf("vms=%d", n), func(b *testing.B) {
+			d := fleet(n, 0)
+			rows := make([]VM, n)
+			for i := range rows {
+				s := stateOf(i, 0, 0, 1)
+				rows[i] = VM{Name: Name(s.Name), Kind: KindEntry, Zone: steering.ZoneName(s.Zone), State: StateLive}
+			}
+			for b.Loop() {
+				d.UpdateList(rows, time.Unix(1_764_844_801, 0))
+			}
+		})
+	}
+}
+
+// BenchmarkDirectoryMemory reports the heap that a directory holds.
+func BenchmarkDirectoryMemory(b *testing.B) {
+	for _, loads := range []int{0, 3, 30} {
+		for _, n := range fleetSizes {
+			b.Run(fmt.Sprintf("vms=%d/loads=%d", n, loads), func(b *testing.B) {
+				var held uint64
+				for b.Loop() {
+					before := heap()
+					d := fleet(n, loads)
+					held = heap() - before
+					runtime.KeepAlive(d)
+				}
+				b.ReportMetric(float64(held), "heap-bytes")
+			})
+		}
+	}
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+// believed counts what the VMs of a fleet believe of each other.
+type believed struct{ live, suspect, dead int }
+
+// converse lets every VM of a fleet exchange for some time, in memory and without loss, in virtual time.
+func converse(zones, perZone int, lasts time.Duration) believed {
+	exchangers := make(map[Name]*Exchanger)
+	var rows []VM
+	for i := range zones * perZone {
+		s := stateOf(i, 0, 0, 0)
+		s.Zone = fmt.Sprintf("zone-%03d", i%zones)
+		rows = append(rows, rowOf(s))
+	}
+	for i, row := range rows {
+		beats := uint64(0)
+		d := NewDirectory(row, DirectoryOptions{})
+		exchangers[row.Name] = NewExchanger(ExchangerOptions{
+			Directory: d,
+			Leaders:   func() []*peer.LeaderState { return nil },
+			Learn:     func([]*peer.LeaderState) {},
+			IsLeader:  func(steering.ZoneName, Name) bool { return i < zones },
+			Self: func() *peer.VMState {
+				beats++
+				s := stateOf(i, 0, 0, beats)
+				s.Zone = string(row.Zone)
+				d.UpdateSelf(s, time.Now())
+				return s
+			},
+		})
+		d.UpdateList(rows, time.Now())
+	}
+	for end := time.Now().Add(lasts); time.Now().Before(end); time.Sleep(500 * time.Millisecond) {
+		for _, row := range rows {
+			round(exchangers[row.Name], exchangers)
+		}
+	}
+	return count(exchangers)
+}
+
+// round is Exchanger.Round with direct calls.
+func round(x *Exchanger, all map[Name]*Exchanger) {
+	for _, target := range x.targets() {
+		req := &peer.ExchangeRequest{Self: x.opts.Self(), Known: x.changesFor(target.Name, time.Now())}
+		reply, err := all[target.Name].Exchange(context.Background(), req)
+		if err == nil {
+			x.learn(reply.GetSelf(), reply.GetKnown(), nil, time.Now())
+		}
+	}
+	x.opts.Directory.Refresh(time.Now())
+}
+
+func count(all map[Name]*Exchanger) believed {
+	var b believed
+	for name, x := range all {
+		for _, e := range x.opts.Directory.View().Entries {
+			switch {
+			case e.VM.Name == name:
+			case e.Liveness == Dead:
+				b.dead++
+			case e.Liveness == Suspect:
+				b.suspect++
+			default:
+				b.live++
+			}
+		}
+	}
+	return b
+}
+
+// TestBeliefsByFleet prints what VMs that all live and reach each other believe of each other after
+// 15 s, with the intervals that daemons use. Today's fleet must see all of them alive.
+func TestBeliefsByFleet(t *testing.T) {
+	for _, f := range []struct{ zones, perZone int }{{7, 1}, {8, 1}, {4, 2}, {1, 10}, {1, 20}, {1, 40}, {3, 8}, {6, 6}} {
+		synctest.Test(t, func(t *testing.T) {
+			b := converse(f.zones, f.perZone, 15*time.Second)
+			all := float64(b.live + b.suspect + b.dead)
+			t.Logf("%d zones of %d VMs: live %.3f, suspect %.3f, dead %.3f of %.0f pairs", f.zones, f.perZone,
+				float64(b.live)/all, float64(b.suspect)/all, float64(b.dead)/all, all)
+			if f.zones == 7 && b.live != int(all) {
+				t.Errorf("7 VMs: %+v", b)
+			}
+		})
+	}
+}
