--- a/internal/demo/network.go
+++ b/internal/demo/network.go
@@ -3,12 +3,10 @@
 
 import (
 	"context"
-	"io"
 	"maps"
 	"net"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -57,18 +55,6 @@
 
 type linkKey struct{ from, to steering.RegionName }
 
-// wire is one direction of a link: it serialises bytes at its rate and keeps the peak use.
-type wire struct {
-	bytesPerS float64
-	delay     time.Duration // one way
-
-	mu      sync.Mutex
-	freeAt  time.Time
-	window  time.Time // begin of the current second
-	sent    int64     // bytes in the window
-	peakMax int64     // bytes a second
-}
-
 // transport is what the network's connections are made of.
 type transport interface {
 	listen(address string) (net.Listener, error)
@@ -283,140 +269,6 @@
 	return c
 }
 
-// take books n bytes and returns when the last of them has left the wire.
-func (w *wire) take(bytes int, now time.Time) time.Time {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.freeAt.Before(now) {
-		w.freeAt = now
-	}
-	w.freeAt = w.freeAt.Add(time.Duration(float64(bytes) / w.bytesPerS * float64(time.Second)))
-	if now.Sub(w.window) >= time.Second {
-		w.window = now
-		w.sent = 0
-	}
-	w.sent += int64(bytes)
-	w.peakMax = max(w.peakMax, w.sent)
-	return w.freeAt
-}
-
-// peakMbit returns the highest use in a second, in Mbit/s.
-func (w *wire) peakMbit() float64 {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return float64(w.peakMax) * 8 / bitsPerMbit
-}
-
-// conn is a connection whose bytes arrive after the delay of its path, in both directions.
-type conn struct {
-	net.Conn
-	network  *network
-	from, to place
-	out, in  *pipe
-	muted    atomic.Bool
-	once     sync.Once
-	closed   chan struct{}
-	rest     []byte // read but not yet taken
-}
-
-// Write queues b; it blocks while too much is queued.
-func (c *conn) Write(b []byte) (int, error) {
-	c.tell(&transfer{conn: c, from: c.from, to: c.to, data: b})
-	if !c.out.put(append([]byte(nil), b...)) {
-		return 0, net.ErrClosed
-	}
-	return len(b), nil
-}
-
-// Read returns bytes whose delay has passed.
-func (c *conn) Read(b []byte) (int, error) {
-	if len(c.rest) == 0 {
-		data, ok := c.in.get()
-		if !ok {
-			return 0, io.EOF
-		}
-		c.rest = data
-	}
-	n := copy(b, c.rest)
-	c.rest = c.rest[n:]
-	return n, nil
-}
-
-// Close closes both directions; bytes queued to be sent are sent first.
-func (c *conn) Close() error {
-	c.once.Do(func() {
-		c.network.mu.Lock()
-		delete(c.network.open, c)
-		c.network.mu.Unlock()
-		c.out.close()
-		c.in.close()
-		close(c.closed)
-	})
-	return nil
-}
-
-// SetDeadline does nothing: the clients that use these connections cancel by closing them.
-func (c *conn) SetDeadline(time.Time) error { return nil }
-
-// SetReadDeadline does nothing, as SetDeadline.
-func (c *conn) SetReadDeadline(time.Time) error { return nil }
-
-// SetWriteDeadline does nothing, as SetDeadline.
-func (c *conn) SetWriteDeadline(time.Time) error { return nil }
-
-// breakOff ends the connection as the death of one end does.
-func (c *conn) breakOff() {
-	c.in.close()
-	_ = c.Close()
-	_ = c.Conn.Close()
-}
-
-func (c *conn) tell(t *transfer) {
-	if observe := c.network.observe; observe != nil {
-		observe(t)
-	}
-}
-
-func (c *conn) lost() bool { return c.muted.Load() || c.network.isCut(c.from, c.to) }
-
-func (c *conn) pumpOut() {
-	defer func() { _ = c.Conn.Close() }()
-	for {
-		data, ok := c.out.get()
-		if !ok {
-			return
-		}
-		c.network.awaitResume(c)
-		if c.lost() {
-			continue
-		}
-		if _, err := c.Conn.Write(data); err != nil {
-			return
-		}
-	}
-}
-
-func (c *conn) pumpIn() {
-	const chunk = 32 << 10 // bytes
-	for {
-		buf := make([]byte, chunk)
-		n, err := c.Conn.Read(buf)
-		if n > 0 {
-			c.tell(&transfer{conn: c, from: c.to, to: c.from, answer: true, data: buf[:n]})
-		}
-		c.network.awaitResume(c)
-		if n > 0 && !c.lost() && !c.in.put(buf[:n]) {
-			return
-		}
-		if err != nil {
-			if !c.lost() {
-				c.in.finish()
-			}
-			return
-		}
-	}
-}
-
 func sleep(ctx context.Context, d time.Duration) error {
 	if d <= 0 {
 		return ctx.Err()
