--- a/caller/call.go
+++ b/caller/call.go
@@ -55,14 +55,15 @@
 	c.results = make(chan *sending, c.client.opts.MaxSendings)
 	c.client.budget.PayIn(resendShare)
 	var started []*sending
-	answer, err := c.loop(ctx, entries, &started)
-	if answer == nil {
+	winner, err := c.loop(ctx, entries, &started)
+	if winner == nil {
 		cancel()
 	}
-	c.cancelOthers(started, answer)
+	c.cancelOthers(started, winner)
 	if err != nil {
 		return nil, err
 	}
+	answer := winner.answer
 	answer.Body = &answerBody{ReadCloser: answer.Body, cancel: cancel}
 	return answer, nil
 }
@@ -76,7 +77,8 @@
 	return context.WithDeadline(ctx, c.deadline)
 }
 
-func (c *call) loop(ctx context.Context, entries []EntryVM, started *[]*sending) (*Answer, error) {
+// loop returns the sending whose answer is the call's.
+func (c *call) loop(ctx context.Context, entries []EntryVM, started *[]*sending) (*sending, error) {
 	next := c.start(ctx, entries, started)
 	for c.pending > 0 {
 		silent := time.NewTimer(c.silentAfter())
@@ -85,7 +87,7 @@
 			silent.Stop()
 			c.pending--
 			if c.take(s) {
-				return s.answer, nil
+				return s, nil
 			}
 			if next && c.pending == 0 && c.mayMove(s) {
 				next = c.start(ctx, entries, started)
@@ -182,9 +184,11 @@
 	return e
 }
 
-func (c *call) cancelOthers(started []*sending, winner *Answer) {
+// cancelOthers cancels the sendings that lost. Those under way belong to their goroutines: only the
+// pointers are compared.
+func (c *call) cancelOthers(started []*sending, winner *sending) {
 	for _, s := range started {
-		if s.answer != winner {
+		if s != winner {
 			s.cancel()
 		}
 	}
