--- a/internal/vm/directory.go
+++ b/internal/vm/directory.go
@@ -106,7 +106,6 @@
 	view atomic.Pointer[View]
 
 	mu        sync.Mutex
-	self      VM
 	members   map[Name]*member
 	upstreams []VM
 	listAt    time.Time
@@ -117,7 +116,7 @@
 // NewDirectory returns a Directory that knows only self.
 func NewDirectory(self VM, opts DirectoryOptions) *Directory {
 	opts.Self = self.Name
-	d := &Directory{opts: opts.withDefaults(), self: self, members: make(map[Name]*member)}
+	d := &Directory{opts: opts.withDefaults(), members: make(map[Name]*member)}
 	d.random = rand.New(rand.NewPCG(xxhash.Sum64String(string(self.Name)), 1))
 	d.members[self.Name] = &member{row: self}
 	d.view.Store(&View{Entries: []Entry{{VM: self, Liveness: Live}}})
