--- a/cmd/azureflow/main.go
+++ b/cmd/azureflow/main.go
@@ -38,14 +38,7 @@
 func run(args []string) int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	var cli commands
-	parser := kong.Must(&cli,
-		kong.Name("azureflow"),
-		kong.Description("Global traffic steering. Exit codes: 0 done, 1 the input is wrong, 2 usage, 3 the system could not be reached."),
-		kong.UsageOnError(),
-		kong.BindTo(ctx, (*context.Context)(nil)),
-	)
-	command, err := parser.Parse(args)
+	command, err := newParser(ctx).Parse(args)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "azureflow:", err)
 		return exitUsage
@@ -56,3 +49,13 @@
 	}
 	return exitDone
 }
+
+// newParser returns the command line; commands get ctx.
+func newParser(ctx context.Context) *kong.Kong {
+	return kong.Must(&commands{},
+		kong.Name("azureflow"),
+		kong.Description("Global traffic steering. Exit codes: 0 done, 1 the input is wrong, 2 usage, 3 the system could not be reached."),
+		kong.UsageOnError(),
+		kong.BindTo(ctx, (*context.Context)(nil)),
+	)
+}
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -4,7 +4,9 @@
 	"bytes"
 	"context"
 	"errors"
+	"io"
 	"net/http"
+	"net/http/httptest"
 	"regexp"
 	"strings"
 	"testing"
@@ -15,6 +17,8 @@
 	"go.opentelemetry.io/otel/propagation"
 	sdktrace "go.opentelemetry.io/otel/sdk/trace"
 	"go.opentelemetry.io/otel/trace"
+	collectorpb "go.opentelemetry.io/proto/otlp/collector/trace/v1"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/azureflow/azureflow/internal/review"
 	"github.com/azureflow/azureflow/internal/steering"
@@ -97,6 +101,59 @@
 	}
 }
 
+// collector is an OTLP collector over HTTP that keeps what it was sent.
+type collector struct {
+	requests chan *collectorpb.ExportTraceServiceRequest
+}
+
+func (c *collector) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	request := &collectorpb.ExportTraceServiceRequest{}
+	if err := proto.Unmarshal(body, request); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	c.requests <- request
+	w.Header().Set("Content-Type", "application/x-protobuf")
+}
+
+// A collector gets the spans of a request in one trace, with the VM that emitted them.
+func TestOTLPExporterReachesACollector(t *testing.T) {
+	sink := &collector{requests: make(chan *collectorpb.ExportTraceServiceRequest, 1)}
+	server := httptest.NewServer(sink)
+	defer server.Close()
+	settings := steering.TelemetrySettings{Traces: "otlp", OTLPEndpoint: server.URL + "/v1/traces", SampleShare: 1}
+	ctx := t.Context()
+	provider, shutdown, err := NewTracerProvider(ctx, settings, Identity{VM: "e1", Incarnation: 7, Zone: "batinah-a"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	tracer := provider.Tracer("test")
+	outer, request := tracer.Start(ctx, "request")
+	_, attempt := tracer.Start(outer, "attempt")
+	attempt.End()
+	request.End()
+	if err := shutdown(ctx); err != nil {
+		t.Fatal(err)
+	}
+	got := (<-sink.requests).GetResourceSpans()[0]
+	spans := got.GetScopeSpans()[0].GetSpans()
+	if len(spans) != 2 || spans[0].GetName() != "attempt" || spans[1].GetName() != "request" {
+		t.Fatalf("spans %v", spans)
+	}
+	if !bytes.Equal(spans[0].GetParentSpanId(), spans[1].GetSpanId()) ||
+		!bytes.Equal(spans[0].GetTraceId(), spans[1].GetTraceId()) {
+		t.Errorf("the attempt is not a child of the request: %v", spans)
+	}
+	if !strings.Contains(got.GetResource().String(), "e1.7") {
+		t.Errorf("resource %v", got.GetResource())
+	}
+}
+
 func TestMetricNames(t *testing.T) {
 	registry := prometheus.NewRegistry()
 	m := NewMetrics(registry)
