--- a/cmd/azureflow/main.go
+++ b/cmd/azureflow/main.go
@@ -16,18 +16,19 @@
 
 // commands is the command line.
 type commands struct {
-	Entry    entryCommand    `cmd:"" help:"Run the daemon of an entry VM."`
-	Check    checkCommand    `cmd:"" help:"Check steering files, offline."`
-	Publish  publishCommand  `cmd:"" help:"Put steering files in force."`
-	Lookup   lookupCommand   `cmd:"" help:"Ask which entry VM a caller should use."`
-	Call     callCommand     `cmd:"" help:"Send one request and print answer, outcome and decision id."`
-	Explain  explainCommand  `cmd:"" help:"Say what was decided and why."`
-	Status   statusCommand   `cmd:"" help:"Show entry VMs, zones, links, contracts, upstreams and the revision in force."`
-	Settings settingsCommand `cmd:"" help:"Print the settings in force for a settings file, defaults included."`
-	Standin  standinCommand  `cmd:"" help:"Run a stand-in of the platform or of an upstream, for tests."`
-	Demo     demoCommand     `cmd:"" help:"Run a whole deployment in one process for a short while."`
-	Load     loadCommand     `cmd:"" help:"Send open-loop load and compare it with direct calls."`
-	Version  versionCommand  `cmd:"" help:"Print the version."`
+	Entry      entryCommand      `cmd:"" help:"Run the daemon of an entry VM."`
+	Check      checkCommand      `cmd:"" help:"Check steering files, offline."`
+	Publish    publishCommand    `cmd:"" help:"Put steering files in force."`
+	Lookup     lookupCommand     `cmd:"" help:"Ask which entry VM a caller should use."`
+	Call       callCommand       `cmd:"" help:"Send one request and print answer, outcome and decision id."`
+	Explain    explainCommand    `cmd:"" help:"Say what was decided and why."`
+	Status     statusCommand     `cmd:"" help:"Show entry VMs, zones, links, contracts, upstreams and the revision in force."`
+	Settings   settingsCommand   `cmd:"" help:"Print the settings in force for a settings file, defaults included."`
+	Standin    standinCommand    `cmd:"" help:"Run a stand-in of the platform or of an upstream, for tests."`
+	Demo       demoCommand       `cmd:"" help:"Run a whole deployment in one process for a short while."`
+	Experiment experimentCommand `cmd:"" help:"Compare variants of a deployment over several seeds."`
+	Load       loadCommand       `cmd:"" help:"Send open-loop load and compare it with direct calls."`
+	Version    versionCommand    `cmd:"" help:"Print the version."`
 }
 
 func main() {
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -6,17 +6,20 @@
 	"sync"
 	"time"
 
+	"github.com/azureflow/azureflow/internal/entry"
 	"github.com/azureflow/azureflow/internal/steering"
 )
 
 // Options configure a run. Zero values take the defaults.
 type Options struct {
-	Deployment string        // sohar or zollbrugg
-	Seed       uint64        // of arrivals and service times; default 1
-	Duration   time.Duration // of the load; default 10 s
-	Load       float64       // share of the peak that the steering files expect; default 0.6
-	Faults     []string      // names, see FaultNames
-	Log        io.Writer     // of the entry VMs; nil: dropped
+	Deployment string                   // sohar or zollbrugg
+	Seed       uint64                   // of arrivals and service times; default 1
+	Duration   time.Duration            // of the load; default 10 s
+	Load       float64                  // share of the peak that the steering files expect; default 0.6
+	Faults     []string                 // names, see FaultNames
+	Without    []steering.OperationName // operations that callers leave out
+	Policies   entry.Policies           // baselines; zero: the daemon's own
+	Log        io.Writer                // of the entry VMs; nil: dropped
 }
 
 func (o Options) withDefaults() Options {
@@ -38,7 +41,10 @@
 // Run brings a deployment up, loads it for a while, breaks what was asked for and compares what callers
 // were told with what the upstreams really ran.
 func Run(ctx context.Context, opts Options) (*Summary, error) {
-	opts = opts.withDefaults()
+	return runOn(ctx, opts.withDefaults(), tcp{})
+}
+
+func runOn(ctx context.Context, opts Options, t transport) (*Summary, error) {
 	broken, err := findFaults(opts.Faults)
 	if err != nil {
 		return nil, err
@@ -47,7 +53,7 @@
 	if err != nil {
 		return nil, err
 	}
-	w, err := startWorld(ctx, opts, d, tcp{})
+	w, err := startWorld(ctx, opts, d, t)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/demo/load.go
+++ b/internal/demo/load.go
@@ -9,6 +9,7 @@
 	"math"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -63,6 +64,9 @@
 	for i := range w.deployment.config.Services {
 		s := &w.deployment.config.Services[i]
 		for j := range s.Operations {
+			if slices.Contains(w.opts.Without, s.Operations[j].Name) {
+				continue
+			}
 			for k := range regions {
 				out = append(out, &flow{
 					service: s, operation: &s.Operations[j], region: regions[k].Name,
--- a/internal/demo/world.go
+++ b/internal/demo/world.go
@@ -135,7 +135,7 @@
 	}}
 	w.platform.PutVM(e.row)
 	e.app = fx.New(entry.Module(entry.Options{
-		Settings: settings, Listeners: &l, Dial: w.network.dialer(at), LogTo: w.opts.Log,
+		Settings: settings, Listeners: &l, Dial: w.network.dialer(at), LogTo: w.opts.Log, Policies: w.opts.Policies,
 	}), fx.Populate(&e.daemon), fx.NopLogger)
 	if err := e.app.Err(); err != nil {
 		return err
--- a/internal/entry/module.go
+++ b/internal/entry/module.go
@@ -170,6 +170,7 @@
 		Metrics: requestMetrics{m},
 		Tracer:  tracer,
 		Pacer:   links,
+		Policy:  opts.Policies.Admission,
 	})
 }
 
--- a/internal/entry/options.go
+++ b/internal/entry/options.go
@@ -8,7 +8,9 @@
 	"strconv"
 	"time"
 
+	"github.com/azureflow/azureflow/internal/request"
 	"github.com/azureflow/azureflow/internal/steering"
+	"github.com/azureflow/azureflow/internal/upstream"
 	"github.com/azureflow/azureflow/internal/vm"
 )
 
@@ -28,6 +30,13 @@
 	Listeners *Listeners // nil: opened from the settings
 	Dial      Dial       // nil: TCP; used towards upstreams, peers and the platform
 	LogTo     io.Writer  // nil: standard error
+	Policies  Policies   // baselines of experiments; zero: the daemon's own
+}
+
+// Policies are the ways to decide that an experiment may replace by a baseline.
+type Policies struct {
+	Selection upstream.Policy     // choice of an upstream; "": PolicyLeastLoaded
+	Admission request.QueuePolicy // order of admission; zero: PolicyClasses
 }
 
 // Identity says which life of which VM a daemon is.
--- a/internal/entry/pools.go
+++ b/internal/entry/pools.go
@@ -13,14 +13,15 @@
 
 // pools holds the upstream pool of each service and zone. Reading takes no lock.
 type pools struct {
-	rooms *rooms
+	rooms     *rooms
+	selection upstream.Policy
 
 	mu  sync.Mutex // serialises writers
 	all atomic.Pointer[map[contract.Key]*upstream.Pool]
 }
 
-func newPools(r *rooms) *pools {
-	p := &pools{rooms: r}
+func newPools(r *rooms, opts Options) *pools {
+	p := &pools{rooms: r, selection: opts.Policies.Selection}
 	p.all.Store(&map[contract.Key]*upstream.Pool{})
 	return p
 }
@@ -69,6 +70,7 @@
 	return upstream.NewPool(upstream.Options{
 		Service: key.Service,
 		Zone:    key.Zone,
+		Policy:  p.selection,
 		OnRoom:  func() { p.rooms.signal(key.Service) },
 	})
 }
--- a/internal/request/handler.go
+++ b/internal/request/handler.go
@@ -33,6 +33,7 @@
 		queue: NewQueue(opts.Placer, QueueOptions{
 			Length:      opts.Limits.QueuePerService,
 			CallerLimit: opts.Limits.InFlightPerCaller,
+			Policy:      opts.Policy,
 		}),
 	}
 	_, h.gated = opts.Transport.(*Transport)
--- a/internal/request/options.go
+++ b/internal/request/options.go
@@ -90,6 +90,7 @@
 	Journal   *Journal          // by default a new one
 	Peers     PeerCaller        // nil: no other entry VM is known
 	Limits    steering.LimitSettings
+	Policy    QueuePolicy // of admission
 	Metrics   Metrics
 	Tracer    trace.Tracer
 	Pacer     Pacer
