entry: divide links by link.Share and lend rates between entry VMs

Cause: each entry VM divided a link's rate by the VMs that it saw at that moment, so differing views overlapped. link.Share was built against that and not wired; nor were its loans.

Change: links.go keeps a Share for each direction, fed by the VM list with the time at which it was asked for; the pacer holds the share as a lease that lapses by itself, also over a pause; linkloans.go asks peers for what they do not use (rpc AskRates). A share is also held by the answers of all members, so that 10 minutes without the VM list leave it as it was.

Ruled out: counting a member as told by what others say of it (redundant: a newcomer settles only once every member answered it); lending by what a VM sends alone (a lender bounded by what it lent never asked for it back; two of five busy VMs ended with 0.2 Mbit/s).

Test changed: the members of share_test.go now exchange messages, since a newcomer needs answers; a cut-off member of TestVanishedMember... is silent too.

--- a/internal/entry/adminsources.go
+++ b/internal/entry/adminsources.go
@@ -263,8 +263,10 @@
 	}
 	var rows []admin.LinkRow
 	now := time.Now()
-	for key, pacer := range *a.links.all.Load() {
-		rows = append(rows, linkRow(cfg, key, pacer, now))
+	for _, key := range a.links.directions() {
+		if own := a.links.lane(key); own != nil {
+			rows = append(rows, linkRow(cfg, key, own.pacer, now))
+		}
 	}
 	return rows, nil
 }
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -43,6 +43,7 @@
 	Pokes     *pokes
 	Domains   *domains
 	Leaders   *leaders
+	Links     *links
 	Peers     *peers
 	PeerPool  *peer.Pool
 	Book      *contract.Book
@@ -76,13 +77,16 @@
 	ctx, stop := context.WithCancel(context.Background())
 	d.stop = stop
 	p.Pokes.fn = p.Topology.poke
-	d.loop(func() { pollVMs(ctx, p.VMList, p.Directory, p.Settings.Limits.PollVMList.Std(), p.Topology.poke) })
+	d.loop(func() {
+		pollVMs(ctx, p.VMList, p.Directory, p.Links, p.Settings.Limits.PollVMList.Std(), p.Topology.poke)
+	})
 	d.loop(func() { p.Exchanger.Run(ctx) })
 	d.loop(func() { _ = p.Follower.Run(ctx) })
 	d.loop(func() { p.Domains.run(ctx) })
 	d.loop(func() { p.Topology.run(ctx) })
 	d.loop(func() { d.notice(ctx) })
 	d.loop(func() { d.borrower().Run(ctx) })
+	d.loop(func() { (&linkLoans{links: p.Links, ask: p.Peers.askRates}).run(ctx) })
 	d.loop(func() { providePoller(p.Options, p.Pools).Run(ctx) })
 	d.loop(func() { p.Records.Run(ctx) })
 	d.loop(func() { review.NewMirror(review.MirrorOptions{Log: p.Records, Send: p.Peers.mirror}).Run(ctx) })
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -88,6 +88,15 @@
 	return p.askGrantAt(ctx, leader, req)
 }
 
+// askRates calls AskRates at one entry VM.
+func (p *peers) askRates(ctx context.Context, to vm.Name, req *peer.AskRatesRequest) (reply *peer.AskRatesReply, err error) {
+	err = p.call(ctx, to, func(c peer.DRPCPeerClient) error {
+		reply, err = c.AskRates(ctx, req)
+		return err
+	})
+	return reply, err
+}
+
 // returnGrant calls ReturnGrant at the leader of a zone.
 func (p *peers) returnGrant(ctx context.Context, zone steering.ZoneName, req *peer.ReturnGrantRequest) (reply *peer.ReturnGrantReply, err error) {
 	leader, err := p.leaderOf(zone)
--- a/internal/entry/servers.go
+++ b/internal/entry/servers.go
@@ -31,6 +31,15 @@
 	*domains
 	*request.Journal
 	*review.Log
+	*rateLender
+}
+
+// rateLender keeps the rest of the methods of links out of peerService.
+type rateLender struct{ links *links }
+
+// AskRates implements peer.DRPCPeerServer.
+func (r *rateLender) AskRates(ctx context.Context, req *peer.AskRatesRequest) (*peer.AskRatesReply, error) {
+	return r.links.AskRates(ctx, req)
 }
 
 // exchange keeps the rest of the Exchanger's methods out of peerService.
@@ -54,7 +63,7 @@
 
 func newServers(
 	l *Listeners, h *request.Handler, table *lookup.Table, recorder review.Recorder, m *telemetry.Metrics, admin adminHandler,
-	x *vm.Exchanger, f *steering.Follower, d *domains, j *request.Journal, records *review.Log, log logrus.FieldLogger,
+	x *vm.Exchanger, f *steering.Follower, d *domains, j *request.Journal, records *review.Log, links *links, log logrus.FieldLogger,
 ) *servers {
 	lookups := lookup.NewHandler(lookup.HandlerOptions{
 		Table: table, Recorder: recorder, Metrics: m,
@@ -67,7 +76,9 @@
 		listeners: l,
 		requests:  &http.Server{Handler: callerRoutes(lookups, h), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout},
 		admin:     &http.Server{Handler: admin, ReadHeaderTimeout: readHeaderTimeout},
-		peers:     peerService{exchange: exchange{x}, Follower: f, domains: d, Journal: j, Log: records},
+		peers: peerService{
+			exchange: exchange{x}, Follower: f, domains: d, Journal: j, Log: records, rateLender: &rateLender{links},
+		},
 		log:       log,
 	}
 }
--- a/internal/entry/topology.go
+++ b/internal/entry/topology.go
@@ -77,7 +77,7 @@
 	t.pools.update(view.Upstreams, now)
 	t.domains.ensure(zonesOf(cfg, t.self.Region))
 	t.domains.setCapacity(cfg, zoneSlots(view), now)
-	t.links.update(cfg, view)
+	t.links.update(cfg, now)
 	plans, inputs := t.planner.Step(now, observe(cfg, view, t.links.observe(now)))
 	t.recordChanges(plans, inputs)
 	t.table.Replace(plans)
@@ -271,12 +271,15 @@
 }
 
 // pollVMs reads the VM list until ctx ends. While the list cannot be read the last one stays.
-func pollVMs(ctx context.Context, list platform.VMList, d *vm.Directory, every time.Duration, onChange func()) {
+func pollVMs(ctx context.Context, list platform.VMList, d *vm.Directory, l *links, every time.Duration, onChange func()) {
 	tick := time.NewTicker(every)
 	defer tick.Stop()
 	for {
+		asked := time.Now()
 		if rows, err := list.VMs(ctx); err == nil {
-			d.UpdateList(rows, time.Now())
+			now := time.Now()
+			d.UpdateList(rows, now)
+			l.observeList(rows, asked, now)
 			onChange()
 		}
 		select {
--- a/internal/link/pacer.go
+++ b/internal/link/pacer.go
@@ -40,6 +40,7 @@
 	mu       sync.Mutex
 	schedule scheduler
 	capacity float64 // Mbit/s
+	after    float64 // Mbit/s, once the rate lapsed
 	timer    *time.Timer
 }
 
@@ -55,18 +56,37 @@
 }
 
 // minMbit is the least capacity that a pacer works with, so that waiting work always moves.
-const minMbit = 0.5
+const minMbit = 0.1
 
 // SetRate sets the part of the link's capacity that this VM may fill, in Mbit/s. MaxShare of it is
 // used.
 func (p *Pacer) SetRate(capacityMbit float64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.setRate(capacityMbit)
+	p.pump()
+}
+
+// SetLease sets the rate as SetRate does, but at the time until it lapses to after, Mbit/s, also if
+// this VM was paused meanwhile.
+func (p *Pacer) SetLease(capacityMbit float64, until time.Time, after float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.setRate(capacityMbit)
+	p.after = max(after, minMbit)
+	p.schedule.lapse = lapse{at: max(int64(until.Sub(p.epoch)), 1), bytesPerSecond: p.bytesPerSecond(p.after)}
+	p.pump()
+}
+
+func (p *Pacer) setRate(capacityMbit float64) {
 	p.capacity = max(capacityMbit, minMbit)
-	rate := p.capacity * mbit * p.options.MaxShare
+	rate := p.bytesPerSecond(p.capacity)
 	p.schedule.setRate(rate, p.now())
 	p.quantum.Store(int64(quantumAt(rate)))
-	p.pump()
+}
+
+func (p *Pacer) bytesPerSecond(capacityMbit float64) float64 {
+	return capacityMbit * mbit * p.options.MaxShare
 }
 
 // quantumAt returns the bytes granted at a time at a rate in bytes a second.
@@ -191,14 +211,18 @@
 func (p *Pacer) Usage(now time.Time) Usage {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	peak := p.schedule.usage.peak(int64(now.Sub(p.epoch)))
+	at := int64(now.Sub(p.epoch))
+	peak := p.schedule.usage.peak(at)
 	return Usage{
 		From:         p.options.From,
 		To:           p.options.To,
 		PeakMbit1s:   peak,
 		CapacityMbit: p.capacity,
 		LimitMbit:    p.capacity * p.options.MaxShare,
+		SteadyMbit:   p.schedule.rate * float64(time.Second) / mbit,
 		HeadroomMbit: max(p.capacity-peak, 0),
 		Bytes:        p.schedule.usage.bytes,
+		LastMbit1s:   p.schedule.usage.lastSecond(at),
+		Waiting:      p.schedule.waiting(),
 	}
 }
--- a/internal/link/scheduler.go
+++ b/internal/link/scheduler.go
@@ -70,11 +70,18 @@
 	reserve float64 // bytes left in the bucket for interactive work
 	tokens  float64
 	at      int64
+	lapse   lapse
 	queues  [steering.ClassCount]ticketQueue
 	owed    [steering.ClassCount]float64 // bytes
 	usage   usage
 }
 
+// lapse is a lower rate that holds from a time on, unless it is put off before.
+type lapse struct {
+	at             int64 // 0: none
+	bytesPerSecond float64
+}
+
 // guaranteed is the part of the rate that a class gets however much work of higher classes waits.
 var guaranteed = [steering.ClassCount]float64{
 	steering.ClassBulk:       0.10,
@@ -85,16 +92,28 @@
 const owedLimit = 2 * maxQuantum
 
 // setRate sets the bound of bytes in any window of one second. The bucket's burst counts against
-// it, so that no window exceeds it.
+// it, so that no window exceeds it. What the burst shrinks by is taken off the bucket: a rate that
+// moves from one VM to another within a second is then not used twice.
 func (s *scheduler) setRate(bytesPerSecond float64, now int64) {
 	s.refill(now)
+	s.lapse = lapse{}
+	before := s.burst
 	s.burst = min(max(minBurst, bytesPerSecond*burstTime.Seconds()), bytesPerSecond/2)
 	s.reserve = s.burst / 2
 	s.rate = (bytesPerSecond - s.burst) / float64(time.Second)
-	s.tokens = min(s.tokens, s.burst)
+	s.tokens -= max(0, before-s.burst)
 }
 
+// refill counts the time up to now. A rate that lapsed meanwhile counts until it did.
 func (s *scheduler) refill(now int64) {
+	if due := s.lapse; due.at != 0 && now >= due.at {
+		s.lapse = lapse{}
+		s.setRate(due.bytesPerSecond, due.at)
+	}
+	s.accrue(now)
+}
+
+func (s *scheduler) accrue(now int64) {
 	elapsed := float64(max(now-s.at, 0))
 	s.at = max(s.at, now)
 	s.tokens = min(s.tokens+elapsed*s.rate, s.burst)
@@ -152,7 +171,7 @@
 			continue
 		}
 		if class == steering.ClassInteractive {
-			return class, float64(head.bytes)
+			return class, min(float64(head.bytes), s.burst)
 		}
 		return class, min(float64(head.bytes)+s.reserve, s.burst)
 	}
@@ -179,3 +198,13 @@
 	}
 	return time.Duration(max(missing, minWake))
 }
+
+// waiting reports whether a ticket waits.
+func (s *scheduler) waiting() bool {
+	for class := range s.queues {
+		if s.queues[class].head != nil {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/link/share.go
+++ b/internal/link/share.go
@@ -23,9 +23,10 @@
 //
 //   - A floor that never lapses: an equal part of FloorShare for each of MaxMembers VMs. It begins
 //     MaxLoan after the start, since a VM that died and is replaced may have lent its own.
-//   - An equal part of the rest among the members, as the VM list names them. It lapses when the
-//     list is older than Hold. A newcomer waits, and a member that vanished is counted, for so
-//     long (Wait) that no two VMs can use the same part.
+//   - An equal part of the rest among the members, as the VM list and the members' own messages
+//     name them. It lapses Hold after this VM was last counted: named in a list, or answered by
+//     every member. A newcomer waits, and a member that vanished is counted, for so long (Wait)
+//     that no two VMs can use the same part. A newcomer also waits until every member answered it.
 //   - What others lend, less what it lends, each for a bounded time: escrow as in the demarcation
 //     protocol. The borrower counts a loan from before it asked, the lender from after it lent,
 //     plus the drift of clocks, so that both never use it at once.
@@ -36,8 +37,11 @@
 	options  ShareOptions
 	started  time.Time
 	listed   time.Time             // when the newest member list was asked for
-	since    time.Time             // when this VM was first seen in the lists without a break
+	since    time.Time             // when this VM was first listed; zero once its part lapsed
+	settled  bool                  // every member counts this VM since then
+	until    time.Time             // when the part above the floor lapses
 	seen     map[vm.Name]time.Time // when each member was last seen
+	answered map[vm.Name]time.Time // when the message was sent that each member answered last
 	lent     []Loan
 	borrowed []Loan
 	nextID   uint64
@@ -65,7 +69,7 @@
 	setDefault(&o.ListLag, 5*time.Second)
 	setDefault(&o.MaxLoan, 2*time.Second)
 	setDefault(&o.Drift, 0.01)
-	return &Share{options: o, started: now, seen: make(map[vm.Name]time.Time)}
+	return &Share{options: o, started: now, seen: make(map[vm.Name]time.Time), answered: make(map[vm.Name]time.Time)}
 }
 
 func setDefault[T comparable](field *T, value T) {
@@ -92,42 +96,152 @@
 	if asked.Before(s.listed) {
 		return
 	}
-	broken := s.since.IsZero() || asked.Sub(s.listed) > s.options.Hold
 	s.listed = asked
+	s.hold(asked)
 	if !slices.Contains(members, s.options.Self) {
-		s.since = time.Time{}
-	} else if broken {
+		s.since, s.settled = time.Time{}, false
+	} else if s.since.IsZero() {
 		s.since = asked
 	}
 	for _, name := range members {
-		s.seen[name] = asked
+		s.see(name, asked)
 	}
 	for name, at := range s.seen {
 		if asked.Sub(at) > s.Wait() {
 			delete(s.seen, name)
+			delete(s.answered, name)
 		}
 	}
+	s.settle(asked)
 }
 
+// Heard notes that name fills the direction: it sent this VM a message, which arrived at the time at.
+func (s *Share) Heard(name vm.Name, at time.Time) { s.see(name, at) }
+
+// Answered notes an answer that arrived at the time at: name counts this VM since it got the message
+// that this VM sent at the time sent.
+func (s *Share) Answered(name vm.Name, sent, at time.Time) {
+	s.see(name, at)
+	if sent.After(s.answered[name]) {
+		s.answered[name] = sent
+	}
+	if oldest, all := s.oldestAnswer(); all {
+		s.hold(oldest)
+	}
+	s.settle(at)
+}
+
+func (s *Share) see(name vm.Name, at time.Time) {
+	if at.After(s.seen[name]) {
+		s.seen[name] = at
+	}
+}
+
+// oldestAnswer returns the time since which every other member counts this VM; false if one has
+// never answered, or there is none.
+func (s *Share) oldestAnswer() (oldest time.Time, all bool) {
+	for name := range s.seen {
+		if name == s.options.Self {
+			continue
+		}
+		at, known := s.answered[name]
+		if !known {
+			return time.Time{}, false
+		}
+		if !all || at.Before(oldest) {
+			oldest, all = at, true
+		}
+	}
+	return oldest, all
+}
+
+// hold extends the part above the floor: at the time at every member counted this VM. A part that
+// lapsed meanwhile begins anew.
+func (s *Share) hold(at time.Time) {
+	if at.After(s.until) {
+		s.since, s.settled = time.Time{}, false
+	}
+	if end := at.Add(s.options.Hold); end.After(s.until) {
+		s.until = end
+	}
+}
+
+// settle ends a newcomer's wait once every member counts it.
+func (s *Share) settle(now time.Time) {
+	if s.settled || s.since.IsZero() || now.Sub(s.since) < s.Wait() {
+		return
+	}
+	for name := range s.seen {
+		if name != s.options.Self && s.answered[name].Before(s.since) {
+			return
+		}
+	}
+	s.settled = true
+}
+
+// Members returns the other VMs that this one counts, sorted by name.
+func (s *Share) Members() []vm.Name {
+	var names []vm.Name
+	for name := range s.seen {
+		if name != s.options.Self {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// NeedsAnswers reports whether this VM has to ask all members to be counted: its part lapses within
+// half of Hold, or it waits as a newcomer.
+func (s *Share) NeedsAnswers(now time.Time) bool {
+	return !s.settled || s.until.Sub(now) < s.options.Hold/2
+}
+
+// SetCapacity changes the capacity of the direction, Mbit/s.
+func (s *Share) SetCapacity(mbit float64) { s.options.CapacityMbit = mbit }
+
 // Floor returns the part that never lapses, Mbit/s.
 func (s *Share) Floor() float64 {
 	return s.options.CapacityMbit * s.options.FloorShare / float64(s.options.MaxMembers)
 }
 
+// keptFloor is the part of a floor that is never lent, so that a VM may use it as soon as it starts.
+const keptFloor = 0.1
+
 // Own returns what this VM may use or lend at the time now, without loans, Mbit/s.
 func (s *Share) Own(now time.Time) float64 {
 	if now.Sub(s.started) < s.stretch(s.options.MaxLoan) {
-		return 0
+		return keptFloor * s.Floor()
 	}
-	rest := s.options.CapacityMbit * (1 - s.options.FloorShare)
-	fresh := !s.listed.IsZero() && now.Sub(s.listed) < s.options.Hold
-	settled := !s.since.IsZero() && now.Sub(s.since) >= s.Wait()
-	if !fresh || !settled {
+	if !s.settled || !now.Before(s.until) {
 		return s.Floor()
 	}
+	rest := s.options.CapacityMbit * (1 - s.options.FloorShare)
 	return s.Floor() + rest/float64(max(len(s.seen), 1))
 }
 
+// Lapse returns until when Rate stands at least, and the rate from then on if nothing is heard.
+func (s *Share) Lapse(now time.Time) (until time.Time, after float64) {
+	s.expire(now)
+	until = s.until
+	if !until.After(now) {
+		until = now.Add(s.options.Hold)
+	}
+	after = s.Floor()
+	if now.Sub(s.started) < s.stretch(s.options.MaxLoan) {
+		after = keptFloor * s.Floor()
+	}
+	for _, l := range s.lent {
+		after -= l.Mbit
+	}
+	for _, l := range s.borrowed {
+		if l.until.Before(until) {
+			until = l.until
+		}
+	}
+	return until, max(after, 0)
+}
+
 // Rate returns what this VM may send at the time now, Mbit/s.
 func (s *Share) Rate(now time.Time) float64 {
 	s.expire(now)
@@ -145,13 +259,7 @@
 // more than its own part is lent, nothing borrowed is lent on, and a tenth of the floor is kept. It
 // returns false if nothing is left.
 func (s *Share) Lend(to vm.Name, wanted, used float64, life time.Duration, now time.Time) (Loan, bool) {
-	const kept = 0.1 // of the floor
-	s.expire(now)
-	spare := s.Own(now) - max(used, kept*s.Floor())
-	for _, l := range s.lent {
-		spare -= l.Mbit
-	}
-	rate := min(wanted, spare)
+	rate := min(wanted, s.spare(used, now))
 	if rate <= 0 || to == s.options.Self {
 		return Loan{}, false
 	}
@@ -164,16 +272,67 @@
 	return loan, true
 }
 
-// Borrow notes a loan that this VM asked for at the time asked.
+// spare returns what is left to lend; less than 0 if more was lent than this VM can do without now.
+func (s *Share) spare(used float64, now time.Time) float64 {
+	s.expire(now)
+	spare := s.Own(now) - max(used, keptFloor*s.Floor())
+	for _, l := range s.lent {
+		spare -= l.Mbit
+	}
+	return spare
+}
+
+// Renew lends a loan for life more, if this VM can still do without it, and raises it by at most extra,
+// Mbit/s. It returns false if the loan is over or not renewed.
+func (s *Share) Renew(to vm.Name, id uint64, extra, used float64, life time.Duration, now time.Time) (Loan, bool) {
+	const rounding = 1e-9 // Mbit/s
+	spare := s.spare(used, now)
+	if spare < -rounding {
+		return Loan{}, false
+	}
+	life = min(life, s.options.MaxLoan)
+	for i := range s.lent {
+		l := &s.lent[i]
+		if l.To != to || l.ID != id {
+			continue
+		}
+		l.Life = life
+		l.Mbit += max(0, min(extra, spare))
+		if end := now.Add(s.stretch(life)); end.After(l.until) {
+			l.until = end
+		}
+		return *l, true
+	}
+	return Loan{}, false
+}
+
+// Borrow notes a loan, or its renewal, that this VM asked for at the time asked.
 func (s *Share) Borrow(loan Loan, asked time.Time) {
-	same := func(l Loan) bool { return l.ID == loan.ID && l.From == loan.From }
-	if slices.ContainsFunc(s.borrowed, same) {
+	loan.until = asked.Add(loan.Life)
+	for i := range s.borrowed {
+		l := &s.borrowed[i]
+		if l.ID != loan.ID || l.From != loan.From {
+			continue
+		}
+		if loan.until.After(l.until) {
+			l.until, l.Mbit = loan.until, loan.Mbit
+		}
 		return
 	}
-	loan.until = asked.Add(loan.Life)
 	s.borrowed = append(s.borrowed, loan)
 }
 
+// BorrowedFrom returns the loan from a VM that stands at the time now, or false.
+func (s *Share) BorrowedFrom(from vm.Name, now time.Time) (Loan, bool) {
+	s.expire(now)
+	for _, l := range s.borrowed {
+		if l.From == from {
+			return l, true
+		}
+	}
+	return Loan{}, false
+}
+
 // GiveBack ends a loan at the borrower; the lender may be told by Returned afterwards.
 func (s *Share) GiveBack(from vm.Name, id uint64) bool {
 	n := len(s.borrowed)
--- a/internal/link/share_test.go
+++ b/internal/link/share_test.go
@@ -12,12 +12,14 @@
 
 const testMbit = 280.0
 
-// member is an entry VM with a clock that drifts. While it is paused or cut off it sees no list.
+// member is an entry VM with a clock that drifts. While it is cut off it sees no list, and while it is
+// silent it hears no other VM.
 type member struct {
 	name   vm.Name
 	share  *Share
 	drift  float64
 	cutOff bool
+	silent bool
 }
 
 // fleet is what really is: the true time and the list of VMs, with its past.
@@ -75,6 +77,26 @@
 	return names
 }
 
+// exchange lets a ask b to be counted.
+func (f *fleet) exchange(a, b *member) {
+	if a == b || a.silent || b.silent {
+		return
+	}
+	b.share.Heard(a.name, f.clock(b))
+	a.share.Answered(b.name, f.clock(a), f.clock(a))
+}
+
+// exchangeAll lets every VM that needs it ask every other one.
+func (f *fleet) exchangeAll() {
+	for _, a := range f.members {
+		for _, b := range f.members {
+			if a.share.NeedsAnswers(f.clock(a)) {
+				f.exchange(a, b)
+			}
+		}
+	}
+}
+
 // believed sums what all VMs that live may send now.
 func (f *fleet) believed() float64 {
 	sum := 0.0
@@ -118,7 +140,10 @@
 			m.share.Observe(f.list(lag), f.clock(m))
 		}
 	}
-	switch rapid.IntRange(0, 6).Draw(t, "event") {
+	for range rapid.IntRange(0, len(f.members)).Draw(t, "exchanges") {
+		f.exchange(f.pick(t), f.pick(t))
+	}
+	switch rapid.IntRange(0, 8).Draw(t, "event") {
 	case 0:
 		if len(f.members) < 8 {
 			begin()
@@ -136,6 +161,28 @@
 		f.ask(t)
 	case 5:
 		f.deliver(t)
+	case 6:
+		f.renew(t)
+	case 7:
+		m := f.pick(t)
+		m.silent = !m.silent
+	}
+}
+
+// renew lets a lender renew a loan whose answer may still be under way.
+func (f *fleet) renew(t *rapid.T) {
+	if len(f.offers) == 0 {
+		return
+	}
+	o := f.offers[rapid.IntRange(0, len(f.offers)-1).Draw(t, "renewed")]
+	asked := f.clock(o.to)
+	for _, lender := range f.members {
+		if lender.name != o.loan.From {
+			continue
+		}
+		if loan, ok := lender.share.Renew(o.to.name, o.loan.ID, rapid.Float64Range(0, 20).Draw(t, "extra"), 1, 2*time.Second, f.clock(lender)); ok {
+			f.offers = append(f.offers, offer{to: o.to, loan: loan, asked: asked})
+		}
 	}
 }
 
@@ -197,6 +244,7 @@
 		for _, m := range f.members {
 			m.share.Observe(f.list(0), f.clock(m))
 		}
+		f.exchangeAll()
 	}
 }
 
@@ -282,6 +330,7 @@
 				m.share.Observe(f.list(lags[m.name]), f.clock(m))
 			}
 		}
+		f.exchangeAll()
 		if sum := f.believed(); sum > testMbit*(1+1e-9) {
 			t.Fatalf("%.1f Mbit/s at %v", sum, f.now)
 		}
@@ -313,6 +362,60 @@
 	f.members = all
 	late := map[vm.Name]time.Duration{gone.name: 5 * time.Second}
 	f.watch(t, 4900*time.Millisecond, 100*time.Millisecond, late)
-	gone.cutOff = true
+	gone.cutOff, gone.silent = true, true
 	f.watch(t, 30*time.Second, 100*time.Millisecond, late)
 }
+
+// TestPeersReplaceTheList: without the VM list the VMs keep their parts as long as all hear each other.
+func TestPeersReplaceTheList(t *testing.T) {
+	f := settled(7)
+	before := f.believed()
+	for _, m := range f.members {
+		m.cutOff = true
+	}
+	f.watch(t, 10*time.Minute, time.Second, nil)
+	if got := f.believed(); got < before-1e-9 {
+		t.Fatalf("%.1f Mbit/s after 10 minutes without a list, before %.1f", got, before)
+	}
+	f.members[0].silent = true
+	f.watch(t, 6*time.Second, time.Second, nil)
+	if m := f.members[1]; m.share.Own(f.clock(m)) > m.share.Floor() {
+		t.Fatal("a VM that nobody hears may have been forgotten, yet its part is still counted as safe")
+	}
+}
+
+// TestRestartedMemberWaits: a VM that restarts under its name begins with what it never lent.
+func TestRestartedMemberWaits(t *testing.T) {
+	f := settled(7)
+	f.members = f.members[1:]
+	f.start("entry-1", 0.005)
+	m := f.members[6]
+	if got, want := m.share.Own(f.clock(m)), keptFloor*m.share.Floor(); got != want {
+		t.Fatalf("%.2f Mbit/s at its start, want %.2f", got, want)
+	}
+	f.watch(t, 5*time.Second, time.Second, nil)
+	if got := m.share.Own(f.clock(m)); got != m.share.Floor() {
+		t.Fatalf("%.2f Mbit/s after 5 s, want its floor %.2f", got, m.share.Floor())
+	}
+	f.watch(t, 20*time.Second, time.Second, nil)
+	if got := m.share.Own(f.clock(m)); got <= m.share.Floor() {
+		t.Fatalf("%.2f Mbit/s after 25 s", got)
+	}
+}
+
+// TestNewcomerThatNobodyHears: members that hold their parts by each other's answers, without a list,
+// know of no newcomer that cannot reach them; it stays at its floor.
+func TestNewcomerThatNobodyHears(t *testing.T) {
+	f := settledWith(2, 0.01)
+	for _, m := range f.members {
+		m.cutOff = true
+	}
+	f.start("entry-9", 0)
+	f.members[2].silent = true
+	f.watch(t, time.Minute, time.Second, nil)
+	f.members[2].silent = false
+	f.watch(t, time.Minute, time.Second, nil)
+	if m := f.members[2]; m.share.Own(f.clock(m)) < testMbit/4 {
+		t.Fatalf("newcomer has %.1f a minute after it was heard", m.share.Own(f.clock(m)))
+	}
+}
--- a/internal/link/usage.go
+++ b/internal/link/usage.go
@@ -13,8 +13,11 @@
 	PeakMbit1s   float64                     `json:"peak_mbit_1s"`  // busiest second of the last ten, Mbit/s
 	CapacityMbit float64                     `json:"capacity_mbit"` // that this VM may fill, Mbit/s
 	LimitMbit    float64                     `json:"limit_mbit"`    // that it uses at most, Mbit/s
+	SteadyMbit   float64                     `json:"steady_mbit"`   // that it may send without end, Mbit/s
 	HeadroomMbit float64                     `json:"headroom_mbit"` // capacity less the peak, Mbit/s
 	Bytes        [steering.ClassCount]uint64 `json:"bytes"`         // by class, since the start
+	LastMbit1s   float64                     `json:"last_mbit_1s"`  // in the last second, Mbit/s
+	Waiting      bool                        `json:"waiting"`       // bytes wait for room
 }
 
 const (
@@ -63,3 +66,13 @@
 	}
 	return highest / mbit
 }
+
+// lastSecond returns the rate of the last second, Mbit/s.
+func (u *usage) lastSecond(now int64) float64 {
+	u.advance(now)
+	sum := 0.0
+	for i := range stepsPerSec {
+		sum += u.steps[(u.last-int64(i)+int64(usageSteps))%int64(usageSteps)]
+	}
+	return sum / mbit
+}
