entry: a VM that just started goes on from its peers' plans

Cause: region.Observation.Peer was built and never filled, so a restarted VM planned every origin at home and jumped back a whole drain.

Change: rpc FetchPlans; firstPlans asks four peers at once when the VM list is read and passes the plan of each service with the highest epoch to the planner. Planning, and /readyz, wait for one answer, 5 s at most.

Ruled out: the newest plan (a peer that just started as well has it); plans in heartbeats (2 KB a service twice a second).

--- a/internal/demo/matrix_test.go
+++ b/internal/demo/matrix_test.go
@@ -6,14 +6,12 @@
 	"flag"
 	"fmt"
 	"os"
-	"path/filepath"
 	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
-	"github.com/azureflow/azureflow/examples"
 	"github.com/azureflow/azureflow/internal/standin"
 	"github.com/azureflow/azureflow/internal/steering"
 	"github.com/azureflow/azureflow/internal/vm"
@@ -312,24 +310,7 @@
 // variantTree returns the deployment's files with other shift caps.
 func variantTree(t *testing.T) *steering.Tree {
 	t.Helper()
-	dir := t.TempDir()
-	if err := os.CopyFS(dir, examples.Files); err != nil {
-		t.Fatal(err)
-	}
-	file := filepath.Join(dir, "sohar", "certdesk", "certdesk.steering.jsonc")
-	text, err := os.ReadFile(file)
-	if err != nil {
-		t.Fatal(err)
-	}
-	changed := bytes.Replace(text, []byte(`"shift_cap": {"share": 0.2`), []byte(`"shift_cap": {"share": 0.15`), 1)
-	if err := os.WriteFile(file, changed, 0o600); err != nil {
-		t.Fatal(err)
-	}
-	tree, report := steering.LoadTree([]string{filepath.Join(dir, "sohar")})
-	if err := report.Err(); err != nil {
-		t.Fatal(err)
-	}
-	return tree
+	return editedTree(t, `"shift_cap": {"share": 0.2`, `"shift_cap": {"share": 0.15`)
 }
 
 func (c *cell) arm() {
--- a/internal/entry/module.go
+++ b/internal/entry/module.go
@@ -33,7 +33,7 @@
 			providePlatform, provideDirectory, providePeerPool, provideReviewLog,
 			provideBook, newRooms, newPools, newFlows, newLeaders, newLinks, providePeers,
 			provideFollower, provideDomains, provideTable, provideLookups, provideTopology,
-			providePlacer, provideJournal, provideHandler, provideExchanger, provideSelfState,
+			providePlacer, newPlanServer, provideJournal, provideHandler, provideExchanger, provideSelfState,
 			provideAdmin, newServers, newDaemon,
 		),
 		fx.Invoke(func(*Daemon) {}),
@@ -128,12 +128,13 @@
 
 func provideTopology(
 	self Identity, f *steering.Follower, d *vm.Directory, pools *pools, domains *domains, links *links, book *contract.Book,
-	flows *flows, rooms *rooms, table *region.Table, lookups *lookup.Table, recorder review.Recorder, log logrus.FieldLogger,
+	flows *flows, rooms *rooms, table *region.Table, lookups *lookup.Table, recorder review.Recorder, log logrus.FieldLogger, p *peers,
 ) *topology {
 	return &topology{
 		self: self, config: f.Current, directory: d, pools: pools, domains: domains, links: links, book: book,
 		flows: flows, rooms: rooms, table: table, lookups: lookups, recorder: recorder, log: log,
 		planner: region.NewPlanner(region.PlannerOptions{}),
+		first:   &firstPlans{self: self, fetch: p.fetchPlans},
 		changed: make(chan struct{}, 1),
 	}
 }
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"encoding/json"
 
 	"github.com/azureflow/azureflow/internal/peer"
+	"github.com/azureflow/azureflow/internal/region"
 	"github.com/azureflow/azureflow/internal/review"
 	"github.com/azureflow/azureflow/internal/steering"
 	"github.com/azureflow/azureflow/internal/vm"
@@ -97,6 +99,18 @@
 	return reply, err
 }
 
+// fetchPlans returns the plans in force at one entry VM.
+func (p *peers) fetchPlans(ctx context.Context, from vm.Name) (plans []region.Plan, err error) {
+	err = p.call(ctx, from, func(c peer.DRPCPeerClient) error {
+		reply, err := c.FetchPlans(ctx, &peer.FetchPlansRequest{})
+		if err != nil {
+			return err
+		}
+		return json.Unmarshal(reply.GetPlans(), &plans)
+	})
+	return plans, err
+}
+
 // returnGrant calls ReturnGrant at the leader of a zone.
 func (p *peers) returnGrant(ctx context.Context, zone steering.ZoneName, req *peer.ReturnGrantRequest) (reply *peer.ReturnGrantReply, err error) {
 	leader, err := p.leaderOf(zone)
--- a/internal/entry/servers.go
+++ b/internal/entry/servers.go
@@ -32,6 +32,7 @@
 	*request.Journal
 	*review.Log
 	*rateLender
+	*planServer
 }
 
 // rateLender keeps the rest of the methods of links out of peerService.
@@ -63,7 +64,8 @@
 
 func newServers(
 	l *Listeners, h *request.Handler, table *lookup.Table, recorder review.Recorder, m *telemetry.Metrics, admin adminHandler,
-	x *vm.Exchanger, f *steering.Follower, d *domains, j *request.Journal, records *review.Log, links *links, log logrus.FieldLogger,
+	x *vm.Exchanger, f *steering.Follower, d *domains, j *request.Journal, records *review.Log, links *links, plans *planServer,
+	log logrus.FieldLogger,
 ) *servers {
 	lookups := lookup.NewHandler(lookup.HandlerOptions{
 		Table: table, Recorder: recorder, Metrics: m,
@@ -77,9 +79,10 @@
 		requests:  &http.Server{Handler: callerRoutes(lookups, h), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout},
 		admin:     &http.Server{Handler: admin, ReadHeaderTimeout: readHeaderTimeout},
 		peers: peerService{
-			exchange: exchange{x}, Follower: f, domains: d, Journal: j, Log: records, rateLender: &rateLender{links},
+			exchange: exchange{x}, Follower: f, domains: d, Journal: j, Log: records,
+			rateLender: &rateLender{links}, planServer: plans,
 		},
-		log:       log,
+		log: log,
 	}
 }
 
--- a/internal/entry/topology.go
+++ b/internal/entry/topology.go
@@ -39,6 +39,7 @@
 	log       logrus.FieldLogger
 
 	planner *region.Planner
+	first   *firstPlans
 	changed chan struct{}
 	ready   atomic.Bool
 }
@@ -56,7 +57,7 @@
 	tick := time.NewTicker(planInterval)
 	defer tick.Stop()
 	for {
-		t.step(time.Now())
+		t.step(ctx, time.Now())
 		select {
 		case <-ctx.Done():
 			return
@@ -67,7 +68,7 @@
 }
 
 // step brings everything in step with what is known at now.
-func (t *topology) step(now time.Time) {
+func (t *topology) step(ctx context.Context, now time.Time) {
 	cfg := t.config()
 	view := t.directory.View()
 	t.lookups.Update(lookupView(cfg, view, t.self.Name))
@@ -78,14 +79,23 @@
 	t.domains.ensure(zonesOf(cfg, t.self.Region))
 	t.domains.setCapacity(cfg, zoneSlots(view), now)
 	t.links.update(cfg, now)
-	plans, inputs := t.planner.Step(now, observe(cfg, view, t.links.observe(now)))
+	if !t.first.ready(ctx, view, now) {
+		return
+	}
+	t.plan(cfg, view, time.Now())
+	if !t.ready.Swap(true) {
+		t.log.WithFields(logrus.Fields{"revision": cfg.Revision}).Info("ready")
+	}
+}
+
+// plan puts the next plans in force. The first go on from those of peers.
+func (t *topology) plan(cfg *steering.Configuration, view *vm.View, now time.Time) {
+	seen := observe(cfg, view, t.links.observe(now))
+	seen.Peer = t.first.plans
+	plans, inputs := t.planner.Step(now, seen)
 	t.recordChanges(plans, inputs)
 	t.table.Replace(plans)
 	t.rooms.signalAll()
-	// Without the VM list no server is known; a request would be refused for no reason of its own.
-	if !view.ListAt.IsZero() && !t.ready.Swap(true) {
-		t.log.WithFields(logrus.Fields{"revision": cfg.Revision}).Info("ready")
-	}
 }
 
 // noteWaiting counts what waits as wanted in every zone of this VM's region: a queue that keeps room
