review: explain finds the plan that a request followed and computes it again

Cause, three faults: plans are numbered each second and recorded when they change, but the plan was looked for by the very number; shifts hold plans with their inputs and were not taken for plans; values of inputs were cut at 1,024 bytes on the way between VMs, so that nothing read over a peer could be computed again ("unexpected end of JSON input", found by the new test).

Change: the plan of a request is the record of its VM's life with the highest number not above the request's, read from digests if no VM holds it; a plan in force is recorded once a minute, so a look back of 5 minutes always finds one; input values may have 64 KiB; in a fetch that is cut, plans go first. A decision that nobody holds is said to be sampled out when its VM's life has records that were counted only. Long inputs are named with their size in the text of a story.

Ruled out: recording every plan (60 times the bytes); an index of plans.

--- a/internal/entry/module.go
+++ b/internal/entry/module.go
@@ -133,9 +133,10 @@
 	return &topology{
 		self: self, config: f.Current, directory: d, pools: pools, domains: domains, links: links, book: book,
 		flows: flows, rooms: rooms, table: table, lookups: lookups, recorder: recorder, log: log,
-		planner: region.NewPlanner(region.PlannerOptions{}),
-		first:   &firstPlans{self: self, fetch: p.fetchPlans},
-		changed: make(chan struct{}, 1),
+		planner:  region.NewPlanner(region.PlannerOptions{}),
+		first:    &firstPlans{self: self, fetch: p.fetchPlans},
+		recorded: make(map[steering.ServiceName]time.Time),
+		changed:  make(chan struct{}, 1),
 	}
 }
 
--- a/internal/entry/topology.go
+++ b/internal/entry/topology.go
@@ -18,8 +18,10 @@
 	"github.com/azureflow/azureflow/internal/vm"
 )
 
-// planInterval is the time between two plans.
-const planInterval = time.Second
+const (
+	planInterval       = time.Second // between two plans
+	planRecordInterval = time.Minute // between two records of a plan that moves nothing
+)
 
 // topology keeps what the path of a request reads in step with the configuration, the VM list and the
 // heartbeats. Its methods run on one goroutine.
@@ -40,8 +42,10 @@
 
 	planner *region.Planner
 	first   *firstPlans
-	changed chan struct{}
-	ready   atomic.Bool
+	// recorded is when each service's plan was last recorded.
+	recorded map[steering.ServiceName]time.Time
+	changed  chan struct{}
+	ready    atomic.Bool
 }
 
 // poke asks for a step soon.
@@ -114,7 +118,8 @@
 	}
 }
 
-// recordChanges records each plan that moved traffic or is the first, with its inputs.
+// recordChanges records, with its inputs, each plan that moved traffic, the first, and from time to time
+// the one in force: a review looks back only so far.
 func (t *topology) recordChanges(plans []region.Plan, inputs []region.Inputs) {
 	known := make(map[steering.ServiceName]*region.Plan)
 	old := t.table.Plans()
@@ -123,8 +128,11 @@
 	}
 	for i := range plans {
 		before := known[plans[i].Service]
-		if before == nil || changed(before, &plans[i]) {
-			t.recordPlan(&plans[i], &inputs[i], before == nil)
+		switch {
+		case before != nil && changed(before, &plans[i]):
+			t.recordPlan(&plans[i], &inputs[i], review.KindShift)
+		case before == nil || plans[i].At.Sub(t.recorded[plans[i].Service]) >= planRecordInterval:
+			t.recordPlan(&plans[i], &inputs[i], review.KindPlan)
 		}
 	}
 }
@@ -141,11 +149,8 @@
 	return false
 }
 
-func (t *topology) recordPlan(p *region.Plan, in *region.Inputs, first bool) {
-	kind := review.KindShift
-	if first {
-		kind = review.KindPlan
-	}
+func (t *topology) recordPlan(p *region.Plan, in *region.Inputs, kind review.Kind) {
+	t.recorded[p.Service] = p.At
 	t.recorder.Record(&review.Record{
 		Kind:       kind,
 		At:         p.At,
--- a/internal/review/encode.go
+++ b/internal/review/encode.go
@@ -113,7 +113,7 @@
 	w.part = appendNumber(w.part[:0], inputName, uint64(w.texts.number(input.Name)))
 	if input.Value != "" {
 		w.part = protowire.AppendTag(w.part, inputValue, protowire.BytesType)
-		w.part = protowire.AppendString(w.part, clean(input.Value))
+		w.part = protowire.AppendString(w.part, cleanTo(input.Value, maxInputBytes))
 	}
 	w.part = appendNumber(w.part, inputAge, uint64(input.Age))
 	w.record = appendBytes(w.record, recordInputs, w.part)
--- a/internal/review/explain.go
+++ b/internal/review/explain.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"fmt"
 	"slices"
 	"time"
 
@@ -13,7 +14,7 @@
 // Bounds of an explanation.
 const (
 	lookBack      = 2 * time.Hour    // in digests, for an id
-	planLookBack  = 5 * time.Minute  // for the plan that a request followed
+	planLookBack  = 5 * time.Minute  // for the plan that a request followed; VMs record theirs each minute
 	eventSlack    = 2 * time.Second  // around a request, for changes that bear on it
 	maxRelatedIDs = 32               // followed from one id
 	maxContext    = 20               // changes told in a story
@@ -75,9 +76,28 @@
 
 // Error implements error.
 func (e *UnknownDecisionError) Error() string {
+	if n := e.SampledOut(); n > 0 {
+		return fmt.Sprintf("decision %s was sampled out: its VM counted %d records of that life without keeping them", e.ID, n)
+	}
 	return "no record is left of decision " + string(e.ID)
 }
 
+// SampledOut returns how many records of the life of the VM that took the decision are known to be
+// counted only. Above 0 the decision was most likely one of them.
+func (e *UnknownDecisionError) SampledOut() uint64 {
+	parsed, err := e.ID.Parse()
+	if err != nil {
+		return 0
+	}
+	var n uint64
+	for _, p := range e.Missing.Partials {
+		if p.VM == parsed.VM && p.Incarnation == parsed.Incarnation {
+			n += p.SampledOut
+		}
+	}
+	return n
+}
+
 // Detail returns the error with what is known of the VM that took the decision.
 func (e *UnknownDecisionError) Detail() string {
 	text := e.Error() + "; searched the VMs' memory and digests since " + e.SearchedFrom.UTC().Format(timeFormat)
@@ -106,7 +126,7 @@
 	began, ended := extent(found.records)
 	around := sources.context(ctx, subject, began, ended)
 	story := newStory(subject, found.records, began, ended)
-	story.addContext(around.records)
+	story.addContext(around.records, subject)
 	found.join(around)
 	story.VMs = vmsOf(found.records, story.Steps)
 	story.recompute(sources.Recompute)
@@ -169,29 +189,49 @@
 }
 
 // context gathers what changed the steering of the subject's service around its time, and the
-// plan and grant that it names.
+// plan and grant that it followed. Digests are read only if no VM holds the plan.
 func (s *Sources) context(ctx context.Context, subject *Record, began, ended time.Time) *evidence {
-	around := s.gather(ctx, fetchQuery{
+	q := fetchQuery{
 		service: subject.Service,
 		from:    began.Add(-planLookBack),
 		to:      ended.Add(eventSlack),
 		limit:   contextLimit,
-	}, false)
+	}
+	around := s.gather(ctx, q, false)
+	if subject.PlanEpoch != 0 && s.Digests != nil && planOf(around.records, subject) == nil {
+		around = s.gather(ctx, q, true)
+	}
+	plan := planOf(around.records, subject)
 	around.counts = nil
 	around.truncated = false
 	around.records = slices.DeleteFunc(around.records, func(r *Record) bool {
-		return roleInContext(r, subject, began, ended) == ""
+		return r != plan && roleInContext(r, subject, began, ended) == ""
 	})
 	return around
 }
 
+// planOf returns the record of the plan that subject followed, or nil. A VM numbers every plan and
+// records those that differ from the one before, and one a minute.
+func planOf(records []*Record, subject *Record) *Record {
+	var plan *Record
+	for _, r := range records {
+		if !holdsPlan(r) || r.VM != subject.VM || r.Incarnation != subject.Incarnation || r.Service != subject.Service {
+			continue
+		}
+		if r.PlanEpoch <= subject.PlanEpoch && (plan == nil || r.PlanEpoch > plan.PlanEpoch) {
+			plan = r
+		}
+	}
+	return plan
+}
+
+// holdsPlan tells whether r records a plan: one in force, or one that moved traffic.
+func holdsPlan(r *Record) bool {
+	return r.Kind == KindPlan || r.Kind == KindShift && r.PlanEpoch != 0 && len(r.Inputs) > 0
+}
+
 func roleInContext(r, subject *Record, began, ended time.Time) Role {
-	samePlan := subject.PlanEpoch != 0 && r.PlanEpoch == subject.PlanEpoch
 	switch r.Kind {
-	case KindPlan:
-		if samePlan && r.VM == subject.VM && r.Service == subject.Service {
-			return RoleBasis
-		}
 	case KindGrant:
 		if subject.Grant != 0 && r.Grant == subject.Grant {
 			return RoleBasis
@@ -236,19 +276,19 @@
 	s.Steps = append(s.Steps, Step{At: r.At, Offset: r.At.Sub(s.Began), Role: role, Text: sentence(r), Record: r})
 }
 
-func (s *Story) addContext(records []*Record) {
+func (s *Story) addContext(records []*Record, subject *Record) {
 	told := make(map[ID]bool)
-	var subject *Record
 	for _, step := range s.Steps {
 		told[step.Record.ID] = true
-		if step.Role == RoleSubject {
-			subject = step.Record
-		}
 	}
+	plan := planOf(records, subject)
 	changes := 0
 	for _, r := range records {
 		role := roleInContext(r, subject, s.Began, s.Began.Add(s.Took))
-		if told[r.ID] || role == "" || changes >= maxContext {
+		if r == plan {
+			role = RoleBasis
+		}
+		if told[r.ID] || role == "" || changes >= maxContext && role == RoleContext {
 			continue
 		}
 		if role == RoleContext {
@@ -256,11 +296,23 @@
 		}
 		s.add(r, role)
 	}
+	if plan != nil && plan.PlanEpoch < subject.PlanEpoch {
+		s.noteUnchanged(plan, subject.PlanEpoch)
+	}
 	slices.SortStableFunc(s.Steps, func(a, b Step) int {
 		return cmp.Or(a.At.Compare(b.At), cmp.Compare(depth(a.Record), depth(b.Record)))
 	})
 }
 
+// noteUnchanged adds to the step of a plan that it was still in force under a later number.
+func (s *Story) noteUnchanged(plan *Record, epoch uint64) {
+	for i := range s.Steps {
+		if s.Steps[i].Record == plan {
+			s.Steps[i].Text += fmt.Sprintf("; unchanged in plan %d, which was followed", epoch)
+		}
+	}
+}
+
 func (s *Story) recompute(compute func(*Record) (bool, string)) {
 	var plans []*Record
 	for _, step := range s.Steps {
@@ -272,7 +324,7 @@
 func recomputeAll(records []*Record, compute func(*Record) (bool, string)) []Recomputation {
 	var results []Recomputation
 	for _, r := range records {
-		if r.Kind != KindPlan || compute == nil {
+		if !holdsPlan(r) || compute == nil {
 			continue
 		}
 		agrees, detail := compute(r)
--- a/internal/review/explain_test.go
+++ b/internal/review/explain_test.go
@@ -141,3 +141,46 @@
 		}
 	})
 }
+
+// A mirror keeps a sample of what its budget does not hold. Once the VM is gone, explain says so.
+func TestExplainSaysSampledOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(2)
+		f.mirrorBytes = 2 << 10
+		f.start(t)
+		var ids []ID
+		for range 2000 {
+			ids = append(ids, request(f.nodes[0].log, "certdesk", "u1", outcomeDone, time.Millisecond))
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(2500 * time.Millisecond)
+		f.kill(0)
+		lost := 0
+		for i := 0; i < len(ids); i += 100 {
+			_, err := Explain(t.Context(), f.sources(nil), ids[i])
+			if err == nil {
+				continue
+			}
+			lost++
+			var unknown *UnknownDecisionError
+			if !errors.As(err, &unknown) || unknown.SampledOut() == 0 || !strings.Contains(err.Error(), "sampled out") {
+				t.Fatalf("error %v", err)
+			}
+		}
+		if lost == 0 {
+			t.Fatal("every record was kept; the test tests nothing")
+		}
+	})
+}
+
+func TestInputsOfAPlanAreKeptWhole(t *testing.T) {
+	inputs := strings.Repeat("x", 20<<10)
+	data, err := EncodeBatch(&Batch{Records: []*Record{{ID: "e1.1.1", Inputs: []Input{{Name: "plan_inputs", Value: inputs}}}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	batch, err := DecodeBatch(data)
+	if err != nil || batch.Records[0].Inputs[0].Value != inputs {
+		t.Fatalf("inputs were cut, %v", err)
+	}
+}
--- a/internal/review/fleet_test.go
+++ b/internal/review/fleet_test.go
@@ -23,7 +23,8 @@
 
 // fleet is a set of nodes that mirror to the next one.
 type fleet struct {
-	nodes []*node
+	mirrorBytes int // budget of the mirrors, bytes/s; 0: the default
+	nodes       []*node
 }
 
 type goneError struct{ name vm.Name }
@@ -45,7 +46,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		n.cancel = cancel
 		target := f.nodes[(i+1)%len(f.nodes)]
-		mirror := NewMirror(MirrorOptions{Log: n.log, Send: func(ctx context.Context, r *peer.MirrorRequest) error {
+		mirror := NewMirror(MirrorOptions{Log: n.log, BytesPerSec: f.mirrorBytes, Send: func(ctx context.Context, r *peer.MirrorRequest) error {
 			if n.dead.Load() || target.dead.Load() {
 				return &goneError{target.log.self}
 			}
--- a/internal/review/log.go
+++ b/internal/review/log.go
@@ -247,7 +247,7 @@
 	truncated := len(records) > limit
 	if truncated {
 		slices.SortStableFunc(records, func(a, b *Record) int {
-			return cmp.Or(cmp.Compare(rank(a), rank(b)), a.At.Compare(b.At))
+			return cmp.Or(cmp.Compare(fetchRank(a), fetchRank(b)), a.At.Compare(b.At))
 		})
 		records = records[:limit]
 	}
@@ -255,6 +255,14 @@
 	return records, truncated
 }
 
+// fetchRank is rank, but for plans: a story rests on them, and they are few.
+func fetchRank(r *Record) int {
+	if r.Kind == KindPlan {
+		return rankChange
+	}
+	return rank(r)
+}
+
 func sortByTime(records []*Record) {
 	slices.SortStableFunc(records, func(a, b *Record) int {
 		return cmp.Or(a.At.Compare(b.At), cmp.Compare(depth(a), depth(b)), cmp.Compare(a.ID, b.ID))
--- a/internal/review/sentence.go
+++ b/internal/review/sentence.go
@@ -99,8 +99,14 @@
 	return lines
 }
 
+// maxInputText is the longest input that a story shows, bytes.
+const maxInputText = 200
+
 func inputText(i Input) string {
 	text := i.Name + " " + i.Value
+	if len(i.Value) > maxInputText {
+		text = fmt.Sprintf("%s (%d bytes, in --format json)", i.Name, len(i.Value))
+	}
 	if i.Age > 0 {
 		text += " (" + shortDuration(i.Age) + " old)"
 	}
--- a/internal/review/texts.go
+++ b/internal/review/texts.go
@@ -8,13 +8,14 @@
 // maxTextBytes bounds each text of a record in a batch; longer ones are cut.
 const maxTextBytes = 1024
 
+// maxInputBytes bounds the value of an input: those of a plan are needed whole to compute it again.
+const maxInputBytes = 64 << 10
+
 // clean returns s as a batch may carry it: valid UTF-8 of bounded length.
-func clean[T ~string](s T) string {
-	plain := string(s)
-	if len(plain) > maxTextBytes {
-		plain = plain[:maxTextBytes]
-	}
-	return strings.ToValidUTF8(plain, "?")
+func clean[T ~string](s T) string { return cleanTo(string(s), maxTextBytes) }
+
+func cleanTo(s string, limit int) string {
+	return strings.ToValidUTF8(s[:min(len(s), limit)], "?")
 }
 
 // texts numbers the texts of a batch from 1; 0 is the empty text.
