--- a/cmd/azureflow/status.go
+++ b/cmd/azureflow/status.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"strconv"
+	"time"
 
 	"github.com/azureflow/azureflow/internal/admin"
 )
@@ -51,9 +52,13 @@
 }
 
 func (s *statusReport) print() {
-	fmt.Printf("revision %d in force, highest known %d\n", s.Revision.InForce, s.Revision.Highest)
+	fmt.Printf("revision %d in force since %s, highest known %d\n",
+		s.Revision.InForce, s.Revision.Since.UTC().Format(time.RFC3339), s.Revision.Highest)
 	for _, l := range s.Revision.Lagging {
-		fmt.Printf("  %s lags at revision %d since %s\n", l.VM, l.Revision, l.Since)
+		fmt.Printf("  %s lags at revision %d since %s\n", l.VM, l.Revision, l.Since.UTC().Format(time.RFC3339))
+	}
+	for _, cause := range s.Revision.Causes() {
+		fmt.Printf("  here: %s\n", cause)
 	}
 	for _, a := range s.Revision.Alarms {
 		fmt.Printf("  alarm %s: %s\n", a.Name, a.Detail)
--- a/cmd/azureflow/wait.go
+++ b/cmd/azureflow/wait.go
@@ -2,7 +2,8 @@
 
 import (
 	"context"
-	"strconv"
+	"fmt"
+	"strings"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -18,8 +19,9 @@
 
 // laggard is an entry VM on which a revision is not in force.
 type laggard struct {
-	VM     vm.Name `json:"vm"`
-	Reason string  `json:"reason"`
+	VM     vm.Name    `json:"vm"`
+	Reason string     `json:"reason"`
+	Since  *time.Time `json:"since,omitempty"` // when the revision that is in force there was taken; nil: not known
 }
 
 // waitInForce asks every entry VM of the VM list until revision is in force on all or limit passed, and
@@ -39,8 +41,8 @@
 			continue
 		}
 		g.Go(func() error {
-			if reason := waitOne(ctx, row, revision); reason != "" {
-				found <- laggard{VM: row.Name, Reason: reason}
+			if lag := waitOne(ctx, row, revision); lag != nil {
+				found <- *lag
 			}
 			return nil
 		})
@@ -53,24 +55,33 @@
 	return lagging
 }
 
-// waitOne returns "" once revision is in force on the VM, or why it is not when ctx ends.
-func waitOne(ctx context.Context, row vm.VM, revision steering.Revision) string {
-	reason := "no answer"
+// waitOne returns nil once revision is in force on the VM, or why it is not when ctx ends.
+func waitOne(ctx context.Context, row vm.VM, revision steering.Revision) *laggard {
+	lag := &laggard{VM: row.Name, Reason: "no answer"}
 	for {
 		var status admin.RevisionStatus
 		err := getJSON(ctx, "http://"+row.AdminAddress+"/v1/revision", "", &status)
 		switch {
 		case err == nil && status.InForce >= revision:
-			return ""
+			return nil
 		case err == nil:
-			reason = "revision " + strconv.FormatUint(uint64(status.InForce), 10)
+			lag = lagOf(row.Name, &status)
 		case ctx.Err() == nil:
-			reason = err.Error()
+			lag = &laggard{VM: row.Name, Reason: err.Error(), Since: lag.Since}
 		}
 		select {
 		case <-ctx.Done():
-			return reason
+			return lag
 		case <-time.After(waitPoll):
 		}
 	}
 }
+
+// lagOf tells what is in force on a VM that lags, since when, and what may hold it back.
+func lagOf(name vm.Name, s *admin.RevisionStatus) *laggard {
+	if s.InForce == 0 {
+		return &laggard{VM: name, Reason: strings.Join(append([]string{"no revision is in force"}, s.Causes()...), "; ")}
+	}
+	reason := fmt.Sprintf("revision %d is in force since %s", s.InForce, s.Since.UTC().Format(time.RFC3339))
+	return &laggard{VM: name, Reason: strings.Join(append([]string{reason}, s.Causes()...), "; "), Since: &s.Since}
+}
--- /dev/null
+++ b/internal/admin/revision.go
@@ -0,0 +1,55 @@
+package admin
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/azureflow/azureflow/internal/steering"
+	"github.com/azureflow/azureflow/internal/vm"
+)
+
+// RevisionStatus is what is in force on this VM and what it knows of the others.
+type RevisionStatus struct {
+	InForce     steering.Revision `json:"in_force"` // on this VM
+	Since       time.Time         `json:"since"`
+	Source      steering.Source   `json:"source,omitempty"` // where it came from
+	PublishedAt time.Time         `json:"published_at"`
+	Highest     steering.Revision `json:"highest"` // that this VM has heard of
+	Lagging     []RevisionLag     `json:"lagging"` // entry VMs below Highest
+	Alarms      []Alarm           `json:"alarms"`
+
+	// What may hold this VM back; nil if it does not.
+	StoreFailing *StoreFailing                `json:"store_failing,omitempty"`
+	StoreBehind  *steering.StoreBehind        `json:"store_behind,omitempty"`
+	Unreadable   *steering.UnreadableRevision `json:"unreadable,omitempty"`
+}
+
+// StoreFailing says since when the store does not answer this VM.
+type StoreFailing struct {
+	Since time.Time `json:"since"`
+	Error string    `json:"error"`
+}
+
+// RevisionLag is an entry VM on which the highest revision is not in force.
+type RevisionLag struct {
+	VM       vm.Name           `json:"vm"`
+	Revision steering.Revision `json:"revision"`
+	Since    time.Time         `json:"since"` // when a higher one was first heard of
+}
+
+// Causes tells what may hold the VM back, one line each.
+func (s *RevisionStatus) Causes() []string {
+	var causes []string
+	if f := s.StoreFailing; f != nil {
+		causes = append(causes, fmt.Sprintf("the store does not answer since %s: %s", stamp(f.Since), f.Error))
+	}
+	if b := s.StoreBehind; b != nil {
+		causes = append(causes, fmt.Sprintf("the store's head is revision %d since %s", b.Head, stamp(b.Since)))
+	}
+	if u := s.Unreadable; u != nil {
+		causes = append(causes, fmt.Sprintf("revision %d cannot be read since %s: %s", u.Revision, stamp(u.Since), u.Reason))
+	}
+	return causes
+}
+
+func stamp(t time.Time) string { return t.UTC().Format(time.RFC3339) }
--- a/internal/admin/rows.go
+++ b/internal/admin/rows.go
@@ -10,23 +10,6 @@
 	"github.com/azureflow/azureflow/internal/vm"
 )
 
-// RevisionStatus says which configuration is in force, and where it is not yet.
-type RevisionStatus struct {
-	InForce     steering.Revision `json:"in_force"` // on this VM
-	Since       time.Time         `json:"since"`
-	PublishedAt time.Time         `json:"published_at"`
-	Highest     steering.Revision `json:"highest"` // that this VM has heard of
-	Lagging     []RevisionLag     `json:"lagging"` // entry VMs below Highest
-	Alarms      []Alarm           `json:"alarms"`
-}
-
-// RevisionLag is an entry VM on which the highest revision is not in force.
-type RevisionLag struct {
-	VM       vm.Name           `json:"vm"`
-	Revision steering.Revision `json:"revision"`
-	Since    time.Time         `json:"since"` // when a higher one was first heard of
-}
-
 // Alarm is a fault that operators should know, such as a store that answers with an older head.
 type Alarm struct {
 	Name   string    `json:"name"`
--- a/internal/entry/adminsources.go
+++ b/internal/entry/adminsources.go
@@ -58,6 +58,7 @@
 	self      Identity
 	follower  *steering.Follower
 	alarms    *alarms
+	lags      *lags
 	directory *vm.Directory
 	leaders   *leaders
 	domains   *domains
@@ -73,12 +74,12 @@
 }
 
 func provideAdmin(
-	s *steering.Settings, self Identity, f *steering.Follower, a *alarms, d *vm.Directory, l *leaders, dom *domains,
+	s *steering.Settings, self Identity, f *steering.Follower, a *alarms, lags *lags, d *vm.Directory, l *leaders, dom *domains,
 	links *links, book *contract.Book, pools *pools, flows *flows, table *region.Table, t *topology, p *peers,
 	store platform.Store, records *review.Log, registry *prometheus.Registry,
 ) adminHandler {
 	src := &adminSources{
-		self: self, follower: f, alarms: a, directory: d, leaders: l, domains: dom, links: links, book: book,
+		self: self, follower: f, alarms: a, lags: lags, directory: d, leaders: l, domains: dom, links: links, book: book,
 		pools: pools, flows: flows, table: table, topology: t, peers: p, store: store, records: records,
 	}
 	return admin.NewHandler(admin.Options{
@@ -133,19 +134,14 @@
 func (a *adminSources) RevisionStatus(context.Context) (admin.RevisionStatus, error) {
 	status := a.follower.Status()
 	out := admin.RevisionStatus{
-		InForce: status.Revision, Since: status.TakenAt, PublishedAt: status.PublishedAt,
-		Highest: status.Revision, Lagging: []admin.RevisionLag{}, Alarms: a.alarms.list(),
+		InForce: status.Revision, Since: status.TakenAt, Source: status.Source, PublishedAt: status.PublishedAt,
+		Alarms: a.alarms.list(), StoreBehind: status.StoreBehind, Unreadable: status.Unreadable,
 	}
-	view := a.directory.View()
-	for i := range view.Entries {
-		out.Highest = max(out.Highest, view.Entries[i].Revision)
-	}
-	for i := range view.Entries {
-		e := &view.Entries[i]
-		if e.Revision < out.Highest {
-			out.Lagging = append(out.Lagging, admin.RevisionLag{VM: e.VM.Name, Revision: e.Revision, Since: status.TakenAt})
-		}
+	if !status.StoreFailing.IsZero() {
+		out.StoreFailing = &admin.StoreFailing{Since: status.StoreFailing, Error: status.StoreError}
 	}
+	a.lags.observe(a.directory.View(), a.self.Name, status.Revision, time.Now())
+	out.Highest, out.Lagging = a.lags.known()
 	return out, nil
 }
 
--- a/internal/entry/module.go
+++ b/internal/entry/module.go
@@ -31,7 +31,7 @@
 		fx.Provide(
 			provideIdentity, provideListeners, provideLogger, provideTracer, provideRegistry, provideMetrics,
 			providePlatform, provideDirectory, providePeerPool, provideReviewLog,
-			provideBook, newRooms, newPools, newFlows, newLeaders, newLinks, providePeers,
+			provideBook, newLags, newRooms, newPools, newFlows, newLeaders, newLinks, providePeers,
 			provideFollower, provideDomains, provideTable, provideLookups, provideTopology,
 			providePlacer, newPlanServer, provideJournal, provideHandler, provideExchanger, provideSelfState,
 			provideAdmin, newServers, newDaemon,
@@ -129,9 +129,10 @@
 func provideTopology(
 	self Identity, f *steering.Follower, d *vm.Directory, pools *pools, domains *domains, links *links, book *contract.Book,
 	flows *flows, rooms *rooms, table *region.Table, lookups *lookup.Table, recorder review.Recorder, log logrus.FieldLogger, p *peers,
+	lags *lags,
 ) *topology {
 	return &topology{
-		self: self, config: f.Current, directory: d, pools: pools, domains: domains, links: links, book: book,
+		self: self, lags: lags, config: f.Current, directory: d, pools: pools, domains: domains, links: links, book: book,
 		flows: flows, rooms: rooms, table: table, lookups: lookups, recorder: recorder, log: log,
 		planner:  region.NewPlanner(region.PlannerOptions{}),
 		first:    &firstPlans{self: self, fetch: p.fetchPlans},
--- a/internal/entry/topology.go
+++ b/internal/entry/topology.go
@@ -27,6 +27,7 @@
 // heartbeats. Its methods run on one goroutine.
 type topology struct {
 	self      Identity
+	lags      *lags
 	config    func() *steering.Configuration
 	directory *vm.Directory
 	pools     *pools
@@ -76,6 +77,7 @@
 	cfg := t.config()
 	view := t.directory.View()
 	t.lookups.Update(lookupView(cfg, view, t.self.Name))
+	t.lags.observe(view, t.self.Name, revisionOf(cfg), now)
 	if cfg == nil {
 		return
 	}
@@ -92,6 +94,14 @@
 	}
 }
 
+// revisionOf returns the revision of cfg, 0 of nil.
+func revisionOf(cfg *steering.Configuration) steering.Revision {
+	if cfg == nil {
+		return 0
+	}
+	return cfg.Revision
+}
+
 // plan puts the next plans in force. The first go on from those of peers.
 func (t *topology) plan(cfg *steering.Configuration, view *vm.View, now time.Time) {
 	seen := observe(cfg, view, t.links.observe(now))
