upstream, entry: bound each choice of a server by the contract

Cause: Pool.SetShare was called by tests alone, so a VM's part of a zone was all of it: the reserve for lookups was taken off the zone's slots rather than off the VM's, and a server got more than its part.

Change: the placer tells the pool at each choice how many slots the contract gives (SetUsable); parts that miss a whole slot by rounding count as whole; "no server" is asked of the servers in use, not of the VM's part of them.

Ruled out: telling the pools once a second with the plans (a grant that just came would be refused for as long).

--- a/internal/entry/placer.go
+++ b/internal/entry/placer.go
@@ -111,7 +111,7 @@
 func (s *placement) in(zone steering.ZoneName) *request.Placement {
 	q := s.query
 	pool := s.placer.pools.get(q.Service, zone)
-	if pool == nil || pool.Slots() == 0 {
+	if pool == nil || !pool.Serving() {
 		s.reject(zone, "no server")
 		return nil
 	}
@@ -121,6 +121,7 @@
 		s.reject(zone, "no slot under contract")
 		return nil
 	}
+	pool.SetUsable(s.placer.book.Usable(q.Service, zone, q.Now))
 	res, err := pool.Acquire(upstream.Query{
 		Class: q.Operation.Class, Exclude: q.Exclude, Hedge: q.Hedge, NoTrial: !q.Operation.Idempotent, Now: q.Now,
 	})
--- a/internal/lookup/snapshot.go
+++ b/internal/lookup/snapshot.go
@@ -217,8 +217,8 @@
 	return i
 }
 
-// limits returns what each VM may be given, in requests/s: no more than Spread times the mean, nor
-// than it can carry, less where it is nearly full. Their sum always holds the whole demand.
+// limits returns what each VM may be given, in requests/s: no more than Spread times the mean, less
+// where it is nearly full. Their sum always holds the whole demand.
 func (b *builder) limits(vms []VMView) []float64 {
 	total := b.totalDemand()
 	mean := total / float64(max(1, len(vms)))
@@ -230,9 +230,6 @@
 	sum := 0.0
 	for i, v := range vms {
 		limits[i] = b.options.Spread * mean
-		if v.Capacity > 0 {
-			limits[i] = min(limits[i], v.Capacity)
-		}
 		if over := v.Utilization / fullUtilization; over > 1 {
 			part := total * v.Carried / max(carried, 1e-9)
 			limits[i] = min(limits[i], max(part, mean/2)/over)
--- a/internal/lookup/view.go
+++ b/internal/lookup/view.go
@@ -24,7 +24,6 @@
 	Address     string  // host:port for requests
 	Leaving     bool    // gets no new callers
 	Silent      bool    // not heard for long; named only where no other VM is left
-	Capacity    float64 // requests/s that it can carry; 0: not known, as much as the others
 	Carried     float64 // requests/s that it carries now
 	Utilization float64 // of its processor or of its slots, whichever is higher; 1 is full
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -127,13 +127,26 @@
 // server and down for all servers together.
 func (p *Pool) SetShare(share float64) { p.share.store(min(max(share, 0), 1)) }
 
+// SetUsable bounds this VM's part to slots of all that the servers have, as its contract gives it.
+func (p *Pool) SetUsable(slots int) {
+	if all := p.snapshot.Load().slots; all > 0 {
+		p.SetShare(float64(slots) / float64(all))
+	}
+}
+
+// rounding is what a part of slots may miss a whole number by, slots.
+const rounding = 1e-6
+
+// Serving reports whether a server is in use, whatever part of it this VM may use.
+func (p *Pool) Serving() bool { return p.usableSlots.Load() > 0 }
+
 // Serves returns the service and the zone of the pool's servers.
 func (p *Pool) Serves() (steering.ServiceName, steering.ZoneName) {
 	return p.options.Service, p.options.Zone
 }
 
 // Slots returns the slots that this VM may use now over all servers in use.
-func (p *Pool) Slots() int { return int(float64(p.usableSlots.Load()) * p.share.load()) }
+func (p *Pool) Slots() int { return int(float64(p.usableSlots.Load())*p.share.load() + rounding) }
 
 // InFlight returns the attempts in flight from this VM.
 func (p *Pool) InFlight() int { return int(p.inFlight.Load()) }
@@ -188,7 +201,8 @@
 
 // takeTotal counts the attempt against this VM's part of all slots.
 func (p *Pool) takeTotal(v *view) bool {
-	allowed := float64(v.snap.slots) * v.share
+	part := float64(v.snap.slots)*v.share + rounding
+	allowed := part
 	if v.query.Hedge {
 		allowed *= p.options.HedgeRoom
 	}
@@ -199,7 +213,7 @@
 	if v.query.Class == steering.ClassInteractive {
 		return true
 	}
-	allowed = float64(v.snap.slots) * v.share
+	allowed = part
 	if v.reserve {
 		mean := p.interactive.load()
 		allowed -= max(math.Floor(mean+p.options.Reserve*math.Sqrt(mean)), 1)
--- a/internal/upstream/view.go
+++ b/internal/upstream/view.go
@@ -71,7 +71,7 @@
 func (v *view) limit(s *server) int32 {
 	limit := s.slots
 	if v.share < 1 {
-		limit = int32(math.Ceil(float64(limit) * v.share))
+		limit = int32(math.Ceil(float64(limit)*v.share - rounding))
 	}
 	if s.warmFrom.Load() != 0 {
 		warmth := s.warmth(v.now, int64(v.pool.options.Warmup))
