--- a/internal/entry/topology.go
+++ b/internal/entry/topology.go
@@ -18,13 +18,16 @@
 	"github.com/azureflow/azureflow/internal/vm"
 )
 
-// planInterval is the time between two plans.
-const planInterval = time.Second
+const (
+	planInterval       = time.Second // between two plans
+	planRecordInterval = time.Minute // between two records of a plan that moves nothing
+)
 
 // topology keeps what the path of a request reads in step with the configuration, the VM list and the
 // heartbeats. Its methods run on one goroutine.
 type topology struct {
 	self      Identity
+	lags      *lags
 	config    func() *steering.Configuration
 	directory *vm.Directory
 	pools     *pools
@@ -39,8 +42,11 @@
 	log       logrus.FieldLogger
 
 	planner *region.Planner
-	changed chan struct{}
-	ready   atomic.Bool
+	first   *firstPlans
+	// recorded is when each service's plan was last recorded.
+	recorded map[steering.ServiceName]time.Time
+	changed  chan struct{}
+	ready    atomic.Bool
 }
 
 // poke asks for a step soon.
@@ -56,7 +62,7 @@
 	tick := time.NewTicker(planInterval)
 	defer tick.Stop()
 	for {
-		t.step(time.Now())
+		t.step(ctx, time.Now())
 		select {
 		case <-ctx.Done():
 			return
@@ -67,25 +73,43 @@
 }
 
 // step brings everything in step with what is known at now.
-func (t *topology) step(now time.Time) {
+func (t *topology) step(ctx context.Context, now time.Time) {
 	cfg := t.config()
 	view := t.directory.View()
 	t.lookups.Update(lookupView(cfg, view, t.self.Name))
+	t.lags.observe(view, t.self.Name, revisionOf(cfg), now)
 	if cfg == nil {
 		return
 	}
 	t.pools.update(view.Upstreams, now)
 	t.domains.ensure(zonesOf(cfg, t.self.Region))
 	t.domains.setCapacity(cfg, zoneSlots(view), now)
-	t.links.update(cfg, view)
-	plans, inputs := t.planner.Step(now, observe(cfg, view, t.links.observe(now)))
+	t.links.update(cfg, now)
+	if !t.first.ready(ctx, view, now) {
+		return
+	}
+	t.plan(cfg, view, time.Now())
+	if !t.ready.Swap(true) {
+		t.log.WithFields(logrus.Fields{"revision": cfg.Revision}).Info("ready")
+	}
+}
+
+// revisionOf returns the revision of cfg, 0 of nil.
+func revisionOf(cfg *steering.Configuration) steering.Revision {
+	if cfg == nil {
+		return 0
+	}
+	return cfg.Revision
+}
+
+// plan puts the next plans in force. The first go on from those of peers.
+func (t *topology) plan(cfg *steering.Configuration, view *vm.View, now time.Time) {
+	seen := observe(cfg, view, t.links.observe(now))
+	seen.Peer = t.first.plans
+	plans, inputs := t.planner.Step(now, seen)
 	t.recordChanges(plans, inputs)
 	t.table.Replace(plans)
 	t.rooms.signalAll()
-	// Without the VM list no server is known; a request would be refused for no reason of its own.
-	if !view.ListAt.IsZero() && !t.ready.Swap(true) {
-		t.log.WithFields(logrus.Fields{"revision": cfg.Revision}).Info("ready")
-	}
 }
 
 // noteWaiting counts what waits as wanted in every zone of this VM's region: a queue that keeps room
@@ -104,7 +128,8 @@
 	}
 }
 
-// recordChanges records each plan that moved traffic or is the first, with its inputs.
+// recordChanges records, with its inputs, each plan that moved traffic, the first, and from time to time
+// the one in force: a review looks back only so far.
 func (t *topology) recordChanges(plans []region.Plan, inputs []region.Inputs) {
 	known := make(map[steering.ServiceName]*region.Plan)
 	old := t.table.Plans()
@@ -113,8 +138,11 @@
 	}
 	for i := range plans {
 		before := known[plans[i].Service]
-		if before == nil || changed(before, &plans[i]) {
-			t.recordPlan(&plans[i], &inputs[i], before == nil)
+		switch {
+		case before != nil && changed(before, &plans[i]):
+			t.recordPlan(&plans[i], &inputs[i], review.KindShift)
+		case before == nil || plans[i].At.Sub(t.recorded[plans[i].Service]) >= planRecordInterval:
+			t.recordPlan(&plans[i], &inputs[i], review.KindPlan)
 		}
 	}
 }
@@ -131,11 +159,8 @@
 	return false
 }
 
-func (t *topology) recordPlan(p *region.Plan, in *region.Inputs, first bool) {
-	kind := review.KindShift
-	if first {
-		kind = review.KindPlan
-	}
+func (t *topology) recordPlan(p *region.Plan, in *region.Inputs, kind review.Kind) {
+	t.recorded[p.Service] = p.At
 	t.recorder.Record(&review.Record{
 		Kind:       kind,
 		At:         p.At,
@@ -271,12 +296,15 @@
 }
 
 // pollVMs reads the VM list until ctx ends. While the list cannot be read the last one stays.
-func pollVMs(ctx context.Context, list platform.VMList, d *vm.Directory, every time.Duration, onChange func()) {
+func pollVMs(ctx context.Context, list platform.VMList, d *vm.Directory, l *links, every time.Duration, onChange func()) {
 	tick := time.NewTicker(every)
 	defer tick.Stop()
 	for {
+		asked := time.Now()
 		if rows, err := list.VMs(ctx); err == nil {
-			d.UpdateList(rows, time.Now())
+			now := time.Now()
+			d.UpdateList(rows, now)
+			l.observeList(rows, asked, now)
 			onChange()
 		}
 		select {
