vm: share the unchanged entries between two views of the fleet

Ruled out: building at most a few times a second (beliefs get later), building when read (a reader pays or locks), a persistent tree (readers walk it). Now members are kept sorted, and a new View copies pointers and builds only the entries whose member, belief or listing changed. Beliefs are as timely as before.

--- a/internal/entry/adminsources.go
+++ b/internal/entry/adminsources.go
@@ -141,7 +141,7 @@
 		out.Highest = max(out.Highest, view.Entries[i].Revision)
 	}
 	for i := range view.Entries {
-		e := &view.Entries[i]
+		e := view.Entries[i]
 		if e.Revision < out.Highest {
 			out.Lagging = append(out.Lagging, admin.RevisionLag{VM: e.VM.Name, Revision: e.Revision, Since: status.TakenAt})
 		}
@@ -155,7 +155,7 @@
 	now := time.Now()
 	rows := make([]admin.VMRow, 0, len(view.Entries))
 	for i := range view.Entries {
-		e := &view.Entries[i]
+		e := view.Entries[i]
 		rows = append(rows, admin.VMRow{
 			Name: e.VM.Name, Incarnation: e.Incarnation, Region: e.VM.Region, Zone: e.VM.Zone, Address: e.VM.Address,
 			State: string(e.Liveness), Revision: e.Revision, HeardMs: now.Sub(e.HeardAt).Milliseconds(),
@@ -186,7 +186,7 @@
 	view := a.directory.View()
 	var heard time.Time
 	for i := range view.Entries {
-		e := &view.Entries[i]
+		e := view.Entries[i]
 		if e.VM.Zone != z {
 			continue
 		}
--- a/internal/entry/domains.go
+++ b/internal/entry/domains.go
@@ -135,7 +135,7 @@
 	var names []vm.Name
 	view := d.deps.directory.View()
 	for i := range view.Entries {
-		if keep(&view.Entries[i]) {
+		if keep(view.Entries[i]) {
 			names = append(names, view.Entries[i].VM.Name)
 		}
 	}
--- a/internal/entry/links.go
+++ b/internal/entry/links.go
@@ -67,7 +67,7 @@
 func fillers(view *vm.View, k *steering.Link) int {
 	n := 0
 	for i := range view.Entries {
-		e := &view.Entries[i]
+		e := view.Entries[i]
 		if e.Liveness != vm.Dead && (e.VM.Region == k.From || e.VM.Region == k.To) {
 			n++
 		}
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -62,7 +62,7 @@
 	var names []vm.Name
 	view := p.directory.View()
 	for i := range view.Entries {
-		e := &view.Entries[i]
+		e := view.Entries[i]
 		if e.VM.Region == region && e.Liveness != vm.Dead {
 			names = append(names, e.VM.Name)
 		}
@@ -108,7 +108,7 @@
 	}
 	view := p.directory.View()
 	for i := range view.Entries {
-		e := &view.Entries[i]
+		e := view.Entries[i]
 		if e.VM.Zone == zone && e.VM.Name != p.self.Name && e.Liveness != vm.Dead {
 			return e.VM.Name, nil
 		}
@@ -137,7 +137,7 @@
 // byRevision returns up to 3 other live entry VMs, the highest revision first.
 func (p *peers) byRevision() []vm.Name {
 	const asked = 3
-	var best []vm.Entry
+	var best []*vm.Entry
 	view := p.directory.View()
 	for _, e := range view.Entries {
 		if e.VM.Name == p.self.Name || e.Liveness == vm.Dead {
@@ -147,7 +147,7 @@
 		for at > 0 && best[at-1].Revision < e.Revision {
 			at--
 		}
-		best = append(best[:at], append([]vm.Entry{e}, best[at:]...)...)
+		best = append(best[:at], append([]*vm.Entry{e}, best[at:]...)...)
 		best = best[:min(len(best), asked)]
 	}
 	names := make([]vm.Name, len(best))
@@ -182,7 +182,7 @@
 	var near, far, own []vm.Name
 	view := p.directory.View()
 	for i := range view.Entries {
-		e := &view.Entries[i]
+		e := view.Entries[i]
 		switch {
 		case e.VM.Name == p.self.Name || e.Liveness != vm.Live:
 		case e.VM.Zone == p.self.Zone:
--- a/internal/entry/topology.go
+++ b/internal/entry/topology.go
@@ -231,7 +231,7 @@
 		out.Platform = cfg.Platform
 	}
 	for i := range view.Entries {
-		e := &view.Entries[i]
+		e := view.Entries[i]
 		if e.VM.Name != self && e.HeardAt.After(out.LearnedAt) {
 			out.LearnedAt = e.HeardAt
 		}
--- a/internal/vm/directory.go
+++ b/internal/vm/directory.go
@@ -1,7 +1,9 @@
 package vm
 
 import (
+	"cmp"
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"sync"
 	"sync/atomic"
@@ -73,11 +75,11 @@
 	Listed      bool // in the VM list when that was last read
 }
 
-// View is an immutable snapshot of a Directory.
+// View is an immutable snapshot of a Directory. Consecutive ones share the entries that did not change.
 type View struct {
 	At        time.Time
 	ListAt    time.Time // when the VM list was last read
-	Entries   []Entry   // sorted by name, self included
+	Entries   []*Entry  // sorted by name, self included
 	Upstreams []VM      // sorted by name
 }
 
@@ -85,7 +87,7 @@
 func (v *View) EntryByName(name Name) *Entry {
 	i := sort.Search(len(v.Entries), func(i int) bool { return v.Entries[i].VM.Name >= name })
 	if i < len(v.Entries) && v.Entries[i].VM.Name == name {
-		return &v.Entries[i]
+		return v.Entries[i]
 	}
 	return nil
 }
@@ -93,10 +95,11 @@
 // member is the mutable state behind an Entry.
 type member struct {
 	row     VM
-	inList  bool
+	reading uint64        // number of the last reading of the VM list that had it
 	state   *peer.VMState // last heard, nil before
 	heardAt time.Time
 	change  uint64 // number of the last change of a part that others must learn
+	entry   *Entry // in the current View; nil when row, state or heardAt changed since
 }
 
 // Directory keeps what this VM knows of the others from the VM list and from heartbeats. Reading
@@ -107,8 +110,10 @@
 
 	mu        sync.Mutex
 	members   map[Name]*member
+	sorted    []*member // all members by name
 	upstreams []VM
 	listAt    time.Time
+	readings  uint64 // of the VM list so far
 	random    *rand.Rand
 	changes   uint64 // counted so far
 }
@@ -118,11 +123,24 @@
 	opts.Self = self.Name
 	d := &Directory{opts: opts.withDefaults(), members: make(map[Name]*member)}
 	d.random = rand.New(rand.NewPCG(xxhash.Sum64String(string(self.Name)), 1))
-	d.members[self.Name] = &member{row: self}
-	d.view.Store(&View{Entries: []Entry{{VM: self, Liveness: Live}}})
+	known := &Entry{VM: self, Liveness: Live}
+	d.add(&member{row: self, entry: known})
+	d.view.Store(&View{Entries: []*Entry{known}})
 	return d
 }
 
+// add inserts a member that is not known yet.
+func (d *Directory) add(m *member) {
+	d.members[m.row.Name] = m
+	i, _ := slices.BinarySearchFunc(d.sorted, m.row.Name, func(other *member, name Name) int {
+		return cmp.Compare(other.row.Name, name)
+	})
+	d.sorted = slices.Insert(d.sorted, i, m)
+}
+
+// inList reports whether the last reading of the VM list had m.
+func (d *Directory) inList(m *member) bool { return m.reading > 0 && m.reading == d.readings }
+
 // View returns the current snapshot.
 func (d *Directory) View() *View { return d.view.Load() }
 
@@ -133,9 +151,7 @@
 	defer d.mu.Unlock()
 	d.listAt = now
 	d.upstreams = d.upstreams[:0:0]
-	for _, m := range d.members {
-		m.inList = false
-	}
+	d.readings++
 	for _, row := range rows {
 		if row.Kind == KindUpstream {
 			d.upstreams = append(d.upstreams, row)
@@ -150,12 +166,13 @@
 func (d *Directory) listed(row VM, now time.Time) {
 	m := d.members[row.Name]
 	if m == nil {
-		m = &member{heardAt: now}
-		d.members[row.Name] = m
+		m = &member{row: row, heardAt: now}
+		d.add(m)
 	}
-	m.inList = true
-	if row.Name != d.opts.Self {
+	m.reading = d.readings
+	if row.Name != d.opts.Self && row != m.row {
 		m.row = row
+		m.entry = nil
 	}
 }
 
@@ -178,7 +195,7 @@
 	m := d.members[name]
 	if m == nil {
 		m = &member{row: rowOf(s)}
-		d.members[name] = m
+		d.add(m)
 	}
 	if !newer(s, m.state) {
 		return
@@ -189,7 +206,8 @@
 	}
 	m.state = s
 	m.heardAt = now
-	if !m.inList {
+	m.entry = nil
+	if !d.inList(m) {
 		m.row = rowOf(s)
 	}
 }
@@ -201,6 +219,7 @@
 	m := d.members[d.opts.Self]
 	m.state = state
 	m.heardAt = now
+	m.entry = nil
 	if state.GetLeaving() {
 		m.row.State = StateLeaving
 	}
@@ -211,12 +230,13 @@
 func (d *Directory) Refresh(now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for name, m := range d.members {
-		gone := !m.inList && now.Sub(m.heardAt) > d.opts.ForgetAfter
-		if gone && name != d.opts.Self {
-			delete(d.members, name)
+	d.sorted = slices.DeleteFunc(d.sorted, func(m *member) bool {
+		gone := !d.inList(m) && now.Sub(m.heardAt) > d.opts.ForgetAfter && m.row.Name != d.opts.Self
+		if gone {
+			delete(d.members, m.row.Name)
 		}
-	}
+		return gone
+	})
 	d.publish(now)
 }
 
@@ -226,7 +246,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var changed []*member
-	for _, m := range d.members {
+	for _, m := range d.sorted {
 		if m.state != nil && m.change > since {
 			changed = append(changed, m)
 		}
@@ -257,7 +277,7 @@
 		if len(states) == limit {
 			break
 		}
-		e := &view.Entries[(start+i)%len(view.Entries)]
+		e := view.Entries[(start+i)%len(view.Entries)]
 		m := d.members[e.VM.Name]
 		if m != nil && m.state != nil && e.Liveness == Live && e.VM.Name != d.opts.Self {
 			states = append(states, m.state)
@@ -274,18 +294,23 @@
 	return d.opts.RelayDelay + time.Duration(len(d.members))*d.opts.RelayPerVM
 }
 
+// publish makes a new View. It walks all members, but builds only the entries that changed: a heartbeat
+// changes one of them.
 func (d *Directory) publish(now time.Time) {
-	v := &View{At: now, ListAt: d.listAt, Upstreams: d.upstreams}
-	v.Entries = make([]Entry, 0, len(d.members))
-	for _, m := range d.members {
-		v.Entries = append(v.Entries, d.entry(m, now))
+	v := &View{At: now, ListAt: d.listAt, Upstreams: d.upstreams, Entries: make([]*Entry, len(d.sorted))}
+	slack := d.slack()
+	for i, m := range d.sorted {
+		liveness, listed := d.liveness(m, now, slack), d.inList(m)
+		if m.entry == nil || m.entry.Liveness != liveness || m.entry.Listed != listed {
+			m.entry = newEntry(m, liveness, listed)
+		}
+		v.Entries[i] = m.entry
 	}
-	sort.Slice(v.Entries, func(i, j int) bool { return v.Entries[i].VM.Name < v.Entries[j].VM.Name })
 	d.view.Store(v)
 }
 
-func (d *Directory) entry(m *member, now time.Time) Entry {
-	e := Entry{VM: m.row, HeardAt: m.heardAt, Liveness: d.liveness(m, now), Listed: m.inList}
+func newEntry(m *member, liveness Liveness, listed bool) *Entry {
+	e := &Entry{VM: m.row, HeardAt: m.heardAt, Liveness: liveness, Listed: listed}
 	if m.state != nil {
 		e.Incarnation = Incarnation(m.state.GetIncarnation())
 		e.Revision = steering.Revision(m.state.GetRevision())
@@ -295,14 +320,15 @@
 	return e
 }
 
-func (d *Directory) liveness(m *member, now time.Time) Liveness {
+// liveness returns the belief about m at now, when heartbeats may take longer than directly by slack.
+func (d *Directory) liveness(m *member, now time.Time, slack time.Duration) Liveness {
 	if m.row.Name == d.opts.Self {
 		if m.row.State == StateLeaving {
 			return Leaving
 		}
 		return Live
 	}
-	silent := now.Sub(m.heardAt) - d.slack()
+	silent := now.Sub(m.heardAt) - slack
 	switch {
 	case silent > d.opts.DeadAfter:
 		return Dead
--- a/internal/vm/exchange.go
+++ b/internal/vm/exchange.go
@@ -146,7 +146,7 @@
 	self := view.EntryByName(x.opts.Directory.opts.Self)
 	var near, far []VM
 	for i := range view.Entries {
-		e := &view.Entries[i]
+		e := view.Entries[i]
 		switch {
 		case e.VM.Name == self.VM.Name || e.VM.PeerAddress == "":
 		case e.VM.Zone == self.VM.Zone:
