entry: sum the loads for the plan in one pass over the heartbeats

Ruled out: sums kept up to date with each heartbeat (each change of belief, configuration or zone has to take out just what was put in); maps keyed by service and region (73 ms at 1,800 services, 6.9 ms at 17). Now one pass adds into a table by service and region.

--- a/internal/entry/observation.go
+++ b/internal/entry/observation.go
@@ -11,16 +11,89 @@
 )
 
 // observe gathers what this VM knows for its planner: capacity from the VM list, load and demand
-// from the heartbeats of all entry VMs.
+// from the heartbeats of all entry VMs. It walks the heartbeats once, however many services there are.
 func observe(cfg *steering.Configuration, view *vm.View, links []region.LinkObservation) region.Observation {
 	o := region.Observation{Configuration: cfg, Links: links, Lost: lostRegions(cfg, view)}
-	zones := zoneSlots(view)
+	zones, sums := zoneSlots(view), sumLoads(cfg, view)
+	o.Services = make([]region.ServiceObservation, 0, len(cfg.Services))
 	for i := range cfg.Services {
-		o.Services = append(o.Services, observeService(cfg, &cfg.Services[i], view, zones))
+		o.Services = append(o.Services, observeService(cfg, &cfg.Services[i], view.At, zones, sums.ofService(i)))
 	}
 	return o
 }
 
+// loadSum is the load of one service in one region over all entry VMs that are not dead.
+type loadSum struct {
+	inUse  uint64 // requests in flight to the region's upstreams
+	demand uint64 // requests in flight and queued of the region's callers
+}
+
+// loadSums hold a loadSum for each service and region, numbered as in the configuration.
+type loadSums struct {
+	services map[string]int
+	regions  map[string]int
+	zones    map[string]int // to the number of their region
+	sums     []loadSum      // those of the first service first
+}
+
+func newLoadSums(cfg *steering.Configuration) *loadSums {
+	s := &loadSums{
+		services: make(map[string]int, len(cfg.Services)),
+		regions:  make(map[string]int, len(cfg.Platform.Regions)),
+		zones:    make(map[string]int),
+		sums:     make([]loadSum, len(cfg.Services)*len(cfg.Platform.Regions)),
+	}
+	for i := range cfg.Services {
+		s.services[string(cfg.Services[i].Name)] = i
+	}
+	for i := range cfg.Platform.Regions {
+		s.regions[string(cfg.Platform.Regions[i].Name)] = i
+		for _, z := range cfg.Platform.Regions[i].Zones {
+			s.zones[string(z)] = i
+		}
+	}
+	return s
+}
+
+func sumLoads(cfg *steering.Configuration, view *vm.View) *loadSums {
+	s := newLoadSums(cfg)
+	for _, e := range view.Entries {
+		if e.Liveness == vm.Dead {
+			continue
+		}
+		for _, l := range e.Loads {
+			if sum := s.at(l.GetService(), s.zones, l.GetZone()); sum != nil {
+				sum.inUse += uint64(l.GetInFlight())
+			}
+		}
+		for _, l := range e.Origins {
+			if sum := s.at(l.GetService(), s.regions, l.GetOrigin()); sum != nil {
+				sum.demand += uint64(l.GetInFlight()) + uint64(l.GetQueued())
+			}
+		}
+	}
+	return s
+}
+
+// at returns the sum of a service in the region that places gives for name, or nil if the configuration
+// does not have both.
+func (s *loadSums) at(service string, places map[string]int, name string) *loadSum {
+	i, known := s.services[service]
+	if !known {
+		return nil
+	}
+	r, known := places[name]
+	if !known {
+		return nil
+	}
+	return &s.sums[i*len(s.regions)+r]
+}
+
+// ofService returns the sums of service i by region.
+func (s *loadSums) ofService(i int) []loadSum {
+	return s.sums[i*len(s.regions) : (i+1)*len(s.regions)]
+}
+
 // zoneSlots returns the slots of each service in each zone, without upstreams that leave.
 func zoneSlots(view *vm.View) map[contract.Key]int {
 	slots := make(map[contract.Key]int)
@@ -37,70 +110,48 @@
 // region's upstreams cannot be borrowed. All of them silent at once is no pause of one process, so
 // it does not take the time after which a single one counts as dead.
 func lostRegions(cfg *steering.Configuration, view *vm.View) []steering.RegionName {
-	var lost []steering.RegionName
-	for _, r := range cfg.Platform.Regions {
-		known, alive := 0, 0
-		for i := range view.Entries {
-			if view.Entries[i].VM.Region != r.Name {
-				continue
-			}
-			known++
-			if l := view.Entries[i].Liveness; l == vm.Live || l == vm.Leaving {
-				alive++
-			}
+	known := make(map[steering.RegionName]bool)
+	alive := make(map[steering.RegionName]bool)
+	for _, e := range view.Entries {
+		known[e.VM.Region] = true
+		if e.Liveness == vm.Live || e.Liveness == vm.Leaving {
+			alive[e.VM.Region] = true
 		}
-		if known > 0 && alive == 0 {
-			lost = append(lost, r.Name)
+	}
+	var lost []steering.RegionName
+	for i := range cfg.Platform.Regions {
+		name := cfg.Platform.Regions[i].Name
+		if known[name] && !alive[name] {
+			lost = append(lost, name)
 		}
 	}
 	return lost
 }
 
-func observeService(cfg *steering.Configuration, s *steering.Service, view *vm.View, zones map[contract.Key]int) region.ServiceObservation {
-	so := region.ServiceObservation{Service: s.Name}
-	for _, r := range cfg.Platform.Regions {
+func observeService(
+	cfg *steering.Configuration, s *steering.Service, at time.Time, zones map[contract.Key]int, sums []loadSum,
+) region.ServiceObservation {
+	regions := cfg.Platform.Regions
+	so := region.ServiceObservation{
+		Service: s.Name,
+		Regions: make([]region.RegionLoad, 0, len(regions)),
+		Origins: make([]region.OriginDemand, 0, len(regions)),
+	}
+	ofClass := classes(s)
+	for i := range regions {
+		r := &regions[i]
 		for _, z := range r.Zones {
 			slots := zones[contract.Key{Service: s.Name, Zone: z}]
 			so.Zones = append(so.Zones, region.ZoneCapacity{Zone: z, Slots: float64(slots)})
 		}
-		so.Regions = append(so.Regions, regionLoad(cfg, s.Name, r.Name, view))
-		so.Origins = append(so.Origins, originDemand(s, r.Name, view))
+		so.Regions = append(so.Regions, region.RegionLoad{Region: r.Name, MeasuredAt: at, InUse: float64(sums[i].inUse)})
+		so.Origins = append(so.Origins, region.OriginDemand{
+			Region: r.Name, MeasuredAt: at, Slots: float64(sums[i].demand), Classes: ofClass,
+		})
 	}
 	return so
 }
 
-// regionLoad sums what the living entry VMs have in flight in a region.
-func regionLoad(cfg *steering.Configuration, service steering.ServiceName, name steering.RegionName, view *vm.View) region.RegionLoad {
-	load := region.RegionLoad{Region: name, MeasuredAt: view.At}
-	for i := range view.Entries {
-		if view.Entries[i].Liveness == vm.Dead {
-			continue
-		}
-		for _, l := range view.Entries[i].Loads {
-			if l.GetService() == string(service) && cfg.Platform.RegionOf(steering.ZoneName(l.GetZone())) == name {
-				load.InUse += float64(l.GetInFlight())
-			}
-		}
-	}
-	return load
-}
-
-// originDemand sums what the callers of a region want at all living entry VMs.
-func originDemand(s *steering.Service, name steering.RegionName, view *vm.View) region.OriginDemand {
-	demand := region.OriginDemand{Region: name, MeasuredAt: view.At, Classes: classes(s)}
-	for i := range view.Entries {
-		if view.Entries[i].Liveness == vm.Dead {
-			continue
-		}
-		for _, l := range view.Entries[i].Origins {
-			if l.GetService() == string(s.Name) && l.GetOrigin() == string(name) {
-				demand.Slots += float64(l.GetInFlight() + l.GetQueued())
-			}
-		}
-	}
-	return demand
-}
-
 // classes returns the share of each class among a service's operations.
 func classes(s *steering.Service) [steering.ClassCount]float64 {
 	var share [steering.ClassCount]float64
