region: links once a step, no search by name within a plan

Now a step makes the links and the zones' regions once, and a plan looks at the expected index before it searches; rows and scratch are allocated once a plan. links.update counts the VMs of each region once instead of once a link.

The previous share of a region moved into plan_test.go as that test's own definition.

--- a/internal/entry/links.go
+++ b/internal/entry/links.go
@@ -46,12 +46,13 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	next := make(map[direction]*link.Pacer)
+	fillers := fillers(view)
 	for i := range cfg.Platform.Links {
 		k := &cfg.Platform.Links[i]
 		if k.From != l.self.Region && k.To != l.self.Region {
 			continue
 		}
-		mbit := k.CapacityMbit / float64(max(1, fillers(view, k)))
+		mbit := k.CapacityMbit / float64(max(1, fillers[k.From]+fillers[k.To]))
 		key := direction{k.From, k.To}
 		p := (*l.all.Load())[key]
 		if p == nil {
@@ -63,13 +64,12 @@
 	l.all.Store(&next)
 }
 
-// fillers counts the entry VMs that put bytes on a link.
-func fillers(view *vm.View, k *steering.Link) int {
-	n := 0
-	for i := range view.Entries {
-		e := view.Entries[i]
-		if e.Liveness != vm.Dead && (e.VM.Region == k.From || e.VM.Region == k.To) {
-			n++
+// fillers counts the entry VMs of each region that put bytes on its links.
+func fillers(view *vm.View) map[steering.RegionName]int {
+	n := make(map[steering.RegionName]int)
+	for _, e := range view.Entries {
+		if e.Liveness != vm.Dead {
+			n[e.VM.Region]++
 		}
 	}
 	return n
--- a/internal/region/compute.go
+++ b/internal/region/compute.go
@@ -5,9 +5,13 @@
 )
 
 // Compute returns the plan that follows from in. It depends on nothing else.
-func Compute(in Inputs) Plan {
-	t := newTarget(&in)
+func Compute(in Inputs) Plan { return compute(&in, in.linkMatrix()) }
+
+// compute is Compute with the links by origin and region.
+func compute(in *Inputs, links [][]*LinkInput) Plan {
+	t := newTargetWith(in, links)
 	plan := Plan{At: in.At, Service: in.Service, Revision: in.Revision, Epoch: in.Epoch}
+	plan.Origins = make([]OriginPlan, 0, len(in.Origins))
 	for o := range in.Origins {
 		plan.Origins = append(plan.Origins, t.origin(o))
 	}
@@ -18,11 +22,14 @@
 func (t *target) origin(o int) OriginPlan {
 	origin := &t.in.Origins[o]
 	t.stay(o)
-	s := newShift(t.in, origin, t.before[o], t.shares[o])
+	s := newShift(t, o)
 	shares, moved := s.apply()
 	out := OriginPlan{Region: origin.Region, Moved: moved, Excess: t.excess[o], Constraint: t.bound[o]}
 	out.Moves = s.moves(moved)
 	left := 1.0
+	if n := countShares(shares); n > 0 {
+		out.Shares = make([]Share, 0, n)
+	}
 	for r, share := range shares {
 		if share < tiny {
 			continue
@@ -40,6 +47,16 @@
 	return out
 }
 
+func countShares(shares []float64) int {
+	n := 0
+	for _, share := range shares {
+		if share >= tiny {
+			n++
+		}
+	}
+	return n
+}
+
 // stay leaves the traffic of origin o that found no room where it is, if that region still
 // serves; its contract then admits what fits.
 func (t *target) stay(o int) {
@@ -58,7 +75,7 @@
 		t.shares[o][r] += part
 		rest -= part
 	}
-	home := t.indexOf(origin.Region)
+	home := t.home[o]
 	if rest > tiny && home >= 0 && t.in.Regions[home].takes(t.in.At) {
 		t.shares[o][home] += rest
 	}
--- a/internal/region/inputs.go
+++ b/internal/region/inputs.go
@@ -77,35 +77,57 @@
 	return !r.Lost && r.Capacity > 0 && !r.leaving(at)
 }
 
-// previous returns the share that region served before.
-func (o *OriginInput) previous(region steering.RegionName) float64 {
-	if o.Since.IsZero() && len(o.Previous) == 0 {
-		if region == o.Region {
-			return 1
-		}
-		return 0
+// indexOf returns the index of a region, or -1. It looks at hint first.
+func (in *Inputs) indexOf(name steering.RegionName, hint int) int {
+	if hint >= 0 && hint < len(in.Regions) && in.Regions[hint].Name == name {
+		return hint
 	}
-	for _, s := range o.Previous {
-		if s.Region == region {
-			return s.Share
+	for r := range in.Regions {
+		if in.Regions[r].Name == name {
+			return r
 		}
 	}
-	return 0
+	return -1
 }
 
-// matrix returns the previous shares by origin and region.
+// matrix returns a row for each origin with a column for each region, all 0.
 func (in *Inputs) matrix() [][]float64 {
-	out := make([][]float64, len(in.Origins))
+	rows := make([][]float64, len(in.Origins))
+	all := make([]float64, len(in.Origins)*len(in.Regions))
+	for o := range rows {
+		rows[o], all = all[:len(in.Regions):len(in.Regions)], all[len(in.Regions):]
+	}
+	return rows
+}
+
+// previous returns the previous shares by origin and region.
+func (in *Inputs) previous() [][]float64 {
+	out := in.matrix()
 	for o := range in.Origins {
-		out[o] = make([]float64, len(in.Regions))
-		for r := range in.Regions {
-			out[o][r] = in.Origins[o].previous(in.Regions[r].Name)
-		}
+		in.Origins[o].previous(in, out[o], o)
 	}
 	return out
 }
 
-// linkMatrix returns the links by origin and region.
+// previous notes in row the shares that the regions served before. The origin's own region is looked for
+// at index home first.
+func (o *OriginInput) previous(in *Inputs, row []float64, home int) {
+	if o.Since.IsZero() && len(o.Previous) == 0 {
+		if r := in.indexOf(o.Region, home); r >= 0 {
+			row[r] = 1
+		}
+		return
+	}
+	hint := home
+	for _, s := range o.Previous {
+		if r := in.indexOf(s.Region, hint); r >= 0 {
+			row[r] = s.Share
+			hint = r + 1
+		}
+	}
+}
+
+// linkMatrix returns the links by origin and region. It depends on names alone.
 func (in *Inputs) linkMatrix() [][]*LinkInput {
 	origins := make(map[steering.RegionName]int, len(in.Origins))
 	for o := range in.Origins {
@@ -116,8 +138,9 @@
 		regions[in.Regions[r].Name] = r
 	}
 	out := make([][]*LinkInput, len(in.Origins))
+	all := make([]*LinkInput, len(in.Origins)*len(in.Regions))
 	for o := range out {
-		out[o] = make([]*LinkInput, len(in.Regions))
+		out[o], all = all[:len(in.Regions):len(in.Regions)], all[len(in.Regions):]
 	}
 	for i := range in.Links {
 		o, fromKnown := origins[in.Links[i].From]
--- a/internal/region/observation.go
+++ b/internal/region/observation.go
@@ -1,7 +1,6 @@
 package region
 
 import (
-	"slices"
 	"time"
 
 	"github.com/azureflow/azureflow/internal/steering"
@@ -55,7 +54,11 @@
 	RoomMbit float64 // Mbit/s; negative: not limited
 }
 
-func (o *Observation) service(name steering.ServiceName) *ServiceObservation {
+// service returns what is known of a service. It looks at index hint first.
+func (o *Observation) service(name steering.ServiceName, hint int) *ServiceObservation {
+	if hint < len(o.Services) && o.Services[hint].Service == name {
+		return &o.Services[hint]
+	}
 	for i := range o.Services {
 		if o.Services[i].Service == name {
 			return &o.Services[i]
@@ -75,16 +78,31 @@
 	return best
 }
 
-func (o *Observation) room(from, to steering.RegionName) float64 {
+// links returns the links of the platform with the room known on them.
+func (o *Observation) links() []LinkInput {
+	type ends struct{ from, to steering.RegionName }
+	room := make(map[ends]float64, len(o.Links))
 	for _, l := range o.Links {
-		if l.From == from && l.To == to {
-			return l.RoomMbit
+		room[ends{l.From, l.To}] = l.RoomMbit
+	}
+	platform := &o.Configuration.Platform
+	links := make([]LinkInput, 0, len(platform.Links))
+	for i := range platform.Links {
+		l := &platform.Links[i]
+		in := LinkInput{From: l.From, To: l.To, Delay: l.Delay, RoomMbit: -1}
+		if mbit, known := room[ends{l.From, l.To}]; known {
+			in.RoomMbit = mbit
 		}
+		links = append(links, in)
 	}
-	return -1
+	return links
 }
 
-func (s *ServiceObservation) load(region steering.RegionName) *RegionLoad {
+// load returns what a region carries, or nil. It looks at index hint first.
+func (s *ServiceObservation) load(region steering.RegionName, hint int) *RegionLoad {
+	if hint < len(s.Regions) && s.Regions[hint].Region == region {
+		return &s.Regions[hint]
+	}
 	for i := range s.Regions {
 		if s.Regions[i].Region == region {
 			return &s.Regions[i]
@@ -93,7 +111,11 @@
 	return nil
 }
 
-func (s *ServiceObservation) demand(region steering.RegionName) *OriginDemand {
+// demand returns what the callers of a region want, or nil. It looks at index hint first.
+func (s *ServiceObservation) demand(region steering.RegionName, hint int) *OriginDemand {
+	if hint < len(s.Origins) && s.Origins[hint].Region == region {
+		return &s.Origins[hint]
+	}
 	for i := range s.Origins {
 		if s.Origins[i].Region == region {
 			return &s.Origins[i]
@@ -102,15 +124,15 @@
 	return nil
 }
 
-// capacity returns the slots of a region in zones that are not drained.
-func (s *ServiceObservation) capacity(region *steering.Region, svc *steering.Service, at time.Time) float64 {
-	sum := 0.0
+// capacity returns the slots by region in zones that are not drained; regionOf numbers the region of a zone.
+func (s *ServiceObservation) capacity(regionOf map[steering.ZoneName]int, regions int, svc *steering.Service, at time.Time) []float64 {
+	slots := make([]float64, regions)
 	for _, z := range s.Zones {
-		if slices.Contains(region.Zones, z.Zone) && !zoneDrained(svc, z.Zone, at) {
-			sum += z.Slots
+		if r, known := regionOf[z.Zone]; known && !zoneDrained(svc, z.Zone, at) {
+			slots[r] += z.Slots
 		}
 	}
-	return sum
+	return slots
 }
 
 func zoneDrained(svc *steering.Service, zone steering.ZoneName, at time.Time) bool {
--- a/internal/region/plan_test.go
+++ b/internal/region/plan_test.go
@@ -147,7 +147,7 @@
 			for r, reg := range in.Regions {
 				s := o.ShareOf(reg.Name)
 				sum += s
-				before := in.Origins[i].previous(reg.Name)
+				before := previousShare(&in.Origins[i], reg.Name)
 				if s > before {
 					gained += s - before
 				}
@@ -189,6 +189,22 @@
 	})
 }
 
+// previousShare returns the share of an origin that region served before.
+func previousShare(o *OriginInput, region steering.RegionName) float64 {
+	if o.Since.IsZero() && len(o.Previous) == 0 {
+		if region == o.Region {
+			return 1
+		}
+		return 0
+	}
+	for _, s := range o.Previous {
+		if s.Region == region {
+			return s.Share
+		}
+	}
+	return 0
+}
+
 // BenchmarkCompute47 plans one service in 47 regions, a third of them short of slots.
 func BenchmarkCompute47(b *testing.B) {
 	const regions = 47
--- a/internal/region/planner.go
+++ b/internal/region/planner.go
@@ -69,13 +69,14 @@
 	}
 	at := p.stamp(now)
 	p.losses.note(at, seen.Lost)
-	var plans []Plan
-	var inputs []Inputs
+	plans := make([]Plan, 0, len(seen.Configuration.Services))
+	inputs := make([]Inputs, 0, len(seen.Configuration.Services))
+	common := newCommon(at, &seen)
 	for i := range seen.Configuration.Services {
 		svc := &seen.Configuration.Services[i]
 		h := p.history(svc.Name, &seen)
-		in := p.inputs(at, svc, h, &seen)
-		plan := Compute(in)
+		in := p.inputs(common, svc, h, seen.service(svc.Name, i))
+		plan := compute(&in, common.matrix(&in))
 		p.stats.Plans++
 		p.count(h.take(&plan))
 		plans = append(plans, plan)
@@ -101,49 +102,78 @@
 	return h
 }
 
-func (p *Planner) inputs(at time.Time, svc *steering.Service, h *history, seen *Observation) Inputs {
-	so := seen.service(svc.Name)
-	platform := &seen.Configuration.Platform
+// common is what the inputs of all services of a step share.
+type common struct {
+	at       time.Time
+	seen     *Observation
+	links    []LinkInput
+	regionOf map[steering.ZoneName]int
+	byEnds   [][]*LinkInput // links by origin and region; nil before the first service
+}
+
+func newCommon(at time.Time, seen *Observation) *common {
+	c := &common{at: at, seen: seen, links: seen.links(), regionOf: make(map[steering.ZoneName]int)}
+	for i := range seen.Configuration.Platform.Regions {
+		for _, z := range seen.Configuration.Platform.Regions[i].Zones {
+			c.regionOf[z] = i
+		}
+	}
+	return c
+}
+
+// matrix returns the links by origin and region, which are the same for all services.
+func (c *common) matrix(in *Inputs) [][]*LinkInput {
+	if c.byEnds == nil {
+		c.byEnds = in.linkMatrix()
+	}
+	return c.byEnds
+}
+
+func (p *Planner) inputs(c *common, svc *steering.Service, h *history, so *ServiceObservation) Inputs {
+	regions := c.seen.Configuration.Platform.Regions
 	in := Inputs{
-		At:       at,
+		At:       c.at,
 		Service:  svc.Name,
-		Revision: seen.Configuration.Revision,
+		Revision: c.seen.Configuration.Revision,
 		Epoch:    h.epoch + 1,
 		Cap:      svc.ShiftCap,
 		Deadline: shortestDeadline(svc),
-	}
-	for i := range platform.Regions {
-		reg := &platform.Regions[i]
-		in.Regions = append(in.Regions, p.regionInput(at, svc, h, so, reg))
-		in.Origins = append(in.Origins, p.originInput(at, h, so, reg.Name))
-	}
-	for i := range platform.Links {
-		l := &platform.Links[i]
-		in.Links = append(in.Links, LinkInput{From: l.From, To: l.To, Delay: l.Delay, RoomMbit: seen.room(l.From, l.To)})
+		Regions:  make([]RegionInput, 0, len(regions)),
+		Origins:  make([]OriginInput, 0, len(regions)),
+		Links:    c.links,
+	}
+	slots := so.capacity(c.regionOf, len(regions), svc, c.at)
+	for i := range regions {
+		name := regions[i].Name
+		reg := p.regionInput(c.at, svc, h, so.load(name, i), name)
+		reg.Capacity = slots[i]
+		in.Regions = append(in.Regions, reg)
+		in.Origins = append(in.Origins, p.originInput(c.at, h, so.demand(name, i), name))
 	}
 	slices.SortFunc(in.Regions, func(a, b RegionInput) int { return strings.Compare(string(a.Name), string(b.Name)) })
 	slices.SortFunc(in.Origins, func(a, b OriginInput) int { return strings.Compare(string(a.Region), string(b.Region)) })
 	return in
 }
 
-func (p *Planner) regionInput(at time.Time, svc *steering.Service, h *history, so *ServiceObservation, reg *steering.Region) RegionInput {
-	load := h.load(reg.Name)
-	if seen := so.load(reg.Name); seen != nil && at.Sub(seen.MeasuredAt) < p.opt.StaleAfter {
+// regionInput returns the input of a region but for its capacity; seen may be nil.
+func (p *Planner) regionInput(at time.Time, svc *steering.Service, h *history, seen *RegionLoad, name steering.RegionName) RegionInput {
+	load := h.load(name)
+	if seen != nil && at.Sub(seen.MeasuredAt) < p.opt.StaleAfter {
 		load.add(at, seen.InUse, p.opt.Smoothing)
 	}
 	return RegionInput{
-		Name:      reg.Name,
-		Weight:    weightOf(svc, reg.Name),
-		Capacity:  so.capacity(reg, svc, at),
+		Name:      name,
+		Weight:    weightOf(svc, name),
 		Carried:   load.value,
-		Lost:      p.losses.isLost(reg.Name, at),
-		DrainFrom: regionDrain(svc, reg.Name),
+		Lost:      p.losses.isLost(name, at),
+		DrainFrom: regionDrain(svc, name),
 	}
 }
 
-func (p *Planner) originInput(at time.Time, h *history, so *ServiceObservation, region steering.RegionName) OriginInput {
+// originInput returns the input of an origin; seen may be nil.
+func (p *Planner) originInput(at time.Time, h *history, seen *OriginDemand, region steering.RegionName) OriginInput {
 	o := h.origin(region)
-	if seen := so.demand(region); seen != nil && at.Sub(seen.MeasuredAt) < p.opt.StaleAfter {
+	if seen != nil && at.Sub(seen.MeasuredAt) < p.opt.StaleAfter {
 		o.demand.add(at, seen.Slots, p.opt.Smoothing)
 		o.peak.add(at, o.demand.value, p.opt.PeakSpan)
 		o.mbit = seen.MbitPerSlot
@@ -154,9 +184,9 @@
 		Demand:      o.peak.value(),
 		MbitPerSlot: o.mbit,
 		Classes:     o.classes,
-		Previous:    slices.Clone(o.shares),
+		Previous:    o.shares,
 		Since:       o.since,
-		Moves:       slices.Clone(o.moves),
+		Moves:       o.moves,
 	}
 }
 
--- a/internal/region/shift.go
+++ b/internal/region/shift.go
@@ -17,14 +17,17 @@
 	origin *OriginInput
 	from   []float64 // shares that can stay
 	to     []float64
+	out    []float64 // shares after this step
 	capped bool
 }
 
-func newShift(in *Inputs, origin *OriginInput, before, to []float64) *shift {
-	s := &shift{in: in, origin: origin, to: to, from: make([]float64, len(in.Regions))}
-	for r := range in.Regions {
-		if !in.Regions[r].Lost {
-			s.from[r] = before[r]
+// newShift returns the shift of origin o of t. It lasts until the next one is made: they share memory.
+func newShift(t *target, o int) *shift {
+	s := &shift{in: t.in, origin: &t.in.Origins[o], to: t.shares[o], from: t.from, out: t.after}
+	for r := range t.in.Regions {
+		s.from[r] = t.before[o][r]
+		if t.in.Regions[r].Lost {
+			s.from[r] = 0
 		}
 	}
 	return s
@@ -56,16 +59,15 @@
 	if loss > tiny {
 		down = min(1, (planned+loss-wanted)/loss)
 	}
-	out := make([]float64, len(s.to))
-	for r := range out {
+	for r := range s.out {
 		step := s.to[r] - s.from[r]
 		if step > 0 {
-			out[r] = s.from[r] + step*up
+			s.out[r] = s.from[r] + step*up
 		} else {
-			out[r] = s.from[r] + step*down
+			s.out[r] = s.from[r] + step*down
 		}
 	}
-	return out
+	return s.out
 }
 
 // budget returns the share that may still be moved within the sliding window that ends now.
--- a/internal/region/target.go
+++ b/internal/region/target.go
@@ -2,7 +2,6 @@
 
 import (
 	"github.com/azureflow/azureflow/internal/review"
-	"github.com/azureflow/azureflow/internal/steering"
 )
 
 const (
@@ -20,27 +19,49 @@
 	shares [][]float64    // by origin and region, as in Inputs
 	excess []float64      // by origin: share that found no room
 	bound  []review.Constraint
+	home   []int     // by origin: index of its own region, or -1
+	loads  []float64 // by region: slots that the previous plans of all origins use
 	left   []float64 // by region: slots not planned yet
 	free   []float64 // by region: slots that nobody used before and nobody was given yet
+	weight float64   // largest of all regions
+	parts  []float64 // scratch of spread, by region
+	from   []float64 // scratch of a shift, by region
+	after  []float64 // scratch of a shift, by region
 }
 
-func newTarget(in *Inputs) *target {
+func newTarget(in *Inputs) *target { return newTargetWith(in, in.linkMatrix()) }
+
+// newTargetWith is newTarget with the links by origin and region.
+func newTargetWith(in *Inputs, links [][]*LinkInput) *target {
 	t := &target{
 		in:     in,
-		before: in.matrix(),
-		links:  in.linkMatrix(),
-		shares: make([][]float64, len(in.Origins)),
+		before: in.previous(),
+		links:  links,
+		shares: in.matrix(),
 		excess: make([]float64, len(in.Origins)),
 		bound:  make([]review.Constraint, len(in.Origins)),
+		home:   make([]int, len(in.Origins)),
+		loads:  make([]float64, len(in.Regions)),
 		left:   make([]float64, len(in.Regions)),
 		free:   make([]float64, len(in.Regions)),
+		parts:  make([]float64, len(in.Regions)),
+		from:   make([]float64, len(in.Regions)),
+		after:  make([]float64, len(in.Regions)),
+	}
+	for o := range in.Origins {
+		t.home[o] = in.indexOf(in.Origins[o].Region, o)
+		for r, share := range t.before[o] {
+			t.loads[r] += share * in.Origins[o].Demand
+		}
+	}
+	for r := range in.Regions {
+		t.weight = max(t.weight, in.Regions[r].Weight)
 	}
 	for r := range in.Regions {
 		t.left[r] = t.room(r, pushFill)
 		t.free[r] = max(0, t.left[r]-max(t.load(r), in.Regions[r].Carried))
 	}
 	for o := range in.Origins {
-		t.shares[o] = make([]float64, len(in.Regions))
 		t.bound[o] = review.ConstraintNone
 		t.placeHome(o)
 	}
@@ -59,18 +80,14 @@
 	if !reg.takes(t.in.At) {
 		return 0
 	}
-	most := 0.0
-	for i := range t.in.Regions {
-		most = max(most, t.in.Regions[i].Weight)
-	}
-	return reg.Capacity * reg.Weight / most * fill
+	return reg.Capacity * reg.Weight / t.weight * fill
 }
 
 // placeHome gives origin o its own region, as far as its slots go. Between the two fills the
 // previous share stays, so that noise around the limit moves nothing.
 func (t *target) placeHome(o int) {
 	origin := &t.in.Origins[o]
-	r := t.indexOf(origin.Region)
+	r := t.home[o]
 	if r < 0 {
 		return
 	}
@@ -89,20 +106,22 @@
 
 // keepRemote leaves what origin o already sends elsewhere where it is, if it still has to leave.
 func (t *target) keepRemote(o int) {
-	origin := &t.in.Origins[o]
 	rest := 1 - t.placed(o)
+	if rest < tiny {
+		return
+	}
 	held := 0.0
 	for r := range t.in.Regions {
-		if t.in.Regions[r].Name != origin.Region {
+		if r != t.home[o] {
 			held += t.before[o][r]
 		}
 	}
-	if rest < tiny || held < tiny {
+	if held < tiny {
 		return
 	}
 	scale := min(1, rest/held)
 	for r := range t.in.Regions {
-		if t.in.Regions[r].Name == origin.Region {
+		if r == t.home[o] {
 			continue
 		}
 		want := t.before[o][r] * scale
@@ -133,21 +152,24 @@
 }
 
 func (t *target) spread(o int, rest, free float64) {
-	parts := make([]float64, len(t.in.Regions))
-	for r := range parts {
-		parts[r] = min(rest*t.freeFor(o, r)/free, t.most(o, r))
+	for r := range t.parts {
+		t.parts[r] = min(rest*t.freeFor(o, r)/free, t.most(o, r))
 	}
-	for r, part := range parts {
+	for r, part := range t.parts {
 		t.take(o, r, part)
 	}
 }
 
 // freeFor returns the free slots of region r if origin o may still send more there.
 func (t *target) freeFor(o, r int) float64 {
-	if t.in.Regions[r].Name == t.in.Origins[o].Region || t.most(o, r) < tiny {
+	if r == t.home[o] {
 		return 0
 	}
-	return min(t.left[r], t.most(o, r)*max(t.in.Origins[o].Demand, tiny))
+	most := t.most(o, r)
+	if most < tiny {
+		return 0
+	}
+	return min(t.left[r], most*max(t.in.Origins[o].Demand, tiny))
 }
 
 // most returns the share that origin o may still add in region r and notes what bounds it.
@@ -190,13 +212,7 @@
 }
 
 // load returns the slots of region r that the previous plans of all origins use.
-func (t *target) load(r int) float64 {
-	sum := 0.0
-	for o := range t.before {
-		sum += t.before[o][r] * t.in.Origins[o].Demand
-	}
-	return sum
-}
+func (t *target) load(r int) float64 { return t.loads[r] }
 
 func (t *target) placed(o int) float64 {
 	sum := 0.0
@@ -206,15 +222,6 @@
 	return sum
 }
 
-func (t *target) indexOf(name steering.RegionName) int {
-	for r := range t.in.Regions {
-		if t.in.Regions[r].Name == name {
-			return r
-		}
-	}
-	return -1
-}
-
 // fit returns the share of demand that room slots can serve; all of it if demand is not known.
 func fit(room, demand float64) float64 {
 	if room <= 0 {
