platform: do not send an unchanged VM list again

Ruled out: a watch or changes after a revision, which the platform is not known to give. Now the client names the entity tag of the list it has, and takes gzip as net/http does by itself. A platform that gives neither answers as before. The stand-in gives both.

The calls, one a second of each VM, still grow with the fleet.

--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -12,10 +12,10 @@
 	"net/url"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/azureflow/azureflow/internal/platform/kv"
-	"github.com/azureflow/azureflow/internal/vm"
 )
 
 const (
@@ -41,6 +41,7 @@
 type Client struct {
 	options ClientOptions
 	http    *http.Client
+	list    atomic.Pointer[readList] // nil before the VM list was read
 }
 
 var (
@@ -102,7 +103,7 @@
 	defer cancel()
 	query := url.Values{"prefix": {prefix}, "after": {number(after)}}
 	var answer EntriesAnswer
-	err := c.call(ctx, request{http.MethodGet, c.options.StoreURL + PathWatch, query, nil}, &answer)
+	err := c.call(ctx, request{method: http.MethodGet, url: c.options.StoreURL + PathWatch, query: query}, &answer)
 	return answer.Entries, answer.Version, err
 }
 
@@ -126,15 +127,6 @@
 	return c.store(ctx, http.MethodDelete, PathLease, url.Values{"id": {number(id)}}, nil, nil)
 }
 
-// VMs implements VMList.
-func (c *Client) VMs(ctx context.Context) ([]vm.VM, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.options.Timeout)
-	defer cancel()
-	var answer VMsAnswer
-	err := c.call(ctx, request{http.MethodGet, c.options.VMListURL + PathVMs, nil, nil}, &answer)
-	return answer.VMs, err
-}
-
 func number[T Version | LeaseID](n T) string { return strconv.FormatUint(uint64(n), 10) }
 
 // request is one HTTP call.
@@ -143,6 +135,9 @@
 	url    string
 	query  url.Values
 	body   []byte
+
+	ifNoneMatch string            // entity tag of the answer that the caller has
+	onHeader    func(http.Header) // takes the header of an answer with status 200
 }
 
 func (r *request) op() string { return strings.ToLower(r.method) + " " + r.query.Encode() }
@@ -150,7 +145,7 @@
 func (c *Client) store(ctx context.Context, method, path string, query url.Values, body []byte, answer any) error {
 	ctx, cancel := context.WithTimeout(ctx, c.options.Timeout)
 	defer cancel()
-	return c.call(ctx, request{method, c.options.StoreURL + path, query, body}, answer)
+	return c.call(ctx, request{method: method, url: c.options.StoreURL + path, query: query, body: body}, answer)
 }
 
 // call makes one call and decodes its answer. Errors are those of package kv.
@@ -165,15 +160,24 @@
 	if c.options.Name != "" {
 		req.Header.Set(HeaderClient, c.options.Name)
 	}
+	if r.ifNoneMatch != "" {
+		req.Header.Set("If-None-Match", r.ifNoneMatch)
+	}
 	resp, err := c.http.Do(req)
 	if err != nil {
 		c.dropSilent(err)
 		return r.lost(sent, err)
 	}
 	defer resp.Body.Close()
+	if resp.StatusCode == http.StatusNotModified && r.ifNoneMatch != "" {
+		return &notModifiedError{}
+	}
 	if resp.StatusCode != http.StatusOK {
 		return r.problem(resp)
 	}
+	if r.onHeader != nil {
+		r.onHeader(resp.Header)
+	}
 	if answer == nil {
 		return nil
 	}
--- a/internal/platform/wire.go
+++ b/internal/platform/wire.go
@@ -12,7 +12,7 @@
 	PathWatch  = "/v1/watch"  // GET ?prefix=&after=
 	PathLeases = "/v1/leases" // POST ?ttl_ms=
 	PathLease  = "/v1/lease"  // POST renews, DELETE ends ?id=
-	PathVMs    = "/v1/vms"    // GET
+	PathVMs    = "/v1/vms"    // GET, answers If-None-Match and gzip
 )
 
 // HeaderClient names the client of a call, for the stand-in's faults and counts.
--- a/internal/standin/platformoperator.go
+++ b/internal/standin/platformoperator.go
@@ -1,11 +1,15 @@
 package standin
 
 import (
+	"compress/gzip"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/gorilla/mux"
 
 	"github.com/azureflow/azureflow/internal/platform"
@@ -76,7 +80,33 @@
 		writePlatformProblem(w, http.StatusServiceUnavailable, platform.Problem{Code: platform.CodeUnavailable})
 		return
 	}
-	writePlatformJSON(w, http.StatusOK, platform.VMsAnswer{VMs: p.vms.lagged()})
+	writeTagged(w, r, platform.VMsAnswer{VMs: p.vms.lagged()})
+}
+
+// writeTagged answers with value and its entity tag, or that the caller has it. An answer that takes more
+// than a packet is compressed if the caller takes that.
+func writeTagged(w http.ResponseWriter, r *http.Request, value any) {
+	const packetBytes = 1400
+	body, err := json.Marshal(value)
+	if err != nil {
+		writePlatformProblem(w, http.StatusInternalServerError, platform.Problem{Code: platform.CodeInvalid, Detail: err.Error()})
+		return
+	}
+	etag := fmt.Sprintf(`"%016x"`, xxhash.Sum64(body))
+	w.Header().Set("ETag", etag)
+	if r.Header.Get("If-None-Match") == etag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	if len(body) <= packetBytes || !strings.Contains(r.Header.Get("Accept-Encoding"), "gzip") {
+		_, _ = w.Write(body)
+		return
+	}
+	w.Header().Set("Content-Encoding", "gzip")
+	zip := gzip.NewWriter(w)
+	_, _ = zip.Write(body)
+	_ = zip.Close()
 }
 
 func (p *Platform) operatorVMs(w http.ResponseWriter, _ *http.Request) {
