--- a/internal/entry/adminsources.go
+++ b/internal/entry/adminsources.go
@@ -60,7 +60,7 @@
 	alarms    *alarms
 	lags      *lags
 	directory *vm.Directory
-	leaders   *leaders
+	leaders   *vm.Leaders
 	domains   *domains
 	links     *links
 	book      *contract.Book
@@ -74,7 +74,7 @@
 }
 
 func provideAdmin(
-	s *steering.Settings, self Identity, f *steering.Follower, a *alarms, lags *lags, d *vm.Directory, l *leaders, dom *domains,
+	s *steering.Settings, self Identity, f *steering.Follower, a *alarms, lags *lags, d *vm.Directory, l *vm.Leaders, dom *domains,
 	links *links, book *contract.Book, pools *pools, flows *flows, table *region.Table, t *topology, p *peers,
 	store platform.Store, records *review.Log, registry *prometheus.Registry,
 ) adminHandler {
@@ -151,7 +151,7 @@
 	now := time.Now()
 	rows := make([]admin.VMRow, 0, len(view.Entries))
 	for i := range view.Entries {
-		e := &view.Entries[i]
+		e := view.Entries[i]
 		rows = append(rows, admin.VMRow{
 			Name: e.VM.Name, Incarnation: e.Incarnation, Region: e.VM.Region, Zone: e.VM.Zone, Address: e.VM.Address,
 			State: string(e.Liveness), Revision: e.Revision, HeardMs: now.Sub(e.HeardAt).Milliseconds(),
@@ -178,11 +178,11 @@
 
 func (a *adminSources) zoneRow(r steering.RegionName, z steering.ZoneName) admin.ZoneRow {
 	row := admin.ZoneRow{Name: z, Region: r}
-	row.Leader, row.LeaderEpoch = a.leaders.of(z)
+	row.Leader, row.LeaderEpoch = a.leaders.Of(z)
 	view := a.directory.View()
 	var heard time.Time
 	for i := range view.Entries {
-		e := &view.Entries[i]
+		e := view.Entries[i]
 		if e.VM.Zone != z {
 			continue
 		}
@@ -293,7 +293,7 @@
 		if slots > 0 {
 			row.Kind, row.Grant = "grant", grant
 		}
-		_, row.Epoch = a.leaders.of(key.Zone)
+		_, row.Epoch = a.leaders.Of(key.Zone)
 		rows = append(rows, row)
 	}
 	return rows, nil
--- a/internal/entry/domains.go
+++ b/internal/entry/domains.go
@@ -29,7 +29,7 @@
 	store     platform.Store
 	directory *vm.Directory
 	book      *contract.Book
-	leaders   *leaders
+	leaders   *vm.Leaders
 	peers     *peers
 	onLeader  func(steering.ZoneName, zone.State)
 	onChange  func() // room may have appeared
@@ -135,7 +135,7 @@
 	var names []vm.Name
 	view := d.deps.directory.View()
 	for i := range view.Entries {
-		if keep(&view.Entries[i]) {
+		if keep(view.Entries[i]) {
 			names = append(names, view.Entries[i].VM.Name)
 		}
 	}
--- a/internal/entry/lags.go
+++ b/internal/entry/lags.go
@@ -30,7 +30,7 @@
 	before := l.since
 	l.since, l.list = make(map[vm.Name]time.Time), nil
 	for i := range view.Entries {
-		e := &view.Entries[i]
+		e := view.Entries[i]
 		revision := e.Revision
 		if e.VM.Name == self {
 			revision = own
--- a/internal/entry/lags_test.go
+++ b/internal/entry/lags_test.go
@@ -27,7 +27,7 @@
 		{"a VM restarts without any", 40, 7, 7, 0, []admin.RevisionLag{{VM: "b", Revision: 0, Since: at(40)}}},
 	}
 	for _, s := range steps {
-		view := &vm.View{Entries: []vm.Entry{
+		view := &vm.View{Entries: []*vm.Entry{
 			{VM: vm.VM{Name: "a"}, Revision: s.a}, {VM: vm.VM{Name: "b"}, Revision: s.b}, {VM: vm.VM{Name: "self"}},
 		}}
 		l.observe(view, "self", s.own, at(s.at))
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -29,7 +29,7 @@
 type peers struct {
 	self      Identity
 	directory *vm.Directory
-	leaders   *leaders
+	leaders   *vm.Leaders
 	pool      *peer.Pool
 }
 
@@ -64,7 +64,7 @@
 	var names []vm.Name
 	view := p.directory.View()
 	for i := range view.Entries {
-		e := &view.Entries[i]
+		e := view.Entries[i]
 		if e.VM.Region == region && e.Liveness != vm.Dead {
 			names = append(names, e.VM.Name)
 		}
@@ -126,12 +126,12 @@
 
 // leaderOf returns the leader of zone, or while none is known any live entry VM of it.
 func (p *peers) leaderOf(zone steering.ZoneName) (vm.Name, error) {
-	if leader, _ := p.leaders.of(zone); leader != "" {
+	if leader, _ := p.leaders.Of(zone); leader != "" {
 		return leader, nil
 	}
 	view := p.directory.View()
 	for i := range view.Entries {
-		e := &view.Entries[i]
+		e := view.Entries[i]
 		if e.VM.Zone == zone && e.VM.Name != p.self.Name && e.Liveness != vm.Dead {
 			return e.VM.Name, nil
 		}
@@ -160,7 +160,7 @@
 // byRevision returns up to 3 other live entry VMs, the highest revision first.
 func (p *peers) byRevision() []vm.Name {
 	const asked = 3
-	var best []vm.Entry
+	var best []*vm.Entry
 	view := p.directory.View()
 	for _, e := range view.Entries {
 		if e.VM.Name == p.self.Name || e.Liveness == vm.Dead {
@@ -170,7 +170,7 @@
 		for at > 0 && best[at-1].Revision < e.Revision {
 			at--
 		}
-		best = append(best[:at], append([]vm.Entry{e}, best[at:]...)...)
+		best = append(best[:at], append([]*vm.Entry{e}, best[at:]...)...)
 		best = best[:min(len(best), asked)]
 	}
 	names := make([]vm.Name, len(best))
@@ -205,7 +205,7 @@
 	var near, far, own []vm.Name
 	view := p.directory.View()
 	for i := range view.Entries {
-		e := &view.Entries[i]
+		e := view.Entries[i]
 		switch {
 		case e.VM.Name == p.self.Name || e.Liveness != vm.Live:
 		case e.VM.Zone == p.self.Zone:
--- a/internal/entry/placer_test.go
+++ b/internal/entry/placer_test.go
@@ -27,7 +27,7 @@
 		Services: []steering.Service{{Name: testService}},
 	}
 	p := &placer{self: self, config: func() *steering.Configuration { return cfg }, rooms: newRooms(), flows: newFlows(), book: provideBook(self)}
-	p.pools = newPools(p.rooms)
+	p.pools = newPools(p.rooms, Options{})
 	var upstreams []vm.VM
 	for i := range servers {
 		upstreams = append(upstreams, vm.VM{
--- a/internal/entry/plans.go
+++ b/internal/entry/plans.go
@@ -69,7 +69,7 @@
 func (f *firstPlans) peers(view *vm.View) []vm.Name {
 	var near, far []vm.Name
 	for i := range view.Entries {
-		e := &view.Entries[i]
+		e := view.Entries[i]
 		switch {
 		case e.VM.Name == f.self.Name || e.Liveness == vm.Dead:
 		case e.VM.Region == f.self.Region:
--- a/internal/entry/plans_test.go
+++ b/internal/entry/plans_test.go
@@ -14,7 +14,7 @@
 func peersView(start time.Time, others ...vm.Name) *vm.View {
 	v := &vm.View{ListAt: start}
 	for _, name := range append([]vm.Name{"self"}, others...) {
-		v.Entries = append(v.Entries, vm.Entry{VM: vm.VM{Name: name, Region: "batinah"}, Liveness: vm.Live})
+		v.Entries = append(v.Entries, &vm.Entry{VM: vm.VM{Name: name, Region: "batinah"}, Liveness: vm.Live})
 	}
 	return v
 }
