request, upstream, lookup: a server out of reach costs no deadline

- An attempt may take 3 round trips (at least 100 ms, at most a third of the deadline) to connect; then it is a dial failure, proved not run, and the next attempt is free.
Nothing was sent: a non-idempotent request still runs once.
- A polled server that neither polls nor requests reached for 2.2 s gets no new work until an answer of any status or a new connection shows it.

--- a/internal/lookup/rank.go
+++ b/internal/lookup/rank.go
@@ -14,7 +14,8 @@
 )
 
 // rank fills d: first the best VM for key, then the one to use when that is lost, then one in
-// another zone.
+// another zone. Callers that a full tier spilled get a VM of their nearest tier as the third: a request that
+// two far VMs left without an answer has no time for another far one.
 func (s *snapshot) rank(d *Decision, c *class, key uint64) {
 	at := c.tierOf(key)
 	if at < 0 {
@@ -29,6 +30,9 @@
 	second := pickShare(choice.afterVM, uint32(mix(key, secondSalt)))
 	s.addSecond(d, choice.zone, second, next, key)
 	third := pickShare(choice.afterZone, uint32(mix(key, thirdSalt)))
+	if at > 0 {
+		third = c.tiers[0].choose(mix(key, thirdSalt)).zone
+	}
 	if third >= 0 {
 		s.addOther(d, third, mix(key, thirdSalt))
 	}
--- a/internal/lookup/table_test.go
+++ b/internal/lookup/table_test.go
@@ -237,6 +237,28 @@
 	}
 }
 
+// TestSpilledCallersKeepANearVM: whoever was spilled by a full region still has a VM of it to turn to.
+func TestSpilledCallersKeepANearVM(t *testing.T) {
+	v := today()
+	v = v.without("e6")
+	table := NewTable(Options{})
+	table.Update(v)
+	spilled := 0
+	for i := range 1000 {
+		d := table.Decide(Query{Service: "saldo", Origin: "r2", Block: Block(i), Now: start})
+		if d.Reason != ReasonSpilled {
+			continue
+		}
+		spilled++
+		if d.Entries[1].Name != "e7" && d.Entries[2].Name != "e7" {
+			t.Fatalf("block %d: %v", i, d.Entries)
+		}
+	}
+	if spilled == 0 {
+		t.Error("nobody was spilled")
+	}
+}
+
 func TestLeavingAndSilentVMs(t *testing.T) {
 	view := today()
 	view.VMs[0].Leaving = true
--- a/internal/request/exchange.go
+++ b/internal/request/exchange.go
@@ -38,6 +38,7 @@
 	deadline time.Time
 	route    *route
 	revision steering.Revision
+	platform *steering.Platform
 	origin   steering.RegionName
 	caller   string
 	key      string // of a journalled request; empty if there is none
@@ -102,6 +103,7 @@
 		return &UnroutableError{}
 	}
 	x.revision = c.Revision
+	x.platform = &c.Platform
 	route, err := x.h.routes.of(c).find(x.r)
 	if err != nil {
 		return err
--- a/internal/request/memnet_test.go
+++ b/internal/request/memnet_test.go
@@ -15,6 +15,7 @@
 	conns     map[*memConn]bool
 	paused    map[string]chan struct{} // closed on resume
 	cuts      map[[2]string]bool
+	dark      map[string]bool // nodes that answer no connection attempt
 }
 
 type unreachableError struct{ node string }
@@ -27,6 +28,7 @@
 		conns:     make(map[*memConn]bool),
 		paused:    make(map[string]chan struct{}),
 		cuts:      make(map[[2]string]bool),
+		dark:      make(map[string]bool),
 	}
 }
 
@@ -134,6 +136,10 @@
 			return nil, err
 		}
 		n.waitResumed(from, ctx.Done())
+		if n.isDark(node) {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
 		return n.connect(from, node)
 	}
 }
@@ -154,6 +160,19 @@
 	return a, nil
 }
 
+// darken makes a node answer no connection attempt from now on.
+func (n *memNet) darken(node string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.dark[node] = true
+}
+
+func (n *memNet) isDark(node string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.dark[node]
+}
+
 // kill ends a node: its listener and all its connections.
 func (n *memNet) kill(node string) {
 	n.mu.Lock()
--- a/internal/request/race_test.go
+++ b/internal/request/race_test.go
@@ -94,6 +94,7 @@
 		Name: "saldo",
 		Operations: []steering.Operation{
 			{Name: "balance", Method: "GET", Path: "/balances/{id}", Idempotent: true, Deadline: steering.Duration(2 * time.Second)},
+			{Name: "charge", Method: "POST", Path: "/balances/{id}", Deadline: steering.Duration(2 * time.Second)},
 		},
 		Budgets: steering.Budgets{Retries: 0.03, Hedges: 0.02},
 	}},
@@ -136,9 +137,11 @@
 }
 
 // get sends one lookup and returns how long its whole answer took, and whether it is done.
-func (c *cluster) get() (time.Duration, bool) {
+func (c *cluster) get() (time.Duration, bool) { return c.call(http.MethodGet) }
+
+func (c *cluster) call(method string) (time.Duration, bool) {
 	start := time.Now()
-	req, _ := http.NewRequestWithContext(context.Background(), "GET", "http://entry:80/saldo/balances/1", nil)
+	req, _ := http.NewRequestWithContext(context.Background(), method, "http://entry:80/saldo/balances/1", nil)
 	resp, err := c.client.RoundTrip(req)
 	if err != nil {
 		return time.Since(start), false
@@ -273,6 +276,23 @@
 	})
 }
 
+// TestServerOutOfReach: a server that answers no connection attempt costs a part of the deadline only, and
+// what was not sent to it runs once at another server.
+func TestServerOutOfReach(t *testing.T) {
+	for _, method := range []string{http.MethodGet, http.MethodPost} {
+		synctest.Test(t, func(t *testing.T) {
+			runs := 0
+			c := newCluster(2, func(int, http.ResponseWriter, *http.Request) { runs++ })
+			c.net.darken("up-0")
+			took, ok := c.call(method)
+			c.close()
+			if !ok || runs != 1 || took > 200*time.Millisecond {
+				t.Errorf("%s: done %v in %v, ran %d times", method, ok, took, runs)
+			}
+		})
+	}
+}
+
 // TestSilentAnswerIsCut: a connection that goes silent within an answer is dropped after the silence limit.
 func TestSilentAnswerIsCut(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/request/send.go
+++ b/internal/request/send.go
@@ -46,7 +46,7 @@
 		return nil, &KeyError{Key: x.key, Verdict: KeyPromised, Entry: x.h.opts.Self.Name}
 	}
 	x.noteAttempt(s.placement)
-	ctx := withPool(a.prepare(x.ctx), x.pool(s))
+	ctx := withConnNeed(a.prepare(x.ctx), connNeed{pool: x.pool(s), dial: x.dialLimit(s.placement)})
 	ctx, a.span = x.h.opts.Tracer.Start(ctx, "attempt", trace.WithSpanKind(trace.SpanKindClient))
 	if s.register != nil {
 		s.register(a)
@@ -71,6 +71,22 @@
 	}
 }
 
+const (
+	minDialLimit  = 100 * time.Millisecond
+	dialRoundTrip = 3 // round trips of the link that a connection may take
+)
+
+// dialLimit returns how long an attempt may take to connect, so that a server out of reach leaves time for
+// another one: nothing was sent to it.
+func (x *exchange) dialLimit(p *Placement) time.Duration {
+	limit := minDialLimit
+	if link := x.platform.Link(x.h.opts.Self.Region, p.Server.Region); link != nil {
+		const ways = 2
+		limit = max(limit, dialRoundTrip*ways*link.Delay.Std())
+	}
+	return min(limit, x.silentAfter())
+}
+
 func (x *exchange) noteAttempt(p *Placement) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
--- a/internal/request/transport.go
+++ b/internal/request/transport.go
@@ -100,14 +100,22 @@
 	poolCount
 )
 
-// poolKey is the context key of a request's pool.
-type poolKey struct{}
+// connNeed says which connection an attempt needs.
+type connNeed struct {
+	pool pool
+	dial time.Duration // limit of the time to connect; 0: that of the transport
+}
 
-func withPool(ctx context.Context, p pool) context.Context {
-	if p == poolShared {
-		return ctx
-	}
-	return context.WithValue(ctx, poolKey{}, p)
+// connNeedKey is the context key of a connNeed.
+type connNeedKey struct{}
+
+func withConnNeed(ctx context.Context, n connNeed) context.Context {
+	return context.WithValue(ctx, connNeedKey{}, n)
+}
+
+func connNeedOf(ctx context.Context) connNeed {
+	n, _ := ctx.Value(connNeedKey{}).(connNeed)
+	return n
 }
 
 // NewTransport returns a Transport.
@@ -129,6 +137,12 @@
 	protocols.SetHTTP1(true)
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			limit := opts.DialTimeout
+			if need := connNeedOf(ctx).dial; need > 0 {
+				limit = min(limit, need)
+			}
+			ctx, cancel := context.WithTimeout(ctx, limit)
+			defer cancel()
 			c, err := dial(ctx, network, address)
 			if err != nil {
 				return nil, err
@@ -146,8 +160,7 @@
 
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
-	p, _ := r.Context().Value(poolKey{}).(pool)
-	return t.pools[p].RoundTrip(r)
+	return t.pools[connNeedOf(r.Context()).pool].RoundTrip(r)
 }
 
 // CloseIdleConnections closes the idle connections of all pools.
--- a/internal/upstream/ejection.go
+++ b/internal/upstream/ejection.go
@@ -144,7 +144,7 @@
 	defer p.mu.Unlock()
 	for _, s := range v.snap.servers {
 		until := s.ejectedUntil.Load()
-		if until == 0 || until > v.now || s.leaving() || v.excluded(s) || s.trial.Load() {
+		if until == 0 || until > v.now || s.leaving() || s.unseen(v.now) || v.excluded(s) || s.trial.Load() {
 			continue
 		}
 		if !s.take(v.limit(s)) {
--- a/internal/upstream/members.go
+++ b/internal/upstream/members.go
@@ -142,6 +142,25 @@
 	p.refresh()
 }
 
+// Polled notes a poll of a server that began at the time at, and whether it reached the server: by an answer
+// of any status or a connection that was made. A sign of a polled server, this or an answer to a request,
+// counts for the time valid. After that the server gets no new work until the next sign, since it may have left
+// or be out of reach without this VM's knowledge.
+func (p *Pool) Polled(name vm.Name, at time.Time, valid time.Duration, reached bool) {
+	snap := p.snapshot.Load()
+	s := snap.find(name)
+	if s == nil {
+		return
+	}
+	first := s.sightFor.Swap(int64(valid)) == 0
+	if !reached && !first {
+		return
+	}
+	if s.see(snap.at(at)) && p.options.OnRoom != nil {
+		p.options.OnRoom()
+	}
+}
+
 // ServerStatus is what the administration API shows of a server.
 type ServerStatus struct {
 	Name         vm.Name       `json:"name"`
--- a/internal/upstream/poller.go
+++ b/internal/upstream/poller.go
@@ -3,19 +3,23 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"net/http/httptrace"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/azureflow/azureflow/internal/request"
 	"github.com/azureflow/azureflow/internal/vm"
 )
 
-// Source reads a server's load and health endpoints.
+// Source reads a server's load and health endpoints. An error that matches *SilentEndpointError comes from
+// a server that was reached.
 type Source interface {
 	// Load returns the server's report of its load.
 	Load(ctx context.Context, server vm.VM) (request.UpstreamLoad, error)
@@ -41,8 +45,10 @@
 	Concurrent int
 }
 
-// Poller polls the servers of some pools in turn, with jitter, within a budget. A poll that fails
-// changes nothing: what requests show of a server goes before what its endpoints say.
+// Poller polls the servers of some pools in turn, with jitter, within a budget. What requests show of a
+// server goes before what its endpoints say. A poll tells one thing more: that the server could be reached.
+// A server that neither a poll nor a request reached for sightLimit, or for sightRounds rounds of polls if
+// these take longer, gets no new work; see Pool.Polled.
 type Poller struct {
 	options PollerOptions
 	running chan struct{}
@@ -59,11 +65,17 @@
 	return &Poller{options: o, running: make(chan struct{}, o.Concurrent)}
 }
 
+const (
+	sightLimit  = 2200 * time.Millisecond // a sign of a server counts for at least this long
+	sightRounds = 2.5                     // rounds of polls
+)
+
 // target is a server to poll and the pool that learns from it.
 type target struct {
 	pool   *Pool
 	server vm.VM
-	load   bool // poll the load endpoint as well
+	load   bool          // poll the load endpoint as well
+	sight  time.Duration // how long a sign of the server counts
 }
 
 // Run polls until ctx ends and returns once no poll is under way.
@@ -75,10 +87,12 @@
 			continue
 		}
 		gap := p.gap(len(targets))
+		sight := max(sightLimit, time.Duration(sightRounds*float64(len(targets))*float64(gap)))
 		for _, t := range targets {
 			if !wait(ctx, jitter(gap)) {
 				break
 			}
+			t.sight = sight
 			t.load = round%p.options.LoadEvery == 0
 			p.start(ctx, t)
 		}
@@ -122,7 +136,9 @@
 }
 
 func (p *Poller) poll(ctx context.Context, t target) {
+	began := time.Now()
 	draining, err := p.options.Source.Draining(ctx, t.server)
+	t.pool.Polled(t.server.Name, began, t.sight, reached(err))
 	if err == nil && draining {
 		t.pool.Drain(t.server.Name, time.Now())
 	}
@@ -135,6 +151,12 @@
 	}
 }
 
+// reached reports whether a poll that ended with err reached its server.
+func reached(err error) bool {
+	var silent *SilentEndpointError
+	return err == nil || errors.As(err, &silent)
+}
+
 // jitter returns a time between half and one and a half of d.
 func jitter(d time.Duration) time.Duration {
 	return d/2 + time.Duration(rand.Int64N(int64(d)+1))
@@ -171,6 +193,22 @@
 	return fmt.Sprintf("server %s: %s answered %d", e.Server, e.Path, e.Status)
 }
 
+// SilentEndpointError reports an endpoint that did not answer on a connection that was just made: its
+// server is within reach.
+type SilentEndpointError struct {
+	Server vm.Name
+	Path   string
+	Cause  error
+}
+
+// Error implements error.
+func (e *SilentEndpointError) Error() string {
+	return "server " + string(e.Server) + ": " + e.Path + ": " + e.Cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e *SilentEndpointError) Unwrap() error { return e.Cause }
+
 // loadBody is the JSON body of the load endpoint.
 type loadBody struct {
 	InFlight int  `json:"in_flight"`
@@ -220,7 +258,13 @@
 	}
 	client := h.Client
 	setDefault(&client, http.DefaultClient)
-	return client.Do(req)
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { connected.Store(!info.Reused) }}
+	resp, err := client.Do(req.WithContext(httptrace.WithClientTrace(ctx, trace)))
+	if err != nil && connected.Load() {
+		return nil, &SilentEndpointError{Server: server.Name, Path: path, Cause: err}
+	}
+	return resp, err
 }
 
 // finish reads the rest of a body so that the connection can be used again.
--- a/internal/upstream/poller_test.go
+++ b/internal/upstream/poller_test.go
@@ -82,3 +82,43 @@
 		}
 	})
 }
+
+// TestUnseenServersGetNoWork: once polls no longer reach the servers, they get no work until one does.
+func TestUnseenServersGetNoWork(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		source := &fakeSource{delay: 6 * time.Millisecond, polls: map[vm.Name]int{}}
+		room := 0
+		p := NewPool(Options{OnRoom: func() { room++ }})
+		p.Update(listed(12), time.Now())
+		poll := func(d time.Duration) {
+			ctx, cancel := context.WithTimeout(t.Context(), d)
+			defer cancel()
+			NewPoller(PollerOptions{Pools: func() []*Pool { return []*Pool{p} }, Source: source}).Run(ctx)
+		}
+		usable := func() int {
+			held := 0
+			for ; held < 60; held++ {
+				r, err := p.Acquire(Query{Now: time.Now()})
+				if err != nil {
+					break
+				}
+				defer r.Done(request.AttemptResult{Failure: request.FailureSilent}, time.Now())
+			}
+			return held
+		}
+		poll(1900 * time.Millisecond)
+		if n := usable(); n != 60 {
+			t.Errorf("%d of 60 slots in use while all servers are reached", n)
+		}
+		source.delay = time.Hour
+		poll(2900 * time.Millisecond)
+		if n := usable(); n != 0 {
+			t.Errorf("%d slots in use of servers not heard of for 2.2 s", n)
+		}
+		room, source.delay = 0, 6*time.Millisecond
+		poll(1900 * time.Millisecond)
+		if n := usable(); n != 60 || room < 12 {
+			t.Errorf("%d of 60 slots in use again, %d told", n, room)
+		}
+	})
+}
--- a/internal/upstream/reservation.go
+++ b/internal/upstream/reservation.go
@@ -31,6 +31,9 @@
 	}
 	p, s := r.pool, r.server
 	at := int64(now.Sub(r.epoch))
+	if answered(result.Failure) {
+		s.see(at)
+	}
 	s.end(r.class, r.start)
 	p.giveTotal(r.class)
 	if result.Load != nil {
@@ -43,6 +46,11 @@
 	}
 }
 
+// answered reports whether an attempt heard of its server.
+func answered(f request.Failure) bool {
+	return f == request.FailureNone || f == request.FailureShed || f == request.FailureServer
+}
+
 // learn updates what is known of s by the result of an attempt.
 func (p *Pool) learn(s *server, r *Reservation, result *request.AttemptResult, at int64) {
 	switch result.Failure {
--- a/internal/upstream/server.go
+++ b/internal/upstream/server.go
@@ -23,6 +23,8 @@
 	warmFrom     atomic.Int64 // begin of the ramp; 0: warm
 	drainedAt    atomic.Int64 // last sign of a drain; 0: none
 	listLeaving  atomic.Bool  // the VM list says that it leaves
+	sightFor     atomic.Int64 // how long one sign of the server counts, nanoseconds; 0: it is not polled
+	sightUntil   atomic.Int64 // end of the last sign's time
 	trial        atomic.Bool  // a trial request is in flight
 	report       atomic.Pointer[report]
 	classes      [steering.ClassCount]classState
@@ -48,6 +50,23 @@
 
 func (s *server) leaving() bool { return s.listLeaving.Load() || s.drainedAt.Load() != 0 }
 
+// unseen reports whether the last sign of a polled server is too old: it may have left or be out of reach.
+func (s *server) unseen(now int64) bool { return s.sightFor.Load() != 0 && now > s.sightUntil.Load() }
+
+// see notes a sign of the server at the time at and reports whether it was unseen until then.
+func (s *server) see(at int64) bool {
+	until := at + s.sightFor.Load()
+	for {
+		old := s.sightUntil.Load()
+		if until <= old {
+			return false
+		}
+		if s.sightUntil.CompareAndSwap(old, until) {
+			return old < at
+		}
+	}
+}
+
 func (s *server) ejected() bool { return s.ejectedUntil.Load() != 0 }
 
 // take takes a slot if fewer than limit are taken.
--- a/internal/upstream/view.go
+++ b/internal/upstream/view.go
@@ -18,13 +18,14 @@
 	stateUsable serverState = iota
 	stateLeaving
 	stateEjected
+	stateUnseen
 	stateExcluded
 	stateShed
 	stateFull
 	stateCount
 )
 
-var stateReasons = [stateCount]string{"not chosen", "leaving", "ejected", "already tried", "shed", "no slot"}
+var stateReasons = [stateCount]string{"not chosen", "leaving", "ejected", "not heard of", "already tried", "shed", "no slot"}
 
 // view is what a policy may look at for one query. It lives on the stack of Acquire.
 type view struct {
@@ -45,6 +46,8 @@
 	switch {
 	case s.leaving():
 		return stateLeaving
+	case s.unseen(v.now):
+		return stateUnseen
 	case s.ejected():
 		return stateEjected
 	case len(v.query.Exclude) > 0 && v.excluded(s):
