request, demo: a paused sender stops by its own sight

The code was at fault, not the check: the VM heard of nobody for 5 s and still took its sight for fresh.

- A choice of a server lapses after 2 s: an attempt that was paused before its first byte does not send.
- The check is stricter: beside the arrival at the server, which stays, the time at which a request leaves its sender has to be within 3 s.
- The harness held bytes but let a paused host connect; it now holds its dials too, as a stopped process or lost packets do.

go test ./internal/demo -run 'TestFaultMatrix/cells/upstream-leaves/sender-paused$' -count=8: passes.

--- a/internal/demo/conn.go
+++ b/internal/demo/conn.go
@@ -87,7 +87,7 @@
 		if !ok {
 			return
 		}
-		c.network.awaitResume(c)
+		c.network.awaitResume(c.from, c.to, c.closed)
 		if c.lost() {
 			continue
 		}
@@ -105,7 +105,7 @@
 		if n > 0 {
 			c.tell(&transfer{conn: c, from: c.to, to: c.from, answer: true, data: buf[:n]})
 		}
-		c.network.awaitResume(c)
+		c.network.awaitResume(c.from, c.to, c.closed)
 		if n > 0 && !c.lost() && !c.in.put(buf[:n]) {
 			return
 		}
--- a/internal/demo/matrix_test.go
+++ b/internal/demo/matrix_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -155,7 +156,9 @@
 	published []steering.Revision
 	stopped   *entryVM
 	left      []*upstreamVM
-	variant   *steering.Tree // what publishSoon publishes
+	leftAt    time.Time
+	lastSent  map[string]time.Duration // since leftAt, to each host: when the last request left its sender
+	variant   *steering.Tree           // what publishSoon publishes
 	highest   map[vm.Name]steering.Revision
 	reverted  []string
 	work      sync.WaitGroup
@@ -165,6 +168,9 @@
 func (c *cell) observe(t *transfer) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if beginsRequest(t) {
+		c.lastSent[t.to.host] = time.Since(c.leftAt)
+	}
 	if !c.armed || c.hit || !c.step.when(t) {
 		return
 	}
@@ -175,6 +181,12 @@
 	}
 }
 
+// beginsRequest reports whether a transfer holds the begin of a request other than a poll.
+func beginsRequest(t *transfer) bool {
+	method, _, _ := bytes.Cut(t.data, []byte(" /"))
+	return !t.answer && slices.Contains([]string{"GET", "POST", "PUT"}, string(method)) && !isReport(t)
+}
+
 // kill kills an entry VM or an upstream; a platform is down until the end, and a caller is left alone:
 // its death breaks no promise that could be told to it.
 func (c *cell) kill(host string) {
@@ -253,6 +265,9 @@
 	row := u.row
 	row.State = vm.StateLeaving
 	row.Since = time.Now()
+	c.mu.Lock()
+	c.leftAt = row.Since
+	c.mu.Unlock()
 	c.world.platform.PutVM(row)
 	u.standin.SetDraining(true)
 	c.left = append(c.left, u)
@@ -291,6 +306,7 @@
 			t.Fatal(err)
 		}
 		c.world = w
+		c.lastSent = make(map[string]time.Duration)
 		c.variant = variantTree(t)
 		w.network.observe = c.observe
 		watch, stop := context.WithCancel(context.Background())
@@ -356,9 +372,13 @@
 		note(r.PeakSlots > int64(r.CapacitySlots), "%s in %s carried %d of %d slots", r.Service, r.Name, r.PeakSlots, r.CapacitySlots)
 	}
 	for _, u := range c.left {
-		const few = 3000 // ms
-		last := u.standin.Ledger().LastAfterDrainMs
-		note(last > few, "%s got work %.0f ms after it began to leave", u.row.Name, last)
+		const few = 3 * time.Second
+		c.mu.Lock()
+		sent := c.lastSent[string(u.row.Name)]
+		c.mu.Unlock()
+		note(sent > few, "%s was sent work %v after it began to leave", u.row.Name, sent)
+		got := u.standin.Ledger().LastAfterDrainMs
+		note(got > float64(few.Milliseconds()), "%s got work %.0f ms after it began to leave", u.row.Name, got)
 	}
 	note(len(c.reverted) > 0, "reverted: %v", c.reverted)
 	if c.stopped != nil {
--- a/internal/demo/network.go
+++ b/internal/demo/network.go
@@ -133,13 +133,13 @@
 	}
 }
 
-// awaitResume waits while either end of a connection is paused.
-func (n *network) awaitResume(c *conn) {
+// awaitResume waits while from or to is paused, or until done is closed.
+func (n *network) awaitResume(from, to place, done <-chan struct{}) {
 	for {
 		n.mu.RLock()
-		gate := n.paused[c.from.host]
+		gate := n.paused[from.host]
 		if gate == nil {
-			gate = n.paused[c.to.host]
+			gate = n.paused[to.host]
 		}
 		n.mu.RUnlock()
 		if gate == nil {
@@ -147,7 +147,7 @@
 		}
 		select {
 		case <-gate:
-		case <-c.closed:
+		case <-done:
 			return
 		}
 	}
@@ -201,6 +201,7 @@
 		n.mu.RLock()
 		to := n.places[address]
 		n.mu.RUnlock()
+		n.awaitResume(from, to, ctx.Done())
 		if n.isDead(from, to) {
 			return nil, &net.OpError{Op: "dial", Net: proto, Err: syscall.ECONNREFUSED}
 		}
--- a/internal/request/attempt.go
+++ b/internal/request/attempt.go
@@ -25,6 +25,10 @@
 	StateAnswered
 )
 
+// placementLife is how long after the choice of its server an attempt may begin to send. An entry VM that was
+// paused in between finds the choice lapsed: the server may have begun to leave.
+const placementLife = 2 * time.Second
+
 // attempt is one sending of a request to one server.
 type attempt struct {
 	id        review.ID
@@ -69,7 +73,7 @@
 		a.gotForeign()
 		return
 	}
-	if a.ended || a.sentLocked() {
+	if a.ended || a.sentLocked() || time.Since(a.started) > placementLife {
 		c.seal()
 		return
 	}
