--- /dev/null
+++ b/internal/request/budget_test.go
@@ -0,0 +1,39 @@
+package request
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// TestBudgetBoundsExtraAttempts checks the bound over every run of requests, with each request asking for as
+// many extra attempts as it can, as in a brown-out.
+func TestBudgetBoundsExtraAttempts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		share := rapid.Float64Range(0.001, 0.2).Draw(t, "share")
+		burst := rapid.IntRange(0, 20).Draw(t, "burst")
+		requests := rapid.IntRange(1, 5000).Draw(t, "requests")
+		quiet := rapid.IntRange(0, requests).Draw(t, "quiet")
+		b := NewExtraBudget(burst)
+		extra := 0
+		for i := range requests {
+			b.PayIn(share)
+			for i >= quiet && b.Take(0) {
+				extra++
+			}
+		}
+		if limit := min(share, 0.05)*float64(requests-quiet) + float64(burst); float64(extra) > limit {
+			t.Fatalf("%d extra attempts, at most %v", extra, limit)
+		}
+	})
+}
+
+func TestBudgetReturnsUnsentAttempts(t *testing.T) {
+	b := NewExtraBudget(1)
+	for range 50 {
+		if !b.Take(0) {
+			t.Fatal("a returned attempt was not given back")
+		}
+		b.PutBack()
+	}
+}
--- a/internal/upstream/simulation_test.go
+++ b/internal/upstream/simulation_test.go
@@ -28,7 +28,7 @@
 	moments   float64 // share of the time that each server is slowed in moments of 300 ms
 	uploads   float64 // offered besides, as a share of all slots
 	noReserve bool    // no slots kept for lookups
-	hedges    bool    // after the 95th percentile, within a Budget
+	hedges    bool    // after the 95th percentile, within a budget
 	seed      uint64
 }
 
@@ -42,6 +42,8 @@
 	slowUntil = 11 * time.Second
 	simEnd    = 12 * time.Second
 	simReport = 100 * time.Millisecond // between two reports of a server
+	simBurst  = 10                     // hedges that may be saved up
+	simHedges = 0.03                   // of the lookups
 )
 
 type simServer struct {
@@ -59,7 +61,7 @@
 type simEntry struct {
 	pool   *Pool
 	tail   quantile // of the lookups' latency
-	budget *Budget
+	budget *request.ExtraBudget
 	queue  [2][]*lookup // by class
 }
 
@@ -101,7 +103,7 @@
 		s.fleet = append(s.fleet, &simServer{name: server.Name})
 	}
 	for i := range e.entries {
-		entry := &simEntry{pool: NewPool(e.options(i)), budget: NewBudget(BudgetOptions{}), tail: quantile{target: hedgeQuantile}}
+		entry := &simEntry{pool: NewPool(e.options(i)), budget: request.NewExtraBudget(simBurst), tail: quantile{target: hedgeQuantile}}
 		entry.pool.Update(listed(e.servers), start)
 		s.entrances = append(s.entrances, entry)
 	}
@@ -154,7 +156,7 @@
 	if s.measured(l) {
 		s.arrived++
 	}
-	l.entry.budget.Request()
+	l.entry.budget.PayIn(simHedges)
 }
 
 func (s *simulation) measured(l *lookup) bool { return l.arrived >= slowFrom && l.arrived < slowUntil }
@@ -179,11 +181,11 @@
 }
 
 func (s *simulation) hedge(l *lookup) {
-	if l.answered || !l.entry.budget.TakeHedge() {
+	if l.answered || !l.entry.budget.Take(0) {
 		return
 	}
 	if !s.place(l, true) {
-		l.entry.budget.ReturnHedge()
+		l.entry.budget.PutBack()
 	}
 }
 
