request: a planned stop waits until no caller comes

Cause: the stop ended 2 s after its begin once nothing was in flight, while callers keep an answer that names the VM for up to 30 s. It now ends once no request has come for 2 s, at most half of drain_timeout (15 s) after the begin; each caller that comes is served and told to leave. A fixed 30 s was ruled out: every stop would last that long, also of an idle VM. Who comes later meets a closed port, which is proved not-run. TestPlannedStopWaitsForLateCallers: 2 s without callers, 6 to 7 s with callers for 5 s, 15 s with callers that never leave.

--- a/internal/request/options.go
+++ b/internal/request/options.go
@@ -93,7 +93,9 @@
 	Metrics   Metrics
 	Tracer    trace.Tracer
 	Pacer     Pacer
-	// StopLinger is the least time from BeginStop to Drained; at least the lifetime of lookup answers.
+	// StopLinger is how long no request must have come before a planned stop may end. Callers that have the
+	// address from an earlier lookup are served and told to leave, for at most half of Limits.DrainTimeout;
+	// one that comes later is refused the connection, which proves that its request did not run.
 	StopLinger time.Duration
 	// PeerTimeout bounds a question to another entry VM.
 	PeerTimeout time.Duration
--- a/internal/request/race_test.go
+++ b/internal/request/race_test.go
@@ -120,6 +120,7 @@
 		Self:      request.Identity{Name: "entry", Incarnation: 1, Region: "aare"},
 		Transport: transport,
 		Metrics:   c.metrics,
+		Limits:    steering.LimitSettings{DrainTimeout: steering.Duration(30 * time.Second)},
 	})
 	c.server = &http.Server{Handler: c.handler}
 	l := c.net.listen("entry")
@@ -276,6 +277,35 @@
 	})
 }
 
+// TestPlannedStopWaitsForLateCallers: while callers still come the stop goes on, for at most half of the drain
+// timeout.
+func TestPlannedStopWaitsForLateCallers(t *testing.T) {
+	for _, stop := range []struct{ callsFor, least, most time.Duration }{
+		{0, 2 * time.Second, 2 * time.Second},
+		{5 * time.Second, 6 * time.Second, 7 * time.Second},
+		{time.Minute, 15 * time.Second, 15 * time.Second},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			c := newCluster(1, func(int, http.ResponseWriter, *http.Request) {})
+			begin := time.Now()
+			c.handler.BeginStop()
+			go func() {
+				const gap = 700 * time.Millisecond
+				for at := gap; at < stop.callsFor; at += gap {
+					time.Sleep(gap)
+					_, _ = c.get()
+				}
+			}()
+			<-c.handler.Drained()
+			if took := time.Since(begin); took < stop.least || took > stop.most {
+				t.Errorf("callers for %v: drained after %v, not %v to %v", stop.callsFor, took, stop.least, stop.most)
+			}
+			time.Sleep(stop.callsFor)
+			c.close()
+		})
+	}
+}
+
 // TestServerOutOfReach: a server that answers no connection attempt costs a part of the deadline only, and
 // what was not sent to it runs once at another server.
 func TestServerOutOfReach(t *testing.T) {
