caller: a silent connection is replaced before its entry VM is

Cause of unknown reads when all connections go silent at once (times of each sending printed, virtual time): 150 ms until the caller notices, then its second sending went to the next entry VM of the lookup, which is far and holds no grant for this caller's region; that does not fit into the 450 ms left. An idempotent call that is silent on a connection that was open before now goes to the same entry VM on a new one. What may not run twice still goes to the next, which asks the first for its promise.

Ruled out: the entry VM's hop (28 of 29 hedges placed), ListenConfig (no kernel in virtual time).

--- a/caller/call.go
+++ b/caller/call.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/azureflow/azureflow/internal/request"
@@ -33,6 +34,8 @@
 	results  chan *sending
 	pending  int
 	sendings int
+	next     int      // into the entry VMs: the next that was not used
+	repeated bool     // an entry VM was sent the call a second time, on a new connection
 	unknown  *sending // a sending that may have run
 	notRun   *sending // the last that certainly did not
 }
@@ -40,6 +43,7 @@
 // sending is one request to one entry VM and what became of it.
 type sending struct {
 	entry    EntryVM
+	reused   atomic.Bool // it went out on a connection that was open before
 	cancel   context.CancelFunc
 	answer   *Answer
 	refusal  Refusal
@@ -117,11 +121,10 @@
 
 // start sends the call to the next entry VM. It returns false if there is no further one to try.
 func (c *call) start(ctx context.Context, entries []EntryVM, started *[]*sending) bool {
-	limit := min(len(entries), c.client.opts.MaxSendings)
-	if c.sendings >= limit || c.sendings > 0 && !c.body.again() {
+	if c.sendings >= c.client.opts.MaxSendings || c.next >= len(entries) || c.sendings > 0 && !c.body.again() {
 		return false
 	}
-	s := &sending{entry: entries[c.sendings]}
+	s := &sending{entry: c.choose(entries, *started)}
 	c.sendings++
 	c.pending++
 	ctx, s.cancel = context.WithCancel(ctx)
@@ -132,9 +135,23 @@
 		c.results <- s
 		return false
 	}
-	c.previous = append(c.previous, entryName(s.entry))
+	if name := entryName(s.entry); !slices.Contains(c.previous, name) {
+		c.previous = append(c.previous, name)
+	}
 	go c.send(req, s)
-	return c.sendings < limit
+	return c.sendings < c.client.opts.MaxSendings && c.next < len(entries)
+}
+
+// choose returns the entry VM of the next sending. While the first one is silent on a connection that was open
+// before, the connection is the likelier cause: its entry VM is near and ready for this caller, and is sent the call
+// again on a new connection if it may run twice.
+func (c *call) choose(entries []EntryVM, started []*sending) EntryVM {
+	if c.safe && !c.repeated && c.pending == 1 && len(started) == 1 && started[0].reused.Load() {
+		c.repeated = true
+		return entries[c.next-1]
+	}
+	c.next++
+	return entries[c.next-1]
 }
 
 // take notes a finished sending. It returns true if its answer is the call's.
--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -359,3 +359,45 @@
 		t.Fatalf("%d extra sendings of %d calls", extra, calls)
 	}
 }
+
+// silentLater answers the first request of each connection and stays silent on all later ones.
+func silentLater() http.HandlerFunc {
+	var mu sync.Mutex
+	seen := make(map[string]bool)
+	return func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		mu.Lock()
+		silent := seen[r.RemoteAddr]
+		seen[r.RemoteAddr] = true
+		mu.Unlock()
+		if silent {
+			<-r.Context().Done()
+			return
+		}
+		done(w, r)
+	}
+}
+
+// TestSilentConnectionIsReplaced: an idempotent call that is silent on an open connection goes to the same entry
+// VM on a new one; any other goes to the next entry VM, which is told of the first.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	for _, call := range []struct {
+		idempotent bool
+		first      int      // requests that the first entry VM got
+		second     []string // previous entry VMs that the second one was told
+	}{{true, 3, nil}, {false, 2, []string{"a/1"}}} {
+		f := newFleet(t, silentLater(), done)
+		c := f.client()
+		for range 2 {
+			answer, err := c.Do(context.Background(), "kasse", "POST", "/levies/1", nil, caller.CallOptions{Idempotent: call.idempotent})
+			if err != nil {
+				t.Fatal(err)
+			}
+			_, _ = io.Copy(io.Discard, answer.Body)
+			_ = answer.Body.Close()
+		}
+		if first, second := len(f[0].saw()), f[1].saw(); first != call.first || !slices.Equal(second, call.second) {
+			t.Errorf("idempotent %v: first got %d, second was told %v", call.idempotent, first, second)
+		}
+	}
+}
--- a/caller/sending.go
+++ b/caller/sending.go
@@ -17,7 +17,10 @@
 // send carries one sending and hands in its result.
 func (c *call) send(req *http.Request, s *sending) {
 	var reached atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { reached.Store(true) }}
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		reached.Store(true)
+		s.reused.Store(info.Reused)
+	}}
 	resp, err := c.client.opts.HTTP.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
 	switch {
 	case err != nil:
--- a/internal/demo/session_test.go
+++ b/internal/demo/session_test.go
@@ -256,3 +256,46 @@
 	}
 	s.tell("upstream", "ledgers: %d non-idempotent keys ran twice", len(standin.Doubled(ledgers...)))
 }
+
+// TestSilentConnectionsOnBothHops: every open connection of callers, entry VMs and upstreams goes silent at once.
+// No idempotent request is left unknown.
+func TestSilentConnectionsOnBothHops(t *testing.T) {
+	d, err := loadDeployment("sohar")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var tallies map[steering.OperationName]*tally
+	var summary *Summary
+	synctest.Test(t, func(t *testing.T) { tallies, summary = silentSession(t, d) })
+	if s := summary; s.DoubleRuns > 0 || s.FalseNotRun > 0 || s.WrongAnswers > 0 {
+		t.Errorf("%d ran twice, %d told not-run although they ran, %d wrong answers", s.DoubleRuns, s.FalseNotRun, s.WrongAnswers)
+	}
+	for _, s := range d.config.Services {
+		for _, op := range s.Operations {
+			if !op.Idempotent {
+				continue
+			}
+			t.Run(string(op.Name), func(t *testing.T) {
+				if n := tallies[op.Name].unknown; n > 0 {
+					t.Errorf("%d of %d unknown", n, tallies[op.Name].requests)
+				}
+			})
+		}
+	}
+}
+
+// silentSession loads a deployment and silences every connection a third into the load.
+func silentSession(t *testing.T, d *deployment) (map[steering.OperationName]*tally, *Summary) {
+	broken, err := findFaults([]string{"silent-connections"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	w, err := startWorld(context.Background(), Options{Deployment: d.name}.withDefaults(), d, newMemory())
+	if err != nil {
+		t.Fatal(err)
+	}
+	tallies := w.load(context.Background(), broken)
+	w.stop()
+	time.Sleep(time.Minute) // what is under way ends
+	return tallies, w.summarize(tallies)
+}
