--- a/internal/request/transport_test.go
+++ b/internal/request/transport_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
+	"net/http/httptrace"
 	"testing"
 	"time"
 )
@@ -26,3 +28,20 @@
 	}
 	_ = resp.Body.Close()
 }
+
+// TestStaleChoiceSendsNothing: an attempt that was paused between the choice of its server and its first byte
+// does not send, and proves it.
+func TestStaleChoiceSendsNothing(t *testing.T) {
+	for _, paused := range []time.Duration{0, placementLife + time.Second} {
+		near, far := net.Pipe()
+		go func() { _, _ = io.Copy(io.Discard, far) }()
+		c := newGatedConn(near)
+		a := &attempt{started: time.Now().Add(-paused), cancel: func() {}}
+		a.gotConn(httptrace.GotConnInfo{Conn: c})
+		_, err := c.Write([]byte("GET"))
+		if p := a.abandon(); (err != nil) != (paused > 0) || p.notSent() != (paused > 0) {
+			t.Errorf("paused for %v: write %v, not sent %v", paused, err, p.notSent())
+		}
+		_ = far.Close()
+	}
+}
