caller: connect as entry VMs do

The caller's dialer had keep-alive probes only, which do not run while sent bytes wait for an acknowledgement: a request on a silent connection waited for its deadline. It now shares request.NewDialer, which breaks such a connection after SilentAfter (TCP_USER_TIMEOUT). The rest of both transports differs for a reason (gated pools by age at the entry VM, a plain transport at the caller) and stays.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -5,7 +5,6 @@
 	"crypto/rand"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"slices"
 	"time"
@@ -65,12 +64,8 @@
 }
 
 func newTransport(silentAfter time.Duration) *http.Transport {
-	dialer := &net.Dialer{
-		Timeout:         dialTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: silentAfter, Interval: silentAfter, Count: 1},
-	}
 	return &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         request.NewDialer(dialTimeout, silentAfter).DialContext,
 		DisableCompression:  true,
 		IdleConnTimeout:     idleTimeout,
 		MaxIdleConnsPerHost: idlePerEntry,
--- a/internal/request/transport.go
+++ b/internal/request/transport.go
@@ -49,21 +49,22 @@
 		o.SilentAfter = defaultSilentAfter
 	}
 	if o.Dial == nil {
-		o.Dial = newDialer(o).DialContext
+		o.Dial = NewDialer(o.DialTimeout, o.SilentAfter).DialContext
 	}
 }
 
-// newDialer returns a TCP dialer whose connections the kernel probes while they wait for an answer.
-func newDialer(o *TransportOptions) *net.Dialer {
-	return &net.Dialer{
-		Timeout: o.DialTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{
-			Enable:   true,
-			Idle:     o.SilentAfter,
-			Interval: o.SilentAfter / keepAliveProbes,
-			Count:    keepAliveProbes,
-		},
-		Control: ackTimeout(o.SilentAfter),
+// NewDialer returns a TCP dialer. A connection whose bytes stay unacknowledged for silentAfter is broken; the
+// kernel probes it while it waits for an answer.
+func NewDialer(timeout, silentAfter time.Duration) *net.Dialer {
+	return &net.Dialer{Timeout: timeout, KeepAliveConfig: keepAlive(silentAfter), Control: ackTimeout(silentAfter)}
+}
+
+func keepAlive(silentAfter time.Duration) net.KeepAliveConfig {
+	return net.KeepAliveConfig{
+		Enable:   true,
+		Idle:     silentAfter,
+		Interval: silentAfter / keepAliveProbes,
+		Count:    keepAliveProbes,
 	}
 }
 
@@ -73,15 +74,7 @@
 	if silentAfter <= 0 {
 		silentAfter = defaultSilentAfter
 	}
-	return &net.ListenConfig{
-		Control: ackTimeout(silentAfter),
-		KeepAliveConfig: net.KeepAliveConfig{
-			Enable:   true,
-			Idle:     silentAfter,
-			Interval: silentAfter / keepAliveProbes,
-			Count:    keepAliveProbes,
-		},
-	}
+	return &net.ListenConfig{Control: ackTimeout(silentAfter), KeepAliveConfig: keepAlive(silentAfter)}
 }
 
 // Transport carries attempts to servers over HTTP/1.1: one attempt at a time on a connection, so that
