--- a/internal/request/transport.go
+++ b/internal/request/transport.go
@@ -49,21 +49,22 @@
 		o.SilentAfter = defaultSilentAfter
 	}
 	if o.Dial == nil {
-		o.Dial = newDialer(o).DialContext
+		o.Dial = NewDialer(o.DialTimeout, o.SilentAfter).DialContext
 	}
 }
 
-// newDialer returns a TCP dialer whose connections the kernel probes while they wait for an answer.
-func newDialer(o *TransportOptions) *net.Dialer {
-	return &net.Dialer{
-		Timeout: o.DialTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{
-			Enable:   true,
-			Idle:     o.SilentAfter,
-			Interval: o.SilentAfter / keepAliveProbes,
-			Count:    keepAliveProbes,
-		},
-		Control: ackTimeout(o.SilentAfter),
+// NewDialer returns a TCP dialer. A connection whose bytes stay unacknowledged for silentAfter is broken; the
+// kernel probes it while it waits for an answer.
+func NewDialer(timeout, silentAfter time.Duration) *net.Dialer {
+	return &net.Dialer{Timeout: timeout, KeepAliveConfig: keepAlive(silentAfter), Control: ackTimeout(silentAfter)}
+}
+
+func keepAlive(silentAfter time.Duration) net.KeepAliveConfig {
+	return net.KeepAliveConfig{
+		Enable:   true,
+		Idle:     silentAfter,
+		Interval: silentAfter / keepAliveProbes,
+		Count:    keepAliveProbes,
 	}
 }
 
@@ -73,15 +74,7 @@
 	if silentAfter <= 0 {
 		silentAfter = defaultSilentAfter
 	}
-	return &net.ListenConfig{
-		Control: ackTimeout(silentAfter),
-		KeepAliveConfig: net.KeepAliveConfig{
-			Enable:   true,
-			Idle:     silentAfter,
-			Interval: silentAfter / keepAliveProbes,
-			Count:    keepAliveProbes,
-		},
-	}
+	return &net.ListenConfig{Control: ackTimeout(silentAfter), KeepAliveConfig: keepAlive(silentAfter)}
 }
 
 // Transport carries attempts to servers over HTTP/1.1: one attempt at a time on a connection, so that
@@ -100,14 +93,22 @@
 	poolCount
 )
 
-// poolKey is the context key of a request's pool.
-type poolKey struct{}
+// connNeed says which connection an attempt needs.
+type connNeed struct {
+	pool pool
+	dial time.Duration // limit of the time to connect; 0: that of the transport
+}
 
-func withPool(ctx context.Context, p pool) context.Context {
-	if p == poolShared {
-		return ctx
-	}
-	return context.WithValue(ctx, poolKey{}, p)
+// connNeedKey is the context key of a connNeed.
+type connNeedKey struct{}
+
+func withConnNeed(ctx context.Context, n connNeed) context.Context {
+	return context.WithValue(ctx, connNeedKey{}, n)
+}
+
+func connNeedOf(ctx context.Context) connNeed {
+	n, _ := ctx.Value(connNeedKey{}).(connNeed)
+	return n
 }
 
 // NewTransport returns a Transport.
@@ -129,6 +130,12 @@
 	protocols.SetHTTP1(true)
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			limit := opts.DialTimeout
+			if need := connNeedOf(ctx).dial; need > 0 {
+				limit = min(limit, need)
+			}
+			ctx, cancel := context.WithTimeout(ctx, limit)
+			defer cancel()
 			c, err := dial(ctx, network, address)
 			if err != nil {
 				return nil, err
@@ -146,8 +153,7 @@
 
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
-	p, _ := r.Context().Value(poolKey{}).(pool)
-	return t.pools[p].RoundTrip(r)
+	return t.pools[connNeedOf(r.Context()).pool].RoundTrip(r)
 }
 
 // CloseIdleConnections closes the idle connections of all pools.
