entry: serve requests on connections that were open but unused when a planned stop drained

Cause: after the drain, http.Server.Shutdown goes on reading new connections for up to 5 s, and closes one without an answer when a request arrives on it (net/http: conn.serve returns after readRequest if the server shuts down). A caller's transport opens such connections ahead of use. For a stamp the caller is told unknown.

Ruled out: the injected fault (24 cells of the row, most without any fault on that connection); idle connections that Shutdown closes at once (the connection had had no request).

Now the listener is closed first, so that callers fail over, and what arrives on open connections is served until none is left or those left were unused for 3 s.

Left: an idle connection closed while a request is on its way to it (one-way delay, 3 ms).

Also Daemon.Plans and Daemon.Leads, which the matrix reads.

--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -14,6 +14,7 @@
 	"github.com/azureflow/azureflow/internal/contract"
 	"github.com/azureflow/azureflow/internal/peer"
 	"github.com/azureflow/azureflow/internal/platform"
+	"github.com/azureflow/azureflow/internal/region"
 	"github.com/azureflow/azureflow/internal/request"
 	"github.com/azureflow/azureflow/internal/review"
 	"github.com/azureflow/azureflow/internal/steering"
@@ -68,6 +69,12 @@
 // Records returns the decision records of this VM.
 func (d *Daemon) Records() *review.Log { return d.parts.Records }
 
+// Plans returns the plans in force on this VM, one for each service. The caller must not change them.
+func (d *Daemon) Plans() []region.Plan { return d.parts.Topology.table.Plans() }
+
+// Leads reports whether this VM leads a zone.
+func (d *Daemon) Leads(zone steering.ZoneName) bool { return d.parts.Domains.leads(zone) }
+
 // Cut returns how many requests were still in flight when a planned stop ended its wait for them.
 func (d *Daemon) Cut() int64 { return d.cut.Load() }
 
@@ -150,6 +157,7 @@
 	case <-p.Handler.Drained():
 	case <-ctx.Done():
 	}
+	p.Servers.quiesce(ctx, p.Handler.InFlight)
 	d.cut.Store(int64(p.Handler.InFlight()))
 	p.Recorder.Record(&review.Record{
 		Kind: review.KindStop, Constraint: review.ConstraintDrain, Result: "drained", Took: time.Since(began),
--- a/internal/entry/servers.go
+++ b/internal/entry/servers.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/gorilla/mux"
@@ -60,6 +61,7 @@
 	admin     *http.Server
 	peers     peer.DRPCPeerServer
 	log       logrus.FieldLogger
+	open      atomic.Int64 // connections of callers
 }
 
 func newServers(
@@ -74,7 +76,7 @@
 			return cfg == nil || cfg.ServiceByName(service) != nil
 		},
 	})
-	return &servers{
+	s := &servers{
 		listeners: l,
 		requests:  &http.Server{Handler: callerRoutes(lookups, h), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout},
 		admin:     &http.Server{Handler: admin, ReadHeaderTimeout: readHeaderTimeout},
@@ -84,6 +86,38 @@
 		},
 		log: log,
 	}
+	s.requests.ConnState = s.countOpen
+	return s
+}
+
+// countOpen keeps the number of callers' connections.
+func (s *servers) countOpen(_ net.Conn, state http.ConnState) {
+	switch state {
+	case http.StateNew:
+		s.open.Add(1)
+	case http.StateClosed, http.StateHijacked:
+		s.open.Add(-1)
+	}
+}
+
+// quiesce refuses new connections of callers and serves what still arrives on those that are open, until none
+// is left, or until those left were not used for a while. http.Server.Shutdown would read a request on a
+// connection that had none before and close it without an answer.
+func (s *servers) quiesce(ctx context.Context, inFlight func() int) {
+	const (
+		unused = 3 * time.Second
+		poll   = 10 * time.Millisecond
+	)
+	_ = s.listeners.Requests.Close()
+	s.requests.SetKeepAlivesEnabled(false)
+	end := time.Now().Add(unused)
+	for s.open.Load() > 0 && (time.Now().Before(end) || inFlight() > 0) {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(poll):
+		}
+	}
 }
 
 // callerRoutes sends lookups to their handler and everything else to the path of a request.
@@ -110,7 +144,7 @@
 func (s *servers) serveHTTP(name string, server *http.Server, l net.Listener) {
 	server.ErrorLog = discardLog()
 	go func() {
-		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			s.log.WithFields(logrus.Fields{"server": name, "reason": err.Error()}).Error("server_failed")
 		}
 	}()
