--- a/cmd/azureflow/e2e_test.go
+++ b/cmd/azureflow/e2e_test.go
@@ -31,9 +31,11 @@
 	binary   string
 	dir      string
 	net      string // first two octets of the loopback addresses
-	platform string
+	platform string // URL
 	entries  []*entryProcess
 	servers  []*process
+
+	platformProcess *process
 }
 
 type process struct {
@@ -86,7 +88,7 @@
 	}
 	platform := s.net + ".0.1:8090"
 	s.platform = "http://" + platform
-	s.start("platform", platform, "standin", "platform", "--listen", platform, "--vm-lag", "200ms")
+	s.platformProcess = s.start("platform", platform, "standin", "platform", "--listen", platform, "--vm-lag", "200ms")
 	s.await("platform", func() error { return s.get(s.platform+"/v1/vms", nil) })
 	return s
 }
