--- a/internal/demo/conn.go
+++ b/internal/demo/conn.go
@@ -78,7 +78,8 @@
 	}
 }
 
-func (c *conn) lost() bool { return c.muted.Load() || c.network.isCut(c.from, c.to) }
+// lost reports whether what is sent from one end to the other is lost.
+func (c *conn) lost(from, to place) bool { return c.muted.Load() || c.network.isCut(from, to) }
 
 func (c *conn) pumpOut() {
 	defer func() { _ = c.Conn.Close() }()
@@ -88,7 +89,7 @@
 			return
 		}
 		c.network.awaitResume(c.from, c.to, c.closed)
-		if c.lost() {
+		if c.lost(c.from, c.to) {
 			continue
 		}
 		if _, err := c.Conn.Write(data); err != nil {
@@ -106,11 +107,11 @@
 			c.tell(&transfer{conn: c, from: c.to, to: c.from, answer: true, data: buf[:n]})
 		}
 		c.network.awaitResume(c.from, c.to, c.closed)
-		if n > 0 && !c.lost() && !c.in.put(buf[:n]) {
+		if n > 0 && !c.lost(c.to, c.from) && !c.in.put(buf[:n]) {
 			return
 		}
 		if err != nil {
-			if !c.lost() {
+			if !c.lost(c.to, c.from) {
 				c.in.finish()
 			}
 			return
--- a/internal/demo/load.go
+++ b/internal/demo/load.go
@@ -49,6 +49,7 @@
 	wrong    int
 	notRun   []string       // keys
 	refusals map[string]int // by reason
+	sampled  []string       // decision ids of the first requests that were refused or ended unknown
 }
 
 func newTally() *tally {
@@ -203,10 +204,15 @@
 
 func (t *tally) failed(c *call, err error) {
 	var notRun *caller.NotRunError
+	var unknown *caller.UnknownError
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.requests++
+	if errors.As(err, &unknown) {
+		t.sample(unknown.Refusal.Decision)
+	}
 	if errors.As(err, &notRun) {
+		t.sample(notRun.Refusal.Decision)
 		t.notRun = append(t.notRun, c.key)
 		t.refusals[notRun.Refusal.Kind]++
 		return
@@ -214,6 +220,14 @@
 	t.unknown++
 }
 
+// sample keeps a decision id while there is room.
+func (t *tally) sample(decision string) {
+	const room = 2
+	if decision != "" && len(t.sampled) < room {
+		t.sampled = append(t.sampled, decision)
+	}
+}
+
 func (t *tally) answered(c *call, answer *caller.Answer, got []byte, took time.Duration) {
 	want := standin.AnswerBody(standin.RequestDigest(c.flow.operation.Method, c.path, c.key, c.body), c.length)
 	t.mu.Lock()
--- a/internal/demo/network.go
+++ b/internal/demo/network.go
@@ -35,7 +35,7 @@
 
 	mu     sync.RWMutex
 	places map[string]place // by host:port
-	cut    map[steering.ZoneName]bool
+	cut    map[steering.ZoneName]cut
 	dead   map[string]bool          // hosts whose processes were killed
 	paused map[string]chan struct{} // hosts that neither send nor receive; closed when they go on
 	open   map[*conn]bool
@@ -80,7 +80,7 @@
 		delays: d,
 		links:  make(map[linkKey]*wire),
 		places: make(map[string]place),
-		cut:    make(map[steering.ZoneName]bool),
+		cut:    make(map[steering.ZoneName]cut),
 		dead:   make(map[string]bool),
 		paused: make(map[string]chan struct{}),
 		open:   make(map[*conn]bool),
@@ -98,10 +98,21 @@
 	n.mu.Unlock()
 }
 
-// setCut cuts a zone off from the other zones and the platform, or heals the cut.
-func (n *network) setCut(zone steering.ZoneName, cut bool) {
+// cut says in which directions a zone is cut off from the other zones and the platform.
+type cut struct {
+	sends    bool // what it sends is lost
+	receives bool // what it is sent is lost
+}
+
+// setCut cuts a zone off in both directions, or heals the cut.
+func (n *network) setCut(zone steering.ZoneName, off bool) {
+	n.setCutDirections(zone, cut{sends: off, receives: off})
+}
+
+// setCutDirections cuts a zone off in some directions.
+func (n *network) setCutDirections(zone steering.ZoneName, c cut) {
 	n.mu.Lock()
-	n.cut[zone] = cut
+	n.cut[zone] = c
 	n.mu.Unlock()
 }
 
@@ -205,7 +216,7 @@
 		if n.isDead(from, to) {
 			return nil, &net.OpError{Op: "dial", Net: proto, Err: syscall.ECONNREFUSED}
 		}
-		if n.isCut(from, to) {
+		if n.isCut(from, to) || n.isCut(to, from) {
 			return nil, n.timeOut(ctx, proto)
 		}
 		const handshake = 2 // one-way delays
@@ -229,13 +240,15 @@
 	return &net.OpError{Op: "dial", Net: proto, Err: syscall.ETIMEDOUT}
 }
 
+// isCut reports whether what is sent from one place to the other is lost. Callers of a region reach
+// the entry VMs of its zones.
 func (n *network) isCut(from, to place) bool {
-	if from.caller && from.region == to.region || from.zone == to.zone {
+	if (from.caller || to.caller) && from.region == to.region || from.zone == to.zone {
 		return false
 	}
 	n.mu.RLock()
 	defer n.mu.RUnlock()
-	return n.cut[from.zone] || n.cut[to.zone]
+	return n.cut[from.zone].sends || n.cut[to.zone].receives
 }
 
 func (n *network) delay(from, to place) time.Duration {
--- a/internal/demo/world.go
+++ b/internal/demo/world.go
@@ -228,11 +228,7 @@
 
 // get reads a page of the administration API.
 func (e *entryVM) get(ctx context.Context, t *http.Transport, page string, into any) error {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+e.row.AdminAddress+page, nil)
-	if err != nil {
-		return err
-	}
-	answer, err := t.RoundTrip(req)
+	answer, err := e.request(ctx, t, page)
 	if err != nil {
 		return err
 	}
@@ -243,6 +239,15 @@
 	return json.NewDecoder(answer.Body).Decode(into)
 }
 
+// request sends a request to the administration API. The caller closes the answer's body.
+func (e *entryVM) request(ctx context.Context, t *http.Transport, page string) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+e.row.AdminAddress+page, nil)
+	if err != nil {
+		return nil, err
+	}
+	return t.RoundTrip(req)
+}
+
 // drain stops an entry VM as planned and returns how long that took.
 func (w *world) drain(e *entryVM) time.Duration {
 	if e.stopped {
