zone: the tests look at use between rounds, not within one

TestIsolatedZoneKeepsFloor and TestStoreRegionLost differed between runs. Cause, in the tests: each VM releases half of its slots and acquires others every 100 ms, and the test looked at the same virtual instants without the VM's lock, so it counted slots as idle that were between release and acquisition (69.4 to 77.0 of 80; 18.1 of 20 ten seconds after a cut). Also all delays came from one source that goroutines drew from in any order.

Now VMs, faults and looks fall on different instants, a look takes the VM's lock, each sequence of calls has its own source of delays, and the loops of an Elector each draw their jitter from their own source. No bound changed.

Before, -count=3: 3 of 3 runs of TestStoreRegionLost and 1 of 3 of TestIsolatedZoneKeepsFloor failed. After, go test -race ./internal/zone -run 'TestIsolatedZoneKeepsFloor|TestStoreRegionLost' -count=20 -shuffle=on: green with GOMAXPROCS=4, 1 and 10; 80.0 of 80 and 19.6 to 20.0 of 20 a second after the cut.

--- a/internal/zone/elector.go
+++ b/internal/zone/elector.go
@@ -142,7 +142,6 @@
 	unlisted map[vm.Name]time.Time
 	part     float64 // of the floor, this VM's
 	stats    Stats
-	random   *rand.Rand
 }
 
 // NewElector returns an Elector that has not asked the store yet.
@@ -152,7 +151,6 @@
 		opt:      opt,
 		started:  opt.Now(),
 		unlisted: make(map[vm.Name]time.Time),
-		random:   rand.New(rand.NewPCG(opt.Seed, uint64(opt.Incarnation))),
 	}
 	if opt.Home {
 		e.state.VM = opt.Self
@@ -164,28 +162,25 @@
 // because grants that were made under it live on.
 func (e *Elector) Run(ctx context.Context) {
 	var loops sync.WaitGroup
-	loops.Go(func() { e.loop(ctx, e.opt.Interval, e.StepStore) })
-	loops.Go(func() { e.loop(ctx, e.opt.VouchTTL/8, e.StepVouch) })
+	loops.Go(func() { e.loop(ctx, 1, e.opt.Interval, e.StepStore) })
+	loops.Go(func() { e.loop(ctx, 2, e.opt.VouchTTL/8, e.StepVouch) })
 	loops.Wait()
 }
 
-func (e *Elector) loop(ctx context.Context, interval time.Duration, step func(context.Context)) {
+// loop runs step at intervals of which up to a quarter is taken off at random; loops with different
+// numbers draw from different sources.
+func (e *Elector) loop(ctx context.Context, number uint64, interval time.Duration, step func(context.Context)) {
+	random := rand.New(rand.NewPCG(e.opt.Seed, uint64(e.opt.Incarnation)+number<<32))
 	for ctx.Err() == nil {
 		step(ctx)
+		jitter := time.Duration(random.Int64N(int64(interval/4) + 1))
 		select {
 		case <-ctx.Done():
-		case <-time.After(e.jitter(interval)):
+		case <-time.After(interval - jitter):
 		}
 	}
 }
 
-// jitter returns d, up to a quarter shorter.
-func (e *Elector) jitter(d time.Duration) time.Duration {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return d - time.Duration(e.random.Int64N(int64(d/4)+1))
-}
-
 // Leader returns who leads the zone, the fencing epoch and when that may lapse. A zone's only VM
 // is its own leader also without the store; it then holds only the floor.
 func (e *Elector) Leader() (vm.Name, uint64, time.Time) {
--- a/internal/zone/faults_test.go
+++ b/internal/zone/faults_test.go
@@ -190,7 +190,8 @@
 			n.setWant(w.places[(i*3+1)%len(w.places)].zone, 12)
 			n.setWant(n.place.zone, 8)
 		}
-		for _, f := range faults {
+		for i, f := range faults {
+			f.At += time.Duration(i+1) * apart
 			w.running.Go(func() { w.inject(f) })
 		}
 		for range 130 * 20 {
--- a/internal/zone/measure_test.go
+++ b/internal/zone/measure_test.go
@@ -46,11 +46,13 @@
 		time.Sleep(100 * time.Millisecond)
 		w.mu.Lock()
 		for _, n := range w.nodes {
+			n.mu.Lock() // not between the release and the next acquisition of a slot
 			for _, z := range zones {
 				if !n.dead {
 					sum += n.book.Demand(service, z).InUse
 				}
 			}
+			n.mu.Unlock()
 		}
 		for _, z := range w.zones() {
 			w.most = max(w.most, w.usable(z))
--- a/internal/zone/world_test.go
+++ b/internal/zone/world_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"flag"
+	"fmt"
+	"hash/fnv"
 	"math/rand/v2"
 	"os"
 	"slices"
@@ -60,7 +62,8 @@
 	start    time.Time
 	store    *platformtest.Store
 	mu       sync.Mutex
-	random   *rand.Rand
+	seed     uint64
+	streams  map[stream]*rand.Rand // of delays
 	nodes    map[vm.Name]*node
 	cut      map[[2]vm.Name]bool
 	cutStore map[vm.Name]bool
@@ -69,6 +72,14 @@
 	running  sync.WaitGroup
 }
 
+// stream names a sequence of calls, one after the other. Each has its own source of delays, so that the
+// order in which goroutines make calls does not change them.
+type stream struct {
+	kind     string
+	zone     steering.ZoneName
+	from, to vm.Name
+}
+
 // node is one life of a VM.
 type node struct {
 	w        *world
@@ -97,7 +108,7 @@
 	return &world{
 		places: sohar, slots: 20, share: share,
 		start: time.Now(), store: platformtest.NewStore(platformtest.StoreOptions{}),
-		random: rand.New(rand.NewPCG(seed, 7)), nodes: make(map[vm.Name]*node),
+		seed: seed, streams: make(map[stream]*rand.Rand), nodes: make(map[vm.Name]*node),
 		cut: make(map[[2]vm.Name]bool), cutStore: make(map[vm.Name]bool),
 	}
 }
@@ -125,6 +136,9 @@
 	}
 }
 
+// apart keeps VMs, faults and the test's looks from falling on the same instant of virtual time.
+const apart = 13*time.Millisecond + 1237*time.Nanosecond
+
 // startNode starts a new life of the VM at p with a clock of the given rate.
 func (w *world) startNode(p place, rate float64) *node {
 	w.mu.Lock()
@@ -158,6 +172,7 @@
 	}
 	n.run(n.borrower.Run)
 	n.run(n.beat)
+	time.Sleep(apart)
 	return n
 }
 
@@ -349,13 +364,14 @@
 }
 
 // call runs fn at the VM called to, over a network with delays that loses what is cut.
-func (n *node) call(ctx context.Context, to vm.Name, fn func(*node)) error {
-	w := n.w
+func (n *node) call(ctx context.Context, s stream, fn func(*node)) error {
+	w, to := n.w, s.to
 	w.mu.Lock()
 	target := w.nodes[to]
 	lost := n.dead || target == nil || target.dead || w.cut[[2]vm.Name{n.place.name, to}]
 	lostReply := w.cut[[2]vm.Name{to, n.place.name}]
-	delays := [2]time.Duration{w.delay(), w.delay()}
+	random := w.stream(s)
+	delays := [2]time.Duration{w.delay(random), w.delay(random)}
 	w.mu.Unlock()
 	if lost {
 		<-ctx.Done()
@@ -380,12 +396,22 @@
 	}
 }
 
+// stream returns the source of delays of s.
+func (w *world) stream(s stream) *rand.Rand {
+	if w.streams[s] == nil {
+		h := fnv.New64a()
+		fmt.Fprint(h, s)
+		w.streams[s] = rand.New(rand.NewPCG(w.seed, h.Sum64()))
+	}
+	return w.streams[s]
+}
+
 // delay returns the time a message takes: 1 to 40 ms, now and then up to 3 s.
-func (w *world) delay() time.Duration {
-	if !w.calm.Load() && w.random.IntN(50) == 0 {
-		return time.Duration(w.random.IntN(3000)) * time.Millisecond
+func (w *world) delay(random *rand.Rand) time.Duration {
+	if !w.calm.Load() && random.IntN(50) == 0 {
+		return time.Duration(random.Int64N(int64(3 * time.Second)))
 	}
-	return time.Duration(1+w.random.IntN(40)) * time.Millisecond
+	return time.Millisecond + time.Duration(random.Int64N(int64(39*time.Millisecond)))
 }
 
 func (n *node) leader(zone steering.ZoneName) vm.Name {
@@ -396,7 +422,7 @@
 
 func (n *node) ask(ctx context.Context, zone steering.ZoneName, req *peer.AskGrantRequest) (reply *peer.AskGrantReply, err error) {
 	var out *peer.AskGrantReply
-	err = n.call(ctx, n.leader(zone), func(to *node) {
+	err = n.call(ctx, stream{"ask", zone, n.place.name, n.leader(zone)}, func(to *node) {
 		if g := to.grantors[zone]; g != nil {
 			out, _ = g.AskGrant(ctx, req)
 		}
@@ -411,7 +437,7 @@
 }
 
 func (n *node) giveBack(ctx context.Context, zone steering.ZoneName, req *peer.ReturnGrantRequest) (*peer.ReturnGrantReply, error) {
-	return nil, n.call(ctx, n.leader(zone), func(to *node) {
+	return nil, n.call(ctx, stream{"return", zone, n.place.name, n.leader(zone)}, func(to *node) {
 		if g := to.grantors[zone]; g != nil {
 			_, _ = g.ReturnGrant(ctx, req)
 		}
@@ -420,7 +446,7 @@
 
 func (n *node) vouch(ctx context.Context, to vm.Name, req *peer.AskGrantRequest) (*peer.AskGrantReply, error) {
 	var out *peer.AskGrantReply
-	err := n.call(ctx, to, func(target *node) {
+	err := n.call(ctx, stream{"attest", steering.ZoneName(req.Zone), n.place.name, to}, func(target *node) {
 		if e := target.electors[steering.ZoneName(req.Zone)]; e != nil {
 			out, _ = e.AnswerVouch(ctx, req)
 		}
