zone: successor and promise in place of heir and vouch

The names were metaphors. "Successor" is the VM that may take a zone's leadership over, "promise" the word not to run for it for a time, as in Paxos. "Attestation" was weighed: it is a statement of identity or state, not a restriction that the callee takes on.

--- a/internal/entry/domains.go
+++ b/internal/entry/domains.go
@@ -113,18 +113,18 @@
 		Incarnation: d.deps.self.Incarnation,
 		Home:        home,
 		Members:     func() []vm.Name { return d.entries(func(e *vm.Entry) bool { return e.VM.Zone == name }) },
-		Heirs:       func() []vm.Name { return d.heirs(name) },
+		Successors:  func() []vm.Name { return d.successors(name) },
 		Heard:       d.heard,
 		Listed:      d.listed,
-		Vouch:       d.deps.peers.askGrantAt,
+		AskPromise:  d.deps.peers.askGrantAt,
 		OnChange:    func(s zone.State) { d.deps.onLeader(name, s) },
 		Seed:        uint64(d.deps.self.Incarnation),
 	}
 }
 
-// heirs returns the VMs that may take a zone over: its other members first, then those of the region's
+// successors returns the VMs that may take a zone over: its other members first, then those of the region's
 // other zones.
-func (d *domains) heirs(name steering.ZoneName) []vm.Name {
+func (d *domains) successors(name steering.ZoneName) []vm.Name {
 	members := d.entries(func(e *vm.Entry) bool { return e.VM.Zone == name && e.VM.Name != d.deps.self.Name })
 	others := d.entries(func(e *vm.Entry) bool { return e.VM.Region == d.deps.self.Region && e.VM.Zone != name })
 	others = slices.DeleteFunc(others, func(n vm.Name) bool { return n == d.deps.self.Name })
@@ -187,7 +187,7 @@
 		return nil, &contract.WrongZoneError{Asked: steering.ZoneName(req.GetZone()), Zone: d.deps.self.Zone}
 	}
 	if req.GetService() == "" {
-		return own.elector.AnswerVouch(ctx, req)
+		return own.elector.AnswerPromise(ctx, req)
 	}
 	return own.grantor.AskGrant(ctx, req)
 }
--- a/internal/zone/elector.go
+++ b/internal/zone/elector.go
@@ -13,8 +13,8 @@
 	"github.com/azureflow/azureflow/internal/vm"
 )
 
-// VouchFunc calls AskGrant at one VM; see Elector.AnswerVouch.
-type VouchFunc func(ctx context.Context, to vm.Name, req *peer.AskGrantRequest) (*peer.AskGrantReply, error)
+// PromiseFunc calls AskGrant at one VM; see Elector.AnswerPromise.
+type PromiseFunc func(ctx context.Context, to vm.Name, req *peer.AskGrantRequest) (*peer.AskGrantReply, error)
 
 // ElectorOptions configure an Elector; Store, Zone and Self are needed.
 type ElectorOptions struct {
@@ -28,9 +28,9 @@
 
 	// Members returns the entry VMs of the zone that are known, Self included if Home.
 	Members func() []vm.Name
-	// Heirs returns the VMs that may take the zone over from Self, preferred ones first: its other
+	// Successors returns the VMs that may take the zone over from Self, preferred ones first: its other
 	// members, then entry VMs of the region's other zones.
-	Heirs func() []vm.Name
+	Successors func() []vm.Name
 	// Heard returns when this VM last heard from another one; zero: never.
 	Heard func(name vm.Name) time.Time
 	// Listed says whether the platform's VM list holds a VM, as far as is known.
@@ -41,28 +41,28 @@
 	// OnFloor says which part of the zone's floor is this VM's and which is other VMs', 0 to 1 each.
 	// It is called without a lock, and the parts are in force when it returns.
 	OnFloor func(own, others float64)
-	// Vouch asks an heir not to take the zone over for a time. It may block.
-	Vouch VouchFunc
+	// AskPromise asks a successor not to take the zone over for a time. It may block.
+	AskPromise PromiseFunc
 
-	TTL       time.Duration // of the store lease
-	VouchTTL  time.Duration // of an heir's promise
-	Interval  time.Duration // between two renewals of the leader
-	GoneAfter time.Duration // a VM that is not listed for so long is gone
-	MaxHeirs  int           // most heirs that a record names
-	Drift     float64       // part by which a clock may run fast or slow
-	Seed      uint64        // of the jitter
-	Now       func() time.Time
+	TTL           time.Duration // of the store lease
+	PromiseTTL    time.Duration // of a successor's promise
+	Interval      time.Duration // between two renewals of the leader
+	GoneAfter     time.Duration // a VM that is not listed for so long is gone
+	MaxSuccessors int           // most successors that a record names
+	Drift         float64       // part by which a clock may run fast or slow
+	Seed          uint64        // of the jitter
+	Now           func() time.Time
 
-	ignorePromises bool // a defect, for tests of the checks
-	reviveByVouch  bool // a defect, for tests of the checks
+	ignorePromises  bool // a defect, for tests of the checks
+	reviveByPromise bool // a defect, for tests of the checks
 }
 
 func (o *ElectorOptions) setDefaults() {
 	if o.TTL <= 0 {
 		o.TTL = 8 * time.Second
 	}
-	if o.VouchTTL <= 0 {
-		o.VouchTTL = o.TTL
+	if o.PromiseTTL <= 0 {
+		o.PromiseTTL = o.TTL
 	}
 	if o.Interval <= 0 {
 		o.Interval = o.TTL / 4
@@ -70,8 +70,8 @@
 	if o.GoneAfter <= 0 {
 		o.GoneAfter = time.Minute
 	}
-	if o.MaxHeirs <= 0 {
-		o.MaxHeirs = 4
+	if o.MaxSuccessors <= 0 {
+		o.MaxSuccessors = 4
 	}
 	if o.Drift <= 0 {
 		o.Drift = contract.DefaultDrift
@@ -83,8 +83,8 @@
 		self := []vm.Name{o.Self}
 		o.Members = func() []vm.Name { return self }
 	}
-	if o.Heirs == nil {
-		o.Heirs = func() []vm.Name { return nil }
+	if o.Successors == nil {
+		o.Successors = func() []vm.Name { return nil }
 	}
 	if o.Heard == nil {
 		o.Heard = func(vm.Name) time.Time { return time.Time{} }
@@ -112,7 +112,7 @@
 type Stats struct {
 	Reads    uint64
 	Writes   uint64
-	Vouches  uint64 // calls of Vouch
+	Promises uint64 // calls of AskPromise
 	Elected  uint64 // times that this VM became leader
 	Takeover uint64 // of those, from another VM
 }
@@ -122,26 +122,26 @@
 	opt     ElectorOptions
 	started time.Time
 
-	mu       sync.Mutex
-	state    State
-	lease    platform.Lease
-	leaseTo  time.Time // the store lease is good until then
-	vouchTo  time.Time // all heirs keep off until then
-	record   Record
-	version  platform.Version // of record; 0: not read or absent
-	hasRead  bool             // record is known as the store holds it
-	everRead bool             // record was known once
-	promised time.Time        // this VM keeps off until then
-	trying   bool             // a candidacy is under way
-	seen     uint64           // highest epoch of a leadership that was or may have been
-	keptFor  pledge           // whom this VM last promised to, if it did not run since
-	running  time.Time        // a candidacy that ended may still succeed until then
-	resign   time.Time        // this VM does not run or renew until then
-	absent   time.Time        // since when the leader's key was seen absent; zero: it is held
-	looked   time.Time        // last look at the leader's key; zero: never
-	unlisted map[vm.Name]time.Time
-	part     float64 // of the floor, this VM's
-	stats    Stats
+	mu         sync.Mutex
+	state      State
+	lease      platform.Lease
+	leaseTo    time.Time // the store lease is good until then
+	promisedTo time.Time // all successors keep off until then
+	record     Record
+	version    platform.Version // of record; 0: not read or absent
+	hasRead    bool             // record is known as the store holds it
+	everRead   bool             // record was known once
+	keepOff    time.Time        // this VM keeps off until then
+	trying     bool             // a candidacy is under way
+	seen       uint64           // highest epoch of a leadership that was or may have been
+	keptFor    pledge           // whom this VM last promised to, if it did not run since
+	running    time.Time        // a candidacy that ended may still succeed until then
+	resign     time.Time        // this VM does not run or renew until then
+	absent     time.Time        // since when the leader's key was seen absent; zero: it is held
+	looked     time.Time        // last look at the leader's key; zero: never
+	unlisted   map[vm.Name]time.Time
+	part       float64 // of the floor, this VM's
+	stats      Stats
 }
 
 // NewElector returns an Elector that has not asked the store yet.
@@ -163,7 +163,7 @@
 func (e *Elector) Run(ctx context.Context) {
 	var loops sync.WaitGroup
 	loops.Go(func() { e.loop(ctx, 1, e.opt.Interval, e.StepStore) })
-	loops.Go(func() { e.loop(ctx, 2, e.opt.VouchTTL/8, e.StepVouch) })
+	loops.Go(func() { e.loop(ctx, 2, e.opt.PromiseTTL/8, e.StepPromise) })
 	loops.Wait()
 }
 
@@ -227,8 +227,8 @@
 
 // until returns when this VM must stop leading.
 func (e *Elector) until() time.Time {
-	if e.vouchTo.After(e.leaseTo) {
-		return e.vouchTo
+	if e.promisedTo.After(e.leaseTo) {
+		return e.promisedTo
 	}
 	return e.leaseTo
 }
--- a/internal/zone/faults_test.go
+++ b/internal/zone/faults_test.go
@@ -239,7 +239,7 @@
 	}
 }
 
-// neverHeard makes every heir look at the store all the time.
+// neverHeard makes every successor look at the store all the time.
 func neverHeard(o *ElectorOptions) { o.Heard = func(vm.Name) time.Time { return time.Time{} } }
 
 // storeCut cuts the store off from one zone and, for a moment, the zone's peers.
@@ -252,14 +252,14 @@
 
 func TestChecksSeeBrokenPromises(t *testing.T) {
 	if v := runFaults(t, 1, storeCut(), neverHeard); len(v) > 0 {
-		t.Errorf("heirs that keep their promises: %q", v)
+		t.Errorf("successors that keep their promises: %q", v)
 	}
 	broken := func(o *ElectorOptions) {
 		neverHeard(o)
 		o.ignorePromises = true
 	}
 	if v := runFaults(t, 1, storeCut(), broken); len(v) == 0 {
-		t.Error("heirs that break their promises went unseen")
+		t.Error("successors that break their promises went unseen")
 	}
 }
 
@@ -268,7 +268,7 @@
 	if v := runFaults(t, 1, restart, nil); len(v) > 0 {
 		t.Errorf("a leader that starts again: %q", v)
 	}
-	revive := func(o *ElectorOptions) { o.reviveByVouch = true }
+	revive := func(o *ElectorOptions) { o.reviveByPromise = true }
 	if v := runFaults(t, 1, restart, revive); len(v) == 0 {
 		t.Error("a leadership revived after its lapse went unseen")
 	}
--- a/internal/zone/floor.go
+++ b/internal/zone/floor.go
@@ -111,14 +111,14 @@
 	e.opt.OnFloor(own, others)
 }
 
-// wanted returns the record that this VM as leader wants: itself, its heirs, and the floor divided
+// wanted returns the record that this VM as leader wants: itself, its successors, and the floor divided
 // between the members. New members get an even part of the leader's, so that nobody else has to
 // shrink first; the part of a VM that is gone is free until a leader that stands in the zone takes it.
 func (e *Elector) wanted(now time.Time) Record {
 	next := e.record.clone()
 	next.Leader = e.opt.Self
 	next.Epoch = e.state.Epoch
-	next.Heirs = e.wantedHeirs()
+	next.Successors = e.wantedSuccessors()
 	for _, p := range e.record.Parts {
 		if p.VM != e.opt.Self && e.gone(p.VM, now) {
 			next.add(p.VM, -p.Part)
@@ -148,27 +148,27 @@
 	return now.Sub(e.opt.Heard(name)) < e.opt.TTL/2
 }
 
-// wantedHeirs returns the heirs of the record that may still be heirs, filled up with others.
-func (e *Elector) wantedHeirs() []vm.Name {
-	may := e.opt.Heirs()
-	var heirs []vm.Name
-	for _, h := range e.record.Heirs {
-		if slices.Contains(may, h) && len(heirs) < e.opt.MaxHeirs {
-			heirs = append(heirs, h)
+// wantedSuccessors returns the successors of the record that may still be successors, filled up with others.
+func (e *Elector) wantedSuccessors() []vm.Name {
+	may := e.opt.Successors()
+	var successors []vm.Name
+	for _, h := range e.record.Successors {
+		if slices.Contains(may, h) && len(successors) < e.opt.MaxSuccessors {
+			successors = append(successors, h)
 		}
 	}
 	for i, h := range may {
-		if slices.Contains(heirs, h) {
+		if slices.Contains(successors, h) {
 			continue
 		}
-		if len(heirs) < e.opt.MaxHeirs {
-			heirs = append(heirs, h)
+		if len(successors) < e.opt.MaxSuccessors {
+			successors = append(successors, h)
 		} else if i == 0 {
-			heirs[len(heirs)-1] = h // the most preferred one is always an heir
+			successors[len(successors)-1] = h // the most preferred one is always a successor
 		}
 	}
-	slices.Sort(heirs)
-	return heirs
+	slices.Sort(successors)
+	return successors
 }
 
 // assumePart gives a zone's only VM the whole floor while the record could never be read, so that
--- a/internal/zone/lease.go
+++ b/internal/zone/lease.go
@@ -62,15 +62,15 @@
 		return true
 	}
 	pause := e.opt.Interval / 2
-	if e.hasRead && e.version != 0 && !e.isHeir() {
+	if e.hasRead && e.version != 0 && !e.isSuccessor() {
 		pause = e.opt.TTL
 	}
 	silent := now.Sub(e.opt.Heard(e.state.VM)) > e.opt.TTL/2
 	return silent && now.Sub(e.looked) >= pause
 }
 
-func (e *Elector) isHeir() bool {
-	return e.record.Leader == e.opt.Self || slices.Contains(e.record.Heirs, e.opt.Self)
+func (e *Elector) isSuccessor() bool {
+	return e.record.Leader == e.opt.Self || slices.Contains(e.record.Successors, e.opt.Self)
 }
 
 func (e *Elector) isMember(name vm.Name) bool {
@@ -141,10 +141,10 @@
 		return false
 	}
 	// An earlier life of this VM may have promised to keep off.
-	if e.version != 0 && now.Sub(e.started) < e.stretch(e.opt.VouchTTL) {
+	if e.version != 0 && now.Sub(e.started) < e.stretch(e.opt.PromiseTTL) {
 		return false
 	}
-	if now.Before(e.promised) && !e.opt.ignorePromises {
+	if now.Before(e.keepOff) && !e.opt.ignorePromises {
 		return false
 	}
 	if !e.opt.Home && now.Sub(e.absent) < e.opt.Interval/2 {
@@ -158,14 +158,14 @@
 	return true
 }
 
-// entitled says whether the record lets this VM lead: as the last leader, as an heir, or because
+// entitled says whether the record lets this VM lead: as the last leader, as a successor, or because
 // all of those are gone.
 func (e *Elector) entitled(now time.Time) bool {
-	if e.version == 0 || e.isHeir() {
+	if e.version == 0 || e.isSuccessor() {
 		return true
 	}
 	gone := e.gone(e.record.Leader, now)
-	for _, h := range e.record.Heirs {
+	for _, h := range e.record.Successors {
 		gone = e.gone(h, now) && gone
 	}
 	return gone
@@ -214,7 +214,7 @@
 	e.elected(lease, asked)
 }
 
-// stillEntitled reads the record again, because the last leader may have changed its heirs before
+// stillEntitled reads the record again, because the last leader may have changed its successors before
 // the claim.
 func (e *Elector) stillEntitled(ctx context.Context) bool {
 	if !e.readRecord(ctx) {
@@ -260,7 +260,7 @@
 	defer e.mu.Unlock()
 	e.lease = lease
 	e.leaseTo = asked.Add(e.shorten(e.opt.TTL))
-	e.vouchTo = time.Time{}
+	e.promisedTo = time.Time{}
 	e.absent = time.Time{}
 	e.seen = max(e.seen, uint64(lease.Epoch))
 	e.stats.Elected++
--- a/internal/zone/measure_test.go
+++ b/internal/zone/measure_test.go
@@ -230,12 +230,12 @@
 	return out
 }
 
-// vouches returns the calls to heirs so far.
-func (w *world) vouches() uint64 {
+// promises returns the calls to successors so far.
+func (w *world) promises() uint64 {
 	sum := uint64(0)
 	for _, n := range w.order() {
 		for _, e := range n.electors {
-			sum += e.Stats().Vouches
+			sum += e.Stats().Promises
 		}
 	}
 	return sum
@@ -250,12 +250,12 @@
 			w.places = grid(s.zones, s.vms)
 			w.startAll()
 			time.Sleep(40 * time.Second)
-			before, vouches := w.store.StoreCounts(), w.vouches()
+			before, promises := w.store.StoreCounts(), w.promises()
 			time.Sleep(time.Minute)
-			vouches = w.vouches() - vouches
+			promises = w.promises() - promises
 			after := w.store.StoreCounts()
 			reads, writes := after.Reads()-before.Reads(), after.Writes()-before.Writes()
-			t.Logf("%3d zones of %2d VMs: %.2f reads/s, %.2f writes/s, %.2f promises/s asked of heirs", s.zones, s.vms, float64(reads)/60, float64(writes)/60, float64(vouches)/60)
+			t.Logf("%3d zones of %2d VMs: %.2f reads/s, %.2f writes/s, %.2f promises/s asked of successors", s.zones, s.vms, float64(reads)/60, float64(writes)/60, float64(promises)/60)
 			if s.zones == 107 && (reads > 2000*60 || writes > 200*60) {
 				t.Error("more store calls than the platform allows")
 			}
--- a/internal/zone/vouch.go
+++ b/internal/zone/promise.go
@@ -13,7 +13,7 @@
 // A request of AskGrant that names no service is about the whole zone: without slots it asks the
 // callee not to take the zone over for a time; the number of slots tells the kinds apart.
 const (
-	vouchSlots    = 0 // the asker leads
+	promiseSlots  = 0 // the asker leads
 	handoverSlots = 1
 	reviveSlots   = 2 // the asker's leadership lapsed
 )
@@ -28,72 +28,72 @@
 	ReasonRunning  = "running"  // the callee leads the zone or tries to
 )
 
-// pledge names the leadership for which an heir promised to keep off.
+// pledge names the leadership for which a successor promised to keep off.
 type pledge struct {
 	holder      vm.Name
 	incarnation vm.Incarnation
 	epoch       uint64
 }
 
-// answer is what an heir said.
+// answer is what a successor said.
 type answer struct {
 	ttl  time.Duration // 0: no promise
 	kept bool          // it promised before for the same leadership and did not run since
 }
 
-// StepVouch does one round of the part of Run that talks to the heirs: when the store lease is not
-// renewed, the leadership goes on as long as every heir promises to keep off. After a
-// gap it goes on only if every heir promised before and never ran since, because nobody else may
+// StepPromise does one round of the part of Run that talks to the successors: when the store lease is not
+// renewed, the leadership goes on as long as every successor promises to keep off. After a
+// gap it goes on only if every successor promised before and never ran since, because nobody else may
 // have led then.
-func (e *Elector) StepVouch(ctx context.Context) {
+func (e *Elector) StepPromise(ctx context.Context) {
 	now := e.opt.Now()
 	e.mu.Lock()
-	needed := e.vouchNeeded(now)
-	heirs := e.record.Heirs
+	needed := e.promiseNeeded(now)
+	successors := e.record.Successors
 	epoch := e.state.Epoch
 	kind := uint32(reviveSlots)
 	if e.leads(now) {
-		kind = vouchSlots
+		kind = promiseSlots
 	}
 	e.mu.Unlock()
-	if !needed || e.opt.Vouch == nil && len(heirs) > 0 {
+	if !needed || e.opt.AskPromise == nil && len(successors) > 0 {
 		return
 	}
-	least := e.promises(ctx, heirs, kind, epoch)
+	least := e.promises(ctx, successors, kind, epoch)
 	after := e.opt.Now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	same := e.state.Epoch == epoch && e.vouchNeeded(after)
-	if least.ttl > 0 && same && (e.leads(after) || least.kept || e.opt.reviveByVouch) {
-		e.vouchTo = now.Add(least.ttl)
+	same := e.state.Epoch == epoch && e.promiseNeeded(after)
+	if least.ttl > 0 && same && (e.leads(after) || least.kept || e.opt.reviveByPromise) {
+		e.promisedTo = now.Add(least.ttl)
 	}
 }
 
-// vouchNeeded says whether the promises lapse soon or have lapsed. They are asked for also while
+// promiseNeeded says whether the promises lapse soon or have lapsed. They are asked for also while
 // the store is up, so that an outage that begins together with a cut finds them given. They count
-// only if the store knows this VM's heirs.
-func (e *Elector) vouchNeeded(now time.Time) bool {
+// only if the store knows this VM's successors.
+func (e *Elector) promiseNeeded(now time.Time) bool {
 	mine := e.state.VM == e.opt.Self && e.state.Epoch != 0
 	known := e.hasRead && e.record.Leader == e.opt.Self && e.record.Epoch == e.state.Epoch
 	if !mine || !known || now.Before(e.resign) || e.trying {
 		return false
 	}
-	if !e.leads(now) && (now.Before(e.promised) || len(e.record.Heirs) == 0) {
+	if !e.leads(now) && (now.Before(e.keepOff) || len(e.record.Successors) == 0) {
 		return false
 	}
-	return e.vouchTo.Sub(now) < e.opt.VouchTTL*3/4
+	return e.promisedTo.Sub(now) < e.opt.PromiseTTL*3/4
 }
 
-// promises asks all heirs and returns what holds of each answer.
-func (e *Elector) promises(ctx context.Context, heirs []vm.Name, kind uint32, epoch uint64) answer {
-	least := answer{ttl: e.opt.VouchTTL, kept: true}
-	ctx, cancel := context.WithTimeout(ctx, e.opt.VouchTTL/4)
+// promises asks all successors and returns what holds of each answer.
+func (e *Elector) promises(ctx context.Context, successors []vm.Name, kind uint32, epoch uint64) answer {
+	least := answer{ttl: e.opt.PromiseTTL, kept: true}
+	ctx, cancel := context.WithTimeout(ctx, e.opt.PromiseTTL/4)
 	defer cancel()
 	var mu sync.Mutex
 	var calls sync.WaitGroup
-	for _, heir := range heirs {
+	for _, successor := range successors {
 		calls.Go(func() {
-			a := e.promise(ctx, heir, kind, epoch)
+			a := e.promise(ctx, successor, kind, epoch)
 			mu.Lock()
 			defer mu.Unlock()
 			least.ttl = min(least.ttl, a.ttl)
@@ -106,9 +106,9 @@
 
 func (e *Elector) promise(ctx context.Context, to vm.Name, kind uint32, epoch uint64) answer {
 	e.mu.Lock()
-	e.stats.Vouches++
+	e.stats.Promises++
 	e.mu.Unlock()
-	reply, err := e.opt.Vouch(ctx, to, &peer.AskGrantRequest{
+	reply, err := e.opt.AskPromise(ctx, to, &peer.AskGrantRequest{
 		Holder: string(e.opt.Self), Incarnation: uint64(e.opt.Incarnation),
 		Zone: string(e.opt.Zone), Slots: kind, GrantId: epoch,
 	})
@@ -119,13 +119,13 @@
 }
 
 func (e *Elector) askHandover(ctx context.Context, leader vm.Name) {
-	if e.opt.Vouch != nil {
+	if e.opt.AskPromise != nil {
 		e.promise(ctx, leader, handoverSlots, 0)
 	}
 }
 
-// AnswerVouch answers an AskGrantRequest that names no service.
-func (e *Elector) AnswerVouch(_ context.Context, req *peer.AskGrantRequest) (*peer.AskGrantReply, error) {
+// AnswerPromise answers an AskGrantRequest that names no service.
+func (e *Elector) AnswerPromise(_ context.Context, req *peer.AskGrantRequest) (*peer.AskGrantReply, error) {
 	if steering.ZoneName(req.Zone) != e.opt.Zone {
 		return nil, &OtherZoneError{Asked: steering.ZoneName(req.Zone), Zone: e.opt.Zone}
 	}
@@ -143,14 +143,14 @@
 	if asked == e.keptFor {
 		kept = keptSlots
 	}
-	if req.Slots == vouchSlots {
+	if req.Slots == promiseSlots {
 		e.keptFor = asked
 	}
-	if until := now.Add(e.stretch(e.opt.VouchTTL)); until.After(e.promised) {
-		e.promised = until
+	if until := now.Add(e.stretch(e.opt.PromiseTTL)); until.After(e.keepOff) {
+		e.keepOff = until
 	}
 	return &peer.AskGrantReply{
-		TtlMs: uint32(e.opt.VouchTTL / time.Millisecond), Epoch: e.state.Epoch, Reason: ReasonPromised, Slots: kept,
+		TtlMs: uint32(e.opt.PromiseTTL / time.Millisecond), Epoch: e.state.Epoch, Reason: ReasonPromised, Slots: kept,
 	}, nil
 }
 
--- a/internal/zone/record.go
+++ b/internal/zone/record.go
@@ -26,10 +26,10 @@
 
 // Record is what outlives a leader. Only a leader writes it.
 type Record struct {
-	Leader vm.Name     `json:"leader"`
-	Epoch  uint64      `json:"epoch"`
-	Heirs  []vm.Name   `json:"heirs"` // VMs that may take the zone over; sorted
-	Parts  []FloorPart `json:"parts"` // of the floor; they sum to at most 1
+	Leader     vm.Name     `json:"leader"`
+	Epoch      uint64      `json:"epoch"`
+	Successors []vm.Name   `json:"successors"` // VMs that may take the zone over; sorted
+	Parts      []FloorPart `json:"parts"`      // of the floor; they sum to at most 1
 }
 
 // FloorPart is the part of a zone's floor that one VM keeps without any lease.
@@ -81,14 +81,14 @@
 
 func (r *Record) clone() Record {
 	out := *r
-	out.Heirs = slices.Clone(r.Heirs)
+	out.Successors = slices.Clone(r.Successors)
 	out.Parts = slices.Clone(r.Parts)
 	return out
 }
 
 func (r *Record) equal(o *Record) bool {
 	return r.Leader == o.Leader && r.Epoch == o.Epoch &&
-		slices.Equal(r.Heirs, o.Heirs) && slices.Equal(r.Parts, o.Parts)
+		slices.Equal(r.Successors, o.Successors) && slices.Equal(r.Parts, o.Parts)
 }
 
 // DecodeError reports a value of the store that is not what its key should hold.
--- a/internal/zone/world_test.go
+++ b/internal/zone/world_test.go
@@ -180,15 +180,15 @@
 func (n *node) join(zone steering.ZoneName, life vm.Incarnation) {
 	opt := ElectorOptions{
 		Store: n.client, Zone: zone, Self: n.place.name, Incarnation: life, Home: zone == n.place.zone,
-		Members: func() []vm.Name { return n.known(func(p place) bool { return p.zone == zone }) },
-		Heirs:   func() []vm.Name { return n.heirs(zone) },
-		Heard:   func(name vm.Name) time.Time { n.mu.Lock(); defer n.mu.Unlock(); return n.heard[name] },
+		Members:    func() []vm.Name { return n.known(func(p place) bool { return p.zone == zone }) },
+		Successors: func() []vm.Name { return n.successors(zone) },
+		Heard:      func(name vm.Name) time.Time { n.mu.Lock(); defer n.mu.Unlock(); return n.heard[name] },
 		Listed: func(name vm.Name) bool {
 			n.w.mu.Lock()
 			defer n.w.mu.Unlock()
 			return slices.Contains(n.w.listed, name)
 		},
-		Vouch: n.vouch, Seed: uint64(life), Now: n.now, TTL: n.w.ttl,
+		AskPromise: n.askPromise, Seed: uint64(life), Now: n.now, TTL: n.w.ttl,
 	}
 	if n.w.defect != nil {
 		n.w.defect(&opt)
@@ -239,7 +239,7 @@
 	return out
 }
 
-func (n *node) heirs(zone steering.ZoneName) []vm.Name {
+func (n *node) successors(zone steering.ZoneName) []vm.Name {
 	self := n.place
 	near := n.known(func(p place) bool { return p.zone == zone && p.name != self.name })
 	far := n.known(func(p place) bool { return p.zone != zone && p.region == self.region && p.name != self.name })
@@ -444,11 +444,11 @@
 	})
 }
 
-func (n *node) vouch(ctx context.Context, to vm.Name, req *peer.AskGrantRequest) (*peer.AskGrantReply, error) {
+func (n *node) askPromise(ctx context.Context, to vm.Name, req *peer.AskGrantRequest) (*peer.AskGrantReply, error) {
 	var out *peer.AskGrantReply
 	err := n.call(ctx, stream{"attest", steering.ZoneName(req.Zone), n.place.name, to}, func(target *node) {
 		if e := target.electors[steering.ZoneName(req.Zone)]; e != nil {
-			out, _ = e.AnswerVouch(ctx, req)
+			out, _ = e.AnswerPromise(ctx, req)
 		}
 	})
 	if err == nil && out == nil {
