entry: one VM of a zone reads the VM list, the others take its changes

Cause: every VM called the VM list each second: 4,300 calls/s, growing with the fleet, and each reading made a second step of the topology. Ruled out: the zone's leader as reader (its election needs the store; the list has to go on through an outage); the whole list from a peer (795 KB); a poll of the reader without waiting (a leaving upstream would be seen up to a second later). Now the first VM of the zone by name that seems well reads. The others ask it for the changes after their version, a hash of the rows, and it waits up to 0.8 s for one. No answer: read by oneself and ask the next for 30 s. A stale answer: try by oneself every 5 to 15 s. An unknown version or no list: read by oneself. The topology steps after a reading only if the list changed.

--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -36,7 +36,7 @@
 	Options   Options
 	Self      Identity
 	Store     platform.Store
-	VMList    platform.VMList
+	VMList    *zoneList
 	Directory *vm.Directory
 	Exchanger *vm.Exchanger
 	Follower  *steering.Follower
--- a/internal/entry/module.go
+++ b/internal/entry/module.go
@@ -30,7 +30,7 @@
 		fx.Supply(opts, opts.Settings),
 		fx.Provide(
 			provideIdentity, provideListeners, provideLogger, provideTracer, provideRegistry, provideMetrics,
-			providePlatform, provideDirectory, providePeerPool, provideReviewLog,
+			providePlatform, provideZoneList, provideDirectory, providePeerPool, provideReviewLog,
 			provideBook, newLags, newRooms, newPools, newFlows, provideLeaders, newLinks, providePeers,
 			provideFollower, provideDomains, provideTable, provideLookups, provideTopology,
 			providePlacer, newPlanServer, provideJournal, provideHandler, provideExchanger, provideSelfState,
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -157,6 +157,15 @@
 	return nil, 0, &steering.NoPeerError{Cause: lastErr}
 }
 
+// fetchVMs asks an entry VM for changes of the VM list.
+func (p *peers) fetchVMs(ctx context.Context, from vm.Name, req *peer.FetchVMsRequest) (reply *peer.FetchVMsReply, err error) {
+	err = p.call(ctx, from, func(c peer.DRPCPeerClient) error {
+		reply, err = c.FetchVMs(ctx, req)
+		return err
+	})
+	return reply, err
+}
+
 // byRevision returns up to 3 other live entry VMs, the highest revision first.
 func (p *peers) byRevision() []vm.Name {
 	const asked = 3
--- a/internal/entry/servers.go
+++ b/internal/entry/servers.go
@@ -28,6 +28,7 @@
 type peerService struct {
 	exchange
 	*steering.Follower
+	*zoneList
 	*domains
 	*request.Journal
 	*review.Log
@@ -64,7 +65,7 @@
 
 func newServers(
 	l *Listeners, h *request.Handler, table *lookup.Table, recorder review.Recorder, m *telemetry.Metrics, admin adminHandler,
-	x *vm.Exchanger, f *steering.Follower, d *domains, j *request.Journal, records *review.Log, links *links, plans *planServer,
+	x *vm.Exchanger, f *steering.Follower, list *zoneList, d *domains, j *request.Journal, records *review.Log, links *links, plans *planServer,
 	log logrus.FieldLogger,
 ) *servers {
 	lookups := lookup.NewHandler(lookup.HandlerOptions{
@@ -79,7 +80,7 @@
 		requests:  &http.Server{Handler: callerRoutes(lookups, h), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout},
 		admin:     &http.Server{Handler: admin, ReadHeaderTimeout: readHeaderTimeout},
 		peers: peerService{
-			exchange: exchange{x}, Follower: f, domains: d, Journal: j, Log: records,
+			exchange: exchange{x}, Follower: f, zoneList: list, domains: d, Journal: j, Log: records,
 			rateLender: &rateLender{links}, planServer: plans,
 		},
 		log: log,
--- a/internal/entry/topology.go
+++ b/internal/entry/topology.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -11,7 +12,6 @@
 
 	"github.com/azureflow/azureflow/internal/contract"
 	"github.com/azureflow/azureflow/internal/lookup"
-	"github.com/azureflow/azureflow/internal/platform"
 	"github.com/azureflow/azureflow/internal/region"
 	"github.com/azureflow/azureflow/internal/review"
 	"github.com/azureflow/azureflow/internal/steering"
@@ -295,17 +295,21 @@
 	return sum
 }
 
-// pollVMs reads the VM list until ctx ends. While the list cannot be read the last one stays.
-func pollVMs(ctx context.Context, list platform.VMList, d *vm.Directory, l *links, every time.Duration, onChange func()) {
+// pollVMs reads the VM list until ctx ends and tells when it changed. While the list cannot be read the
+// last one stays.
+func pollVMs(ctx context.Context, list *zoneList, d *vm.Directory, l *links, every time.Duration, onChange func()) {
 	tick := time.NewTicker(every)
 	defer tick.Stop()
+	var last []vm.VM
 	for {
-		asked := time.Now()
 		if rows, err := list.VMs(ctx); err == nil {
 			now := time.Now()
 			d.UpdateList(rows, now)
-			l.observeList(rows, asked, now)
-			onChange()
+			l.observeList(rows, list.askedAt(), now)
+			if last == nil || !slices.Equal(rows, last) {
+				onChange()
+			}
+			last = rows
 		}
 		select {
 		case <-ctx.Done():
--- /dev/null
+++ b/internal/vm/listlog_test.go
@@ -0,0 +1,78 @@
+package vm
+
+import (
+	"math/rand/v2"
+	"reflect"
+	"slices"
+	"testing"
+	"time"
+)
+
+// TestListLogFollows lets one ListLog follow another at random, with changes that come late, twice or out
+// of order, and a follower that starts again. Whenever the versions agree the rows do, and a change that
+// does not fit is refused and changes nothing.
+func TestListLogFollows(t *testing.T) {
+	const vms = 12
+	at := time.Unix(1_764_844_800, 0)
+	for seed := range uint64(50) {
+		r := rand.New(rand.NewPCG(seed, 11))
+		source, follower := NewListLog(), NewListLog()
+		var late []ListChange
+		applied, refused := 0, 0
+		for range 300 {
+			source.Take(randomRows(r, vms), at)
+			_, version := follower.Rows()
+			if c, _, known := source.Since(version); known {
+				late = append(late, c)
+			}
+			if r.IntN(40) == 0 {
+				follower = NewListLog()
+				rows, _ := source.Rows()
+				follower.Take(slices.Clone(rows), at)
+			}
+			if len(late) == 0 || r.IntN(3) == 0 {
+				continue
+			}
+			c := late[r.IntN(len(late))]
+			if r.IntN(2) == 0 {
+				c = late[len(late)-1]
+			}
+			before, _ := follower.Rows()
+			if follower.Apply(c, at) {
+				applied++
+			} else if after, _ := follower.Rows(); !reflect.DeepEqual(before, after) {
+				t.Fatalf("seed %d: a refused change changed the rows", seed)
+			} else {
+				refused++
+			}
+			whole := NewListLog()
+			rows, version := follower.Rows()
+			whole.Take(rows, at)
+			if _, want := whole.Rows(); rows != nil && version != want {
+				t.Fatalf("seed %d: version %x of rows whose version is %x", seed, version, want)
+			}
+			if theirs, v := source.Rows(); v == version && !slices.Equal(rows, theirs) {
+				t.Fatalf("seed %d: same version, other rows", seed)
+			}
+		}
+		if applied == 0 || refused == 0 {
+			t.Errorf("seed %d: %d applied, %d refused", seed, applied, refused)
+		}
+	}
+}
+
+// randomRows returns some of the VMs 0 to vms-1, now and then one that leaves.
+func randomRows(r *rand.Rand, vms int) []VM {
+	rows := make([]VM, 0, vms)
+	for i := range vms {
+		row := rowOf(stateOf(i, 0, 0, 0))
+		switch r.IntN(12) {
+		case 0:
+			continue
+		case 1:
+			row.State = StateLeaving
+		}
+		rows = append(rows, row)
+	}
+	return rows
+}
