entry: spread the mirrors of a zone over the VMs of the others

Cause: every VM mirrored its records to the first live names of its list, so that one VM kept those of its whole zone, 40 at the target, and lost them with its death. Ruled out: rendezvous hashing (up to 4 of 40 on one VM by chance). Now a VM begins at the place it has among its zone's VMs, turned by a hash of the zone so that zones alone in their region do not all choose the same VMs far away.

--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/azureflow/azureflow/internal/peer"
 	"github.com/azureflow/azureflow/internal/region"
 	"github.com/azureflow/azureflow/internal/review"
@@ -189,7 +191,7 @@
 	return names
 }
 
-// mirror sends records to the first live peer in another zone, else in this one.
+// mirror sends records to a live peer in another zone, else in this one.
 func (p *peers) mirror(ctx context.Context, req *peer.MirrorRequest) error {
 	var lastErr error = &NoLeaderError{Zone: p.self.Zone}
 	for _, name := range p.mirrorTargets() {
@@ -208,15 +210,17 @@
 	})
 }
 
-// mirrorTargets returns the live peers to try, those in other zones of the region first.
+// mirrorTargets returns the live peers to try, those in other zones of the region first. Among them each
+// VM of a zone begins at its own place, so that the zone's records are spread over all of them.
 func (p *peers) mirrorTargets() []vm.Name {
 	const tried = 3
 	var near, far, own []vm.Name
-	view := p.directory.View()
-	for i := range view.Entries {
-		e := view.Entries[i]
+	place := 0
+	for _, e := range p.directory.View().Entries {
 		switch {
-		case e.VM.Name == p.self.Name || e.Liveness != vm.Live:
+		case e.VM.Name == p.self.Name:
+			place = len(own)
+		case e.Liveness != vm.Live:
 		case e.VM.Zone == p.self.Zone:
 			own = append(own, e.VM.Name)
 		case e.VM.Region == p.self.Region:
@@ -225,10 +229,24 @@
 			far = append(far, e.VM.Name)
 		}
 	}
-	all := append(append(near, far...), own...)
+	place += int(xxhash.Sum64String(string(p.self.Zone)) % placesOfZone)
+	all := append(append(beginAt(near, place), beginAt(far, place)...), beginAt(own, place)...)
 	return all[:min(len(all), tried)]
 }
 
+// placesOfZone is the number of places at which a zone's VMs may begin: zones that have no other in their
+// region choose among all VMs of the other regions.
+const placesOfZone = 1 << 16
+
+// beginAt returns names turned so that the one at place comes first.
+func beginAt(names []vm.Name, place int) []vm.Name {
+	if len(names) == 0 {
+		return nil
+	}
+	place %= len(names)
+	return append(append(make([]vm.Name, 0, len(names)), names[place:]...), names[:place]...)
+}
+
 // toLeader sends a digest to the leader of this VM's zone.
 func (p *peers) toLeader(ctx context.Context, req *peer.MirrorRequest) error {
 	leader, err := p.leaderOf(p.self.Zone)
