vm: choose the peers of a round without copying and sorting the fleet

Cause: a zone's leader copied and sorted all VMs twice a second to ask nine of them: 1.7 ms and 2.9 MB each time at 4,300. The view is sorted already.

The same peers are chosen.

--- a/internal/vm/exchange.go
+++ b/internal/vm/exchange.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sort"
 	"sync"
 	"time"
 
@@ -176,15 +175,15 @@
 func (x *Exchanger) targets() []VM {
 	view := x.opts.Directory.View()
 	self := view.EntryByName(x.opts.Directory.opts.Self)
-	var near, far []VM
-	for i := range view.Entries {
-		e := view.Entries[i]
+	var near []*Entry
+	far := make([]*Entry, 0, len(view.Entries))
+	for _, e := range view.Entries {
 		switch {
 		case e.VM.Name == self.VM.Name || e.VM.PeerAddress == "":
 		case e.VM.Zone == self.VM.Zone:
-			near = append(near, e.VM)
+			near = append(near, e)
 		default:
-			far = append(far, e.VM)
+			far = append(far, e)
 		}
 	}
 	x.mu.Lock()
@@ -198,16 +197,16 @@
 	return out
 }
 
-// inTurn returns n of vms, others each round, beginning at a place that differs between VMs.
-func inTurn(vms []VM, n, round int, self Name) []VM {
-	if len(vms) <= n {
-		return vms
+// inTurn returns the VMs of n entries, others each round, beginning at a place that differs between VMs.
+// Entries are sorted by name.
+func inTurn(entries []*Entry, n, round int, self Name) []VM {
+	start := 0
+	if len(entries) > n {
+		start = (int(xxhash.Sum64String(string(self))%uint64(len(entries))) + round*n) % len(entries)
 	}
-	sort.Slice(vms, func(i, j int) bool { return vms[i].Name < vms[j].Name })
-	start := (int(xxhash.Sum64String(string(self))%uint64(len(vms))) + round*n) % len(vms)
 	out := make([]VM, 0, n)
-	for i := range n {
-		out = append(out, vms[(start+i)%len(vms)])
+	for i := range min(n, len(entries)) {
+		out = append(out, entries[(start+i)%len(entries)].VM)
 	}
 	return out
 }
--- a/internal/vm/exchange_test.go
+++ b/internal/vm/exchange_test.go
@@ -228,6 +228,21 @@
 	}
 }
 
+// BenchmarkTargets is the choice of a round's peers by a zone's leader.
+func BenchmarkTargets(b *testing.B) {
+	for _, n := range fleetSizes {
+		b.Run(fmt.Sprintf("vms=%d", n), func(b *testing.B) {
+			leaders := NewLeaders("entry-0000")
+			leaders.Learn([]*peer.LeaderState{{Zone: "zone-000", Vm: "entry-0000", Epoch: 1}})
+			x := NewExchanger(ExchangerOptions{Directory: fleet(n, 0), Leaders: leaders})
+			b.ReportAllocs()
+			for b.Loop() {
+				x.targets()
+			}
+		})
+	}
+}
+
 // BenchmarkUpdateList is one reading of the VM list.
 func BenchmarkUpdateList(b *testing.B) {
 	for _, n := range fleetSizes {
