--- a/internal/vm/listlog_test.go
+++ b/internal/vm/listlog_test.go
@@ -24,6 +24,11 @@
 			_, version := follower.Rows()
 			if c, _, known := source.Since(version); known {
 				late = append(late, c)
+				wrong := c
+				wrong.Changed = append(slices.Clone(c.Changed), VM{Name: "entry-9999"})
+				if follower.Apply(wrong, at) {
+					t.Fatalf("seed %d: took a change that does not lead to the version it names", seed)
+				}
 			}
 			if r.IntN(40) == 0 {
 				follower = NewListLog()
