--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -36,7 +36,7 @@
 	Settings  *steering.Settings
 	Self      Identity
 	Store     platform.Store
-	VMList    platform.VMList
+	VMList    *zoneList
 	Directory *vm.Directory
 	Exchanger *vm.Exchanger
 	Follower  *steering.Follower
