zone, azureflow: two tests that judged what did not happen

Trace: its zone cut both ways, store and list too, from 5.3 to 33.7 s; a cut-in fault on the same zone ended at 18.3 s and the fake took the zone's upstreams for reachable from then, though nothing left the zone. An upstream's answer takes both directions; the fake now notes them apart.

The test waits for a successor in the record now.

--- a/cmd/azureflow/e2e_pause_test.go
+++ b/cmd/azureflow/e2e_pause_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
 	"strconv"
@@ -9,6 +10,7 @@
 	"testing"
 
 	"github.com/azureflow/azureflow/internal/admin"
+	"github.com/azureflow/azureflow/internal/platform"
 	"github.com/azureflow/azureflow/internal/standin"
 )
 
@@ -148,6 +150,12 @@
 		}
 		return io.ErrNoProgress
 	})
+	s.await("a successor of "+victim.name, func() error {
+		if !s.hasSuccessor(zone, victim.name) {
+			return io.ErrNoProgress
+		}
+		return nil
+	})
 	block, identity := s.blockOf(victim, origin)
 	first := make(chan callReport, 1)
 	go func() { first <- s.call(witness.address, stampArgs(origin, block, key, 2000, "--first")...) }()
@@ -172,6 +180,21 @@
 	s.truthful(t, later, s.call(victim.address, stampArgs(origin, block, later, 10, "--first")...))
 }
 
+// hasSuccessor reports whether the zone's record in the store says that leader leads and that another VM may
+// take over. Before its first record nobody may, unless the VM list drops the leader.
+func (s *system) hasSuccessor(zone, leader string) bool {
+	var record struct {
+		Leader     string
+		Successors []string
+	}
+	store := platform.NewClient(platform.ClientOptions{StoreURL: s.platform})
+	entry, err := store.Get(s.t.Context(), "zones/"+zone+"/record")
+	if err != nil || json.Unmarshal(entry.Value, &record) != nil {
+		return false
+	}
+	return record.Leader == leader && len(record.Successors) > 0
+}
+
 // pausePlatform pauses the platform's stand-in: requests are served without it.
 func pausePlatform(t *testing.T, s *system) {
 	wake := pause(t, s.platformProcess)
--- a/internal/zone/faults_test.go
+++ b/internal/zone/faults_test.go
@@ -74,27 +74,30 @@
 			if p.zone != zone || q.zone == zone {
 				continue
 			}
-			w.noteCut(p.zone, q.zone, cut)
 			if out {
 				w.setCut(p.name, q.name, cut)
+				w.noteCut(p.zone, q.zone, cut)
 			}
 			if in {
 				w.setCut(q.name, p.name, cut)
+				w.noteCut(q.zone, p.zone, cut)
 			}
 		}
 	}
 }
 
-// noteCut notes that a cut, in one direction or both, keeps zones from each other's upstreams, or ended.
-func (w *world) noteCut(a, b steering.ZoneName, cut bool) {
+// noteCut notes that packets from one zone to another are lost, or are not any more. An upstream's answer
+// takes both directions, so that a cut of either keeps the zones from each other's upstreams.
+func (w *world) noteCut(from, to steering.ZoneName, cut bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	there, back := [2]steering.ZoneName{from, to}, [2]steering.ZoneName{to, from}
+	w.cutZones[there] = cut
 	since := time.Now()
-	if cut {
+	if w.cutZones[there] || w.cutZones[back] {
 		since = time.Time{}
 	}
-	w.healed[[2]steering.ZoneName{a, b}] = since
-	w.healed[[2]steering.ZoneName{b, a}] = since
+	w.healed[there], w.healed[back] = since, since
 }
 
 func (w *world) cutStoreOf(zone steering.ZoneName, f platformtest.Faults) {
--- a/internal/zone/world_test.go
+++ b/internal/zone/world_test.go
@@ -66,6 +66,7 @@
 	streams  map[stream]*rand.Rand // of delays
 	nodes    map[vm.Name]*node
 	cut      map[[2]vm.Name]bool
+	cutZones map[[2]steering.ZoneName]bool      // from, to
 	healed   map[[2]steering.ZoneName]time.Time // last cut between zones; zero: it lasts
 	cutStore map[vm.Name]bool
 	listed   []vm.Name // the VM list
@@ -111,7 +112,7 @@
 		start: time.Now(), store: platformtest.NewStore(platformtest.StoreOptions{}),
 		seed: seed, streams: make(map[stream]*rand.Rand), nodes: make(map[vm.Name]*node),
 		cut: make(map[[2]vm.Name]bool), cutStore: make(map[vm.Name]bool),
-		healed: make(map[[2]steering.ZoneName]time.Time),
+		cutZones: make(map[[2]steering.ZoneName]bool), healed: make(map[[2]steering.ZoneName]time.Time),
 	}
 }
 
