--- a/internal/demo/experiment_test.go
+++ b/internal/demo/experiment_test.go
@@ -35,6 +35,7 @@
 	for i := range Experiments {
 		e := &Experiments[i]
 		t.Run(e.Name, func(t *testing.T) {
+			t.Parallel()
 			if *measure == "all" || *measure == e.Name {
 				writeMeasurement(t, e)
 				return
--- a/internal/demo/explain_test.go
+++ b/internal/demo/explain_test.go
@@ -12,6 +12,7 @@
 // TestExplainNamesThePlan: minutes after the last change of a plan, the explanation of a request names the
 // plan that it followed and computes it again.
 func TestExplainNamesThePlan(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		d, err := loadDeployment("sohar")
 		if err != nil {
--- a/internal/demo/lagging_test.go
+++ b/internal/demo/lagging_test.go
@@ -11,6 +11,7 @@
 
 // TestStatusNamesWhoLags: a zone is cut off while a revision is published.
 func TestStatusNamesWhoLags(t *testing.T) {
+	t.Parallel()
 	tree := variantTree(t)
 	synctest.Test(t, func(t *testing.T) {
 		d, err := loadDeployment("sohar")
--- a/internal/demo/restart_test.go
+++ b/internal/demo/restart_test.go
@@ -63,6 +63,7 @@
 // TestRestartInTheMiddleOfAShift: an entry VM restarts while a region is drained. Its first plan goes on
 // where its peers are.
 func TestRestartInTheMiddleOfAShift(t *testing.T) {
+	t.Parallel()
 	// 20% in 5 s: whatever the newcomer does within a second is bounded by that pace.
 	const paceOfASecond = 0.2 / 5
 	tree := editedTree(t, `"floor"`, `"drains": [{"region": "dhofar", "start": "2000-01-01T00:00:20Z"}], "floor"`)
--- a/internal/demo/session_test.go
+++ b/internal/demo/session_test.go
@@ -174,17 +174,20 @@
 
 // TestGoldenSession compares the stories of whole sessions with golden files.
 func TestGoldenSession(t *testing.T) {
+	t.Parallel()
 	goldenSession(t, "sohar", "sohar-day", daySteps)
 	goldenSession(t, "zollbrugg", "zollbrugg-day", daySteps)
 }
 
 // TestGoldenZoneCut compares the story of a zone that is cut off and comes back.
 func TestGoldenZoneCut(t *testing.T) {
+	t.Parallel()
 	goldenSession(t, "sohar", "sohar-cut", cutSteps)
 }
 
 func goldenSession(t *testing.T, deployment, name string, steps []sessionStep) {
 	t.Run(name, func(t *testing.T) {
+		t.Parallel()
 		var got string
 		synctest.Test(t, func(t *testing.T) { got = session(t, deployment, steps) })
 		compareGolden(t, filepath.Join("testdata", name+".golden"), got)
@@ -260,6 +263,7 @@
 // TestSilentConnectionsOnBothHops: every open connection of callers, entry VMs and upstreams goes silent at once.
 // No idempotent request is left unknown.
 func TestSilentConnectionsOnBothHops(t *testing.T) {
+	t.Parallel()
 	d, err := loadDeployment("sohar")
 	if err != nil {
 		t.Fatal(err)
