clock: one Sleep that a context ends, in place of seven

The same timer and select stood in upstream, standin, memkv, demo, load and twice in steering, some with a bool, some with an error.

--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/azureflow/azureflow/internal/clock"
 	"github.com/azureflow/azureflow/internal/entry"
 	"github.com/azureflow/azureflow/internal/steering"
 )
@@ -84,13 +85,13 @@
 
 func (w *world) breakAndMend(ctx context.Context, broken []fault) {
 	const thirds = 3
-	if sleep(ctx, w.opts.Duration/thirds) != nil {
+	if clock.Sleep(ctx, w.opts.Duration/thirds) != nil {
 		return
 	}
 	for _, f := range broken {
 		f.begin(w)
 	}
-	if sleep(ctx, w.opts.Duration/thirds) != nil {
+	if clock.Sleep(ctx, w.opts.Duration/thirds) != nil {
 		return
 	}
 	for _, f := range broken {
--- a/internal/demo/load.go
+++ b/internal/demo/load.go
@@ -18,6 +18,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"github.com/azureflow/azureflow/caller"
+	"github.com/azureflow/azureflow/internal/clock"
 	"github.com/azureflow/azureflow/internal/standin"
 	"github.com/azureflow/azureflow/internal/steering"
 )
@@ -123,7 +124,7 @@
 	next := time.Now()
 	for n := 0; ; n++ {
 		next = next.Add(time.Duration(random.ExpFloat64() / f.perSecond * float64(time.Second)))
-		if sleep(ctx, time.Until(next)) != nil {
+		if clock.Sleep(ctx, time.Until(next)) != nil {
 			return
 		}
 		c := f.newCall(n, random)
--- a/internal/demo/matrix_cell_test.go
+++ b/internal/demo/matrix_cell_test.go
@@ -13,6 +13,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/azureflow/azureflow/internal/clock"
 	"github.com/azureflow/azureflow/internal/review"
 	"github.com/azureflow/azureflow/internal/standin"
 	"github.com/azureflow/azureflow/internal/steering"
@@ -198,7 +199,7 @@
 
 // watch follows revisions and plans on every entry VM.
 func (c *cell) watch(ctx context.Context) {
-	for sleep(ctx, watchInterval) == nil {
+	for clock.Sleep(ctx, watchInterval) == nil {
 		for _, e := range c.entries() {
 			c.revisions.look(e)
 			c.shares.look(e)
--- a/internal/demo/network.go
+++ b/internal/demo/network.go
@@ -10,6 +10,7 @@
 	"syscall"
 	"time"
 
+	"github.com/azureflow/azureflow/internal/clock"
 	"github.com/azureflow/azureflow/internal/steering"
 )
 
@@ -220,7 +221,7 @@
 			return nil, n.timeOut(ctx, proto)
 		}
 		const handshake = 2 // one-way delays
-		if err := sleep(ctx, handshake*n.delay(from, to)); err != nil {
+		if err := clock.Sleep(ctx, handshake*n.delay(from, to)); err != nil {
 			return nil, err
 		}
 		raw, err := n.wires.dial(ctx, address)
@@ -234,7 +235,7 @@
 // timeOut waits as long as a connection attempt without any answer does, and returns its error.
 func (n *network) timeOut(ctx context.Context, proto string) error {
 	const connectTimeout = time.Second
-	if err := sleep(ctx, connectTimeout); err != nil {
+	if err := clock.Sleep(ctx, connectTimeout); err != nil {
 		return err
 	}
 	return &net.OpError{Op: "dial", Net: proto, Err: syscall.ETIMEDOUT}
@@ -282,17 +283,3 @@
 	}
 	return c
 }
-
-func sleep(ctx context.Context, d time.Duration) error {
-	if d <= 0 {
-		return ctx.Err()
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-t.C:
-		return nil
-	}
-}
--- a/internal/demo/session_test.go
+++ b/internal/demo/session_test.go
@@ -12,6 +12,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/azureflow/azureflow/internal/clock"
 	"github.com/azureflow/azureflow/internal/review"
 	"github.com/azureflow/azureflow/internal/standin"
 	"github.com/azureflow/azureflow/internal/steering"
@@ -70,7 +71,7 @@
 	for _, e := range w.entries {
 		seen[e.row.Name] = s.began
 	}
-	for sleep(ctx, every) == nil {
+	for clock.Sleep(ctx, every) == nil {
 		now := time.Now()
 		for _, e := range w.entries {
 			records, _ := e.daemon.Records().Range("", seen[e.row.Name], now, 1000)
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -14,6 +14,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"github.com/azureflow/azureflow/caller"
+	"github.com/azureflow/azureflow/internal/clock"
 )
 
 // Options describe a run. Entries, Service and Path are required.
@@ -92,7 +93,7 @@
 	end := due.Add(o.Duration)
 	for {
 		due = due.Add(time.Duration(random.ExpFloat64() / o.Rate * float64(time.Second)))
-		if due.After(end) || !sleepUntil(ctx, due) {
+		if due.After(end) || clock.Sleep(ctx, time.Until(due)) != nil {
 			return
 		}
 		began := due
@@ -147,17 +148,6 @@
 	return err == nil && status == http.StatusOK
 }
 
-func sleepUntil(ctx context.Context, at time.Time) bool {
-	t := time.NewTimer(time.Until(at))
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 // recorder collects the latencies of one stream.
 type recorder struct {
 	mu       sync.Mutex
--- a/internal/standin/memkv/client.go
+++ b/internal/standin/memkv/client.go
@@ -6,6 +6,7 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"github.com/azureflow/azureflow/internal/clock"
 	"github.com/azureflow/azureflow/internal/platform/kv"
 )
 
@@ -109,13 +110,13 @@
 	if p.verdict != VerdictPass {
 		return &kv.UnavailableError{Op: string(op), Cause: ErrInjected}
 	}
-	if err := sleep(ctx, p.delay/2); err != nil {
+	if err := clock.Sleep(ctx, p.delay/2); err != nil {
 		return &kv.UnavailableError{Op: string(op), Cause: err}
 	}
 	if err := do(p); err != nil {
 		return err
 	}
-	if err := sleep(ctx, p.delay/2); err != nil {
+	if err := clock.Sleep(ctx, p.delay/2); err != nil {
 		return &kv.UnavailableError{Op: string(op), Cause: err}
 	}
 	return nil
@@ -140,9 +141,9 @@
 	}
 	answer := make(chan result[T], 1)
 	run := func() {
-		_ = sleep(context.Background(), p.delay/2)
+		_ = clock.Sleep(context.Background(), p.delay/2)
 		value, err := do()
-		_ = sleep(context.Background(), p.delay/2)
+		_ = clock.Sleep(context.Background(), p.delay/2)
 		answer <- result[T]{value, err}
 	}
 	if p.delay == 0 {
@@ -162,6 +163,6 @@
 }
 
 func (c *Client) lost(ctx context.Context, op Op, delay time.Duration) error {
-	_ = sleep(ctx, delay)
+	_ = clock.Sleep(ctx, delay)
 	return &kv.EffectUnknownError{Op: string(op), Cause: ErrInjected}
 }
--- a/internal/standin/memkv/store.go
+++ b/internal/standin/memkv/store.go
@@ -1,7 +1,6 @@
 package memkv
 
 import (
-	"context"
 	"sync"
 	"time"
 )
@@ -131,18 +130,3 @@
 	defer s.mu.Unlock()
 	return s.faults.Down || c.faults.Down
 }
-
-// sleep waits for d or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) error {
-	if d <= 0 {
-		return ctx.Err()
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/standin/memkv/watch.go
+++ b/internal/standin/memkv/watch.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/azureflow/azureflow/internal/clock"
 	"github.com/azureflow/azureflow/internal/platform/kv"
 )
 
@@ -13,7 +14,7 @@
 	if p.verdict != VerdictPass {
 		return nil, 0, &kv.UnavailableError{Op: string(OpWatch), Cause: ErrInjected}
 	}
-	if err := sleep(ctx, p.delay); err != nil {
+	if err := clock.Sleep(ctx, p.delay); err != nil {
 		return nil, 0, &kv.UnavailableError{Op: string(OpWatch), Cause: err}
 	}
 	deadline := time.Now().Add(c.store.maxWatch)
--- a/internal/standin/upstream_serve.go
+++ b/internal/standin/upstream_serve.go
@@ -13,6 +13,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/azureflow/azureflow/internal/clock"
 	"github.com/azureflow/azureflow/internal/request"
 )
 
@@ -109,7 +110,7 @@
 		return
 	}
 	id := u.ledger.start(r, u.drainedAt.Load(), time.Now())
-	if !sleep(ctx, u.serviceTime(r, length, factor)) {
+	if clock.Sleep(ctx, u.serviceTime(r, length, factor)) != nil {
 		u.ledger.end(id, EndCancelled, time.Now())
 		u.timeout(w, r)
 		return
@@ -136,7 +137,7 @@
 		<-r.Context().Done()
 		return
 	}
-	sleep(r.Context(), time.Duration(fault.LateMs)*time.Millisecond)
+	_ = clock.Sleep(r.Context(), time.Duration(fault.LateMs)*time.Millisecond)
 	if previous := u.crossed.Swap(a); fault.Crossed && previous != nil {
 		a = previous
 	}
@@ -235,18 +236,3 @@
 	}
 	return factor
 }
-
-// sleep waits for d and reports whether ctx was still alive at its end.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/steering/follower.go
+++ b/internal/steering/follower.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/errgroup"
 	"golang.org/x/time/rate"
 
+	"github.com/azureflow/azureflow/internal/clock"
 	"github.com/azureflow/azureflow/internal/platform/kv"
 )
 
@@ -159,14 +160,7 @@
 // pause waits for about d, jittered, or until ctx ends, and reports whether ctx goes on.
 func pause(ctx context.Context, d time.Duration) bool {
 	spread := 1 + jitterShare*(2*rand.Float64()-1)
-	timer := time.NewTimer(time.Duration(float64(d) * spread))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
+	return clock.Sleep(ctx, time.Duration(float64(d)*spread)) == nil
 }
 
 // newWaits returns the waits between calls that fail.
--- a/internal/steering/publisher.go
+++ b/internal/steering/publisher.go
@@ -7,6 +7,7 @@
 	"errors"
 	"time"
 
+	"github.com/azureflow/azureflow/internal/clock"
 	"github.com/azureflow/azureflow/internal/platform/kv"
 )
 
@@ -126,7 +127,7 @@
 			return r.result, err
 		}
 		if r.result.Rebased++; r.result.Rebased > 1 {
-			wait(ctx, waits.NextBackOff())
+			_ = clock.Sleep(ctx, waits.NextBackOff())
 		}
 	}
 	return r.result, &NotAcceptedError{Cause: &BusyError{Tries: maxRebases}}
@@ -277,15 +278,7 @@
 		if err == nil || !transient(err) || ctx.Err() != nil {
 			return value, err
 		}
-		wait(ctx, waits.NextBackOff())
-	}
-}
-
-// wait waits for d or until ctx ends.
-func wait(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
+		_ = clock.Sleep(ctx, waits.NextBackOff())
 	}
 }
 
--- a/internal/upstream/poller.go
+++ b/internal/upstream/poller.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/azureflow/azureflow/internal/clock"
 	"github.com/azureflow/azureflow/internal/request"
 	"github.com/azureflow/azureflow/internal/vm"
 )
@@ -83,13 +84,13 @@
 	for round := 0; ctx.Err() == nil; round++ {
 		targets := p.targets()
 		if len(targets) == 0 {
-			wait(ctx, p.options.Interval)
+			_ = clock.Sleep(ctx, p.options.Interval)
 			continue
 		}
 		gap := p.gap(len(targets))
 		sight := max(sightLimit, time.Duration(sightRounds*float64(len(targets))*float64(gap)))
 		for _, t := range targets {
-			if !wait(ctx, jitter(gap)) {
+			if clock.Sleep(ctx, jitter(gap)) != nil {
 				break
 			}
 			t.sight = sight
@@ -162,18 +163,6 @@
 	return d/2 + time.Duration(rand.Int64N(int64(d)+1))
 }
 
-// wait waits for d and reports whether ctx was alive at its end.
-func wait(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // HTTPSource reads the endpoints over HTTP.
 type HTTPSource struct {
 	Client     *http.Client // nil: http.DefaultClient
--- a/internal/upstream/poller_test.go
+++ b/internal/upstream/poller_test.go
@@ -7,6 +7,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/azureflow/azureflow/internal/clock"
 	"github.com/azureflow/azureflow/internal/request"
 	"github.com/azureflow/azureflow/internal/vm"
 )
@@ -21,14 +22,14 @@
 }
 
 func (f *fakeSource) Load(ctx context.Context, server vm.VM) (request.UpstreamLoad, error) {
-	if !wait(ctx, f.delay) {
+	if clock.Sleep(ctx, f.delay) != nil {
 		return request.UpstreamLoad{}, ctx.Err()
 	}
 	return request.UpstreamLoad{InFlight: 1}, nil
 }
 
 func (f *fakeSource) Draining(ctx context.Context, server vm.VM) (bool, error) {
-	if !wait(ctx, f.delay) {
+	if clock.Sleep(ctx, f.delay) != nil {
 		return false, ctx.Err()
 	}
 	f.mu.Lock()
