region, tests: one search by name, one start of a deployment, one race of publishers

The three searches of an observation differed in the field they compared; the whole-system, end-to-end and publisher tests each repeated their start.

--- a/cmd/azureflow/e2e_pause_test.go
+++ b/cmd/azureflow/e2e_pause_test.go
@@ -17,20 +17,7 @@
 // TestPausedProcesses stops and wakes an entry VM, the platform and an upstream in the middle of requests
 // that may run once. What callers are told is compared with what the upstreams ran.
 func TestPausedProcesses(t *testing.T) {
-	if testing.Short() {
-		t.Skip("starts 21 processes")
-	}
-	s := newSystem(t)
-	s.startUpstreams("certdesk", 1, 5)
-	s.startUpstreams("stampbook", 1, 3)
-	s.startEntries()
-	if out, problems, code := s.run("publish", s.patientExample(), "--store", s.platform, "--wait", "30s"); code != exitDone {
-		t.Fatalf("publish: exit %d\n%s%s", code, out, problems)
-	}
-	for _, e := range s.entries {
-		s.await(e.name+" ready", func() error { return s.get("http://"+e.admin+"/readyz", nil) })
-		s.await(e.name+" knows the upstreams", func() error { return s.knowsUpstreams(e) })
-	}
+	s := startSystem(t)
 	t.Run("leader paused past its lease", func(t *testing.T) { pauseLeader(t, s) })
 	t.Run("platform paused", func(t *testing.T) { pausePlatform(t, s) })
 	t.Run("upstream paused", func(t *testing.T) { pauseUpstream(t, s) })
--- a/cmd/azureflow/e2e_test.go
+++ b/cmd/azureflow/e2e_test.go
@@ -257,9 +257,9 @@
 	return n
 }
 
-// TestWholePathInSeparateProcesses publishes steering files to the platform stand-in, serves requests
-// through 7 entry VMs and kills one of them and one upstream in the middle of requests.
-func TestWholePathInSeparateProcesses(t *testing.T) {
+// startSystem runs the whole path in 21 processes, with the example published and every entry VM ready.
+func startSystem(t *testing.T) *system {
+	t.Helper()
 	if testing.Short() {
 		t.Skip("starts 21 processes")
 	}
@@ -267,7 +267,6 @@
 	s.startUpstreams("certdesk", 1, 5)
 	s.startUpstreams("stampbook", 1, 3)
 	s.startEntries()
-
 	out, problems, code := s.run("publish", s.patientExample(), "--store", s.platform, "--wait", "30s")
 	if code != exitDone {
 		t.Fatalf("publish: exit %d\n%s%s", code, out, problems)
@@ -276,6 +275,13 @@
 		s.await(e.name+" ready", func() error { return s.get("http://"+e.admin+"/readyz", nil) })
 		s.await(e.name+" knows the upstreams", func() error { return s.knowsUpstreams(e) })
 	}
+	return s
+}
+
+// TestWholePathInSeparateProcesses publishes steering files to the platform stand-in, serves requests
+// through 7 entry VMs and kills one of them and one upstream in the middle of requests.
+func TestWholePathInSeparateProcesses(t *testing.T) {
+	s := startSystem(t)
 
 	first := s.call(s.entries[0].address, "certdesk", "/certificates/7", "--origin", "batinah")
 	if first.Outcome != "done" || first.Body == "" || first.Decision == "" {
--- a/internal/demo/experiment_test.go
+++ b/internal/demo/experiment_test.go
@@ -16,6 +16,20 @@
 	measureSeeds = flag.Int("measure-seeds", 5, "seeds of an experiment")
 )
 
+// startVirtual brings a deployment up in virtual time.
+func startVirtual(t *testing.T, name string) *world {
+	t.Helper()
+	d, err := loadDeployment(name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	w, err := startWorld(context.Background(), Options{Deployment: name}.withDefaults(), d, newMemory())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return w
+}
+
 // runVirtual runs a deployment in virtual time, as Run does in real time.
 func runVirtual(t *testing.T) Runner {
 	return func(ctx context.Context, opts Options) (*Summary, error) {
--- a/internal/demo/explain_test.go
+++ b/internal/demo/explain_test.go
@@ -14,14 +14,7 @@
 func TestExplainNamesThePlan(t *testing.T) {
 	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
-		d, err := loadDeployment("sohar")
-		if err != nil {
-			t.Fatal(err)
-		}
-		w, err := startWorld(context.Background(), Options{Deployment: "sohar"}.withDefaults(), d, newMemory())
-		if err != nil {
-			t.Fatal(err)
-		}
+		w := startVirtual(t, "sohar")
 		s := &story{began: time.Now()}
 		const inForce = 330 * time.Second // longer than a review looks back for a plan
 		s.begin(inForce, "callers of every region use every operation")
--- a/internal/demo/lagging_test.go
+++ b/internal/demo/lagging_test.go
@@ -14,14 +14,7 @@
 	t.Parallel()
 	tree := variantTree(t)
 	synctest.Test(t, func(t *testing.T) {
-		d, err := loadDeployment("sohar")
-		if err != nil {
-			t.Fatal(err)
-		}
-		w, err := startWorld(context.Background(), Options{Deployment: "sohar"}.withDefaults(), d, newMemory())
-		if err != nil {
-			t.Fatal(err)
-		}
+		w := startVirtual(t, "sohar")
 		time.Sleep(10*time.Second + 7*time.Millisecond)
 		w.network.setCut(w.lastZone(), true)
 		time.Sleep(10 * time.Second)
--- a/internal/demo/restart_test.go
+++ b/internal/demo/restart_test.go
@@ -68,14 +68,7 @@
 	const paceOfASecond = 0.2 / 5
 	tree := editedTree(t, `"floor"`, `"drains": [{"region": "dhofar", "start": "2000-01-01T00:00:20Z"}], "floor"`)
 	synctest.Test(t, func(t *testing.T) {
-		d, err := loadDeployment("sohar")
-		if err != nil {
-			t.Fatal(err)
-		}
-		w, err := startWorld(context.Background(), Options{Deployment: "sohar"}.withDefaults(), d, newMemory())
-		if err != nil {
-			t.Fatal(err)
-		}
+		w := startVirtual(t, "sohar")
 		began := time.Now()
 		if _, err := w.publishTree(context.Background(), tree); err != nil {
 			t.Fatal(err)
--- a/internal/demo/session_test.go
+++ b/internal/demo/session_test.go
@@ -214,16 +214,9 @@
 
 // session publishes, runs the steps and returns the story.
 func session(t *testing.T, deployment string, steps []sessionStep) string {
-	d, err := loadDeployment(deployment)
-	if err != nil {
-		t.Fatal(err)
-	}
 	s := &story{began: time.Now()}
 	s.begin(0, "operator publishes the steering files of "+deployment)
-	w, err := startWorld(context.Background(), Options{Deployment: deployment}.withDefaults(), d, newMemory())
-	if err != nil {
-		t.Fatal(err)
-	}
+	w := startVirtual(t, deployment)
 	ctx, stop := context.WithCancel(context.Background())
 	var following sync.WaitGroup
 	following.Go(func() { s.follow(ctx, w) })
@@ -295,10 +288,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	w, err := startWorld(context.Background(), Options{Deployment: d.name}.withDefaults(), d, newMemory())
-	if err != nil {
-		t.Fatal(err)
-	}
+	w := startVirtual(t, d.name)
 	tallies := w.load(context.Background(), broken)
 	w.stop()
 	time.Sleep(time.Minute) // what is under way ends
--- a/internal/region/observation.go
+++ b/internal/region/observation.go
@@ -56,15 +56,24 @@
 
 // service returns what is known of a service. It looks at index hint first.
 func (o *Observation) service(name steering.ServiceName, hint int) *ServiceObservation {
-	if hint < len(o.Services) && o.Services[hint].Service == name {
-		return &o.Services[hint]
+	s := find(o.Services, hint, func(s *ServiceObservation) bool { return s.Service == name })
+	if s == nil {
+		return &ServiceObservation{Service: name}
 	}
-	for i := range o.Services {
-		if o.Services[i].Service == name {
-			return &o.Services[i]
+	return s
+}
+
+// find returns the first element that matches, or nil. It looks at index hint first.
+func find[T any](list []T, hint int, matches func(*T) bool) *T {
+	if hint < len(list) && matches(&list[hint]) {
+		return &list[hint]
+	}
+	for i := range list {
+		if matches(&list[i]) {
+			return &list[i]
 		}
 	}
-	return &ServiceObservation{Service: name}
+	return nil
 }
 
 func (o *Observation) peerPlan(name steering.ServiceName) *Plan {
@@ -100,28 +109,12 @@
 
 // load returns what a region carries, or nil. It looks at index hint first.
 func (s *ServiceObservation) load(region steering.RegionName, hint int) *RegionLoad {
-	if hint < len(s.Regions) && s.Regions[hint].Region == region {
-		return &s.Regions[hint]
-	}
-	for i := range s.Regions {
-		if s.Regions[i].Region == region {
-			return &s.Regions[i]
-		}
-	}
-	return nil
+	return find(s.Regions, hint, func(l *RegionLoad) bool { return l.Region == region })
 }
 
 // demand returns what the callers of a region want, or nil. It looks at index hint first.
 func (s *ServiceObservation) demand(region steering.RegionName, hint int) *OriginDemand {
-	if hint < len(s.Origins) && s.Origins[hint].Region == region {
-		return &s.Origins[hint]
-	}
-	for i := range s.Origins {
-		if s.Origins[i].Region == region {
-			return &s.Origins[i]
-		}
-	}
-	return nil
+	return find(s.Origins, hint, func(d *OriginDemand) bool { return d.Region == region })
 }
 
 // capacity returns the slots by region in zones that are not drained; regionOf numbers the region of a zone.
--- a/internal/steering/publish_test.go
+++ b/internal/steering/publish_test.go
@@ -100,21 +100,27 @@
 	}
 }
 
+// publishBoth publishes two trees at the same moment over the base and joins what their publishers are told.
+func publishBoth(t *testing.T, one, other *steering.Tree) (*platformtest.Store, error) {
+	t.Helper()
+	store := platformtest.NewStore(platformtest.StoreOptions{})
+	publishBase(t, store.Client)
+	store.SetStoreFaults(platformtest.Faults{Delay: 10 * time.Millisecond})
+	done := make(chan error, 2)
+	for i, tree := range []*steering.Tree{one, other} {
+		client := store.NewClient(fmt.Sprint(i))
+		go func() {
+			_, err := newPublisher(client).Publish(t.Context(), tree, steering.PublishOptions{})
+			done <- err
+		}()
+	}
+	return store, errors.Join(<-done, <-done)
+}
+
 func TestPublishersOfTwoServicesBothSucceed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store := platformtest.NewStore(platformtest.StoreOptions{})
-		publishBase(t, store.Client)
-		store.SetStoreFaults(platformtest.Faults{Delay: 10 * time.Millisecond})
-		trees := []*steering.Tree{alpha(t, 7), beta(t, 9)}
-		done := make(chan error, len(trees))
-		for i, tree := range trees {
-			client := store.NewClient(fmt.Sprint(i))
-			go func() {
-				_, err := newPublisher(client).Publish(t.Context(), tree, steering.PublishOptions{})
-				done <- err
-			}()
-		}
-		if err := errors.Join(<-done, <-done); err != nil {
+		store, err := publishBoth(t, alpha(t, 7), beta(t, 9))
+		if err != nil {
 			t.Fatal(err)
 		}
 		c, err := newPublisher(store.Client).InForce(t.Context())
@@ -126,19 +132,7 @@
 
 func TestLoserOnSameServiceIsToldWhoCameFirst(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store := platformtest.NewStore(platformtest.StoreOptions{})
-		publishBase(t, store.Client)
-		store.SetStoreFaults(platformtest.Faults{Delay: 10 * time.Millisecond})
-		trees := []*steering.Tree{alpha(t, 7), alpha(t, 9)}
-		done := make(chan error, len(trees))
-		for i, tree := range trees {
-			client := store.NewClient(fmt.Sprint(i))
-			go func() {
-				_, err := newPublisher(client).Publish(t.Context(), tree, steering.PublishOptions{})
-				done <- err
-			}()
-		}
-		err := errors.Join(<-done, <-done)
+		_, err := publishBoth(t, alpha(t, 7), alpha(t, 9))
 		var conflict *steering.ConflictError
 		if !errors.As(err, &conflict) || conflict.Service != "alpha" || conflict.Revision != 2 {
 			t.Fatalf("got %v", err)
