--- a/internal/steering/tree.go
+++ b/internal/steering/tree.go
@@ -73,9 +73,6 @@
 	return c
 }
 
-// HasPlatform reports whether the tree holds a platform file.
-func (t *Tree) HasPlatform() bool { return t.platform != nil }
-
 // findFiles returns the files at or below paths, each once, sorted.
 func findFiles(paths []string, report *Report) []string {
 	var files []string
