gateway: callers are told of the entry VMs whose links carry most together

Cause: callers choose evenly among the entry VMs that an answer of the directory names. Where VMs with 12 Mbit/s stand beside VMs with 200, each got the same share; the narrow links were full (30 to 52 timeouts a second at edge-aare-sued-3, 0 to 2 at its neighbours with wide links), and calls to peers and the store timed out too: that VM heard of a leaving server 4.2 s late.

Now each VM lists its link's rate; an answer names the VMs that carry most together when chosen evenly, two at least; the reader of a region is the one with the widest link.

Ruled out: the store turned the VM away (not among those), the processor (0.04 of a core).

--- a/internal/gateway/presence.go
+++ b/internal/gateway/presence.go
@@ -32,6 +32,7 @@
 	Region   steering.RegionName `json:"region"`
 	Requests string              `json:"requests"` // address for callers
 	Peer     string              `json:"peer"`     // address for other entry VMs
+	LinkMbit float64             `json:"link_mbit,omitempty"`
 }
 
 // presence lists this entry VM in the store and knows the others.
@@ -54,7 +55,8 @@
 		store: store, name: s.Name, chooser: chooser, log: log, ttl: answerTTL,
 		self: presenceRecord{
 			Zone: s.Zone, Region: s.Region, Requests: s.Listen.Requests,
-			Peer: net.JoinHostPort(s.IP, strconv.Itoa(s.Listen.PeerPort)),
+			Peer:     net.JoinHostPort(s.IP, strconv.Itoa(s.Listen.PeerPort)),
+			LinkMbit: s.LinkMbit,
 		},
 	}
 	if s.Bounds.DirectoryTTL > 0 {
@@ -149,34 +151,42 @@
 	p.chooser.SetPeers(peers)
 }
 
-// reader returns the peer address of the entry VM that reads for this region, the first by address, or "" if that
-// is this one.
+// reader returns the peer address of the entry VM that reads for this region, or "" if that is this one. It is
+// the one with the widest link, since all others take copies from it, and of these the first by address.
 func (p *presence) reader() string {
-	reader := p.self.Peer
+	reader := &p.self
 	for _, r := range *p.live.Load() {
-		if r.Region == p.self.Region && r.Peer != "" && r.Peer < reader {
-			reader = r.Peer
+		if r.Region == p.self.Region && r.Peer != "" && r.readsBefore(reader) {
+			reader = &r
 		}
 	}
-	if reader == p.self.Peer {
+	if reader == &p.self {
 		return ""
 	}
-	return reader
+	return reader.Peer
+}
+
+func (r *presenceRecord) readsBefore(other *presenceRecord) bool {
+	if r.LinkMbit != other.LinkMbit {
+		return r.LinkMbit > other.LinkMbit
+	}
+	return r.Peer < other.Peer
 }
 
 // leave takes this entry VM out of its own answers.
 func (p *presence) leave() { p.leaves.Store(true) }
 
-// Lookup returns the entry VMs for callers in a zone: those of the zone, else of its region, else all.
+// Lookup returns the entry VMs for callers in a zone: those of the zone, else of its region, else all. Of these
+// it leaves out the ones whose links are too narrow for an even share.
 func (p *presence) Lookup(region steering.RegionName, zone steering.ZoneName) Found {
-	var inZone, inRegion, all []string
+	var inZone, inRegion, all []*presenceRecord
 	add := func(r *presenceRecord) {
-		all = append(all, r.Requests)
+		all = append(all, r)
 		if r.Region == region {
-			inRegion = append(inRegion, r.Requests)
+			inRegion = append(inRegion, r)
 		}
 		if r.Zone == zone {
-			inZone = append(inZone, r.Requests)
+			inZone = append(inZone, r)
 		}
 	}
 	if !p.leaves.Load() {
@@ -192,8 +202,32 @@
 	case len(inRegion) > 0:
 		found = inRegion
 	}
-	sort.Strings(found)
-	return Found{Addresses: found[:min(len(found), maxAddresses)], TTL: p.ttl}
+	found = widest(found)
+	addresses := make([]string, 0, maxAddresses)
+	for _, r := range found[:min(len(found), maxAddresses)] {
+		addresses = append(addresses, r.Requests)
+	}
+	sort.Strings(addresses)
+	return Found{Addresses: addresses, TTL: p.ttl}
+}
+
+// leastNamed is the number of entry VMs that an answer names if there are so many: one may have died unnoticed.
+const leastNamed = 2
+
+// widest returns the records that carry most together. Callers choose evenly among those named, so that n of them
+// carry n times what the narrowest one does: a VM with a narrow link would hold up its share of the callers.
+func widest(records []*presenceRecord) []*presenceRecord {
+	sort.SliceStable(records, func(i, j int) bool { return records[i].readsBefore(records[j]) })
+	best, most := len(records), 0.0
+	for n := min(leastNamed, len(records)); n <= len(records); n++ {
+		if n == 0 {
+			continue
+		}
+		if mbit := float64(n) * records[n-1].LinkMbit; mbit >= most {
+			best, most = n, mbit
+		}
+	}
+	return records[:best]
 }
 
 // maxAddresses is the most that a caller reads from an answer, by the protocol.
--- a/internal/gateway/presence_test.go
+++ b/internal/gateway/presence_test.go
@@ -74,3 +74,39 @@
 		t.Errorf("reader is %q, want this VM itself", got)
 	}
 }
+
+// TestLookupLeavesOutNarrowLinks: callers choose evenly among the entry VMs that an answer names.
+func TestLookupLeavesOutNarrowLinks(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		mbit map[string]float64
+		want []string
+	}{
+		{"two wide, one narrow", map[string]float64{"a": 12, "b": 200, "c": 200}, []string{"b", "c"}},
+		{"equal", map[string]float64{"a": 200, "b": 200, "c": 200}, []string{"a", "b", "c"}},
+		{"unknown", map[string]float64{"a": 0, "b": 0, "c": 0}, []string{"a", "b", "c"}},
+		{"one wide, one narrow: both, as one may die", map[string]float64{"a": 12, "b": 200}, []string{"a", "b"}},
+		{"half as wide, as much together", map[string]float64{"a": 100, "b": 200, "c": 100, "d": 100}, []string{"a", "b", "c", "d"}},
+		{"many narrow carry more", map[string]float64{"a": 50, "b": 50, "c": 50, "d": 50, "e": 90, "f": 90}, []string{"a", "b", "c", "d", "e", "f"}},
+		{"alone", map[string]float64{"a": 12}, []string{"a"}},
+	} {
+		records := make(map[string]presenceRecord)
+		for name, mbit := range test.mbit {
+			records[name] = presenceRecord{Zone: "south-a", Region: "south", Requests: name, Peer: name, LinkMbit: mbit}
+		}
+		found := testPresence(t, records).Lookup("south", "south-a")
+		if !slices.Equal(found.Addresses, test.want) {
+			t.Errorf("%s: %v, want %v", test.name, found.Addresses, test.want)
+		}
+	}
+}
+
+func TestReaderHasTheWidestLink(t *testing.T) {
+	p := testPresence(t, map[string]presenceRecord{
+		"x": {Region: "north", Requests: "x:1", Peer: "10.0.0.0:2", LinkMbit: 12},
+		"y": {Region: "north", Requests: "y:1", Peer: "10.0.0.2:2", LinkMbit: 200},
+	})
+	if got := p.reader(); got != "10.0.0.2:2" {
+		t.Errorf("reader is %q, want the VM with the widest link", got)
+	}
+}
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -18,8 +18,7 @@
 	Zone         steering.ZoneName
 	Zones        map[steering.ZoneName]steering.RegionName // of the deployment
 	StoreAddress string                                    // host:port of the platform's store
-	MemoryBytes  int64                                     // that the process may use
-	Descriptors  int                                       // that the process may open
+	LinkMbit     float64                                   // the VM's own link, Mbit/s; 0: not known
 	Listen       ListenSettings
 	Heartbeat    time.Duration // between two entries of a server
 	MinLeaseTTL  time.Duration
