gateway: how often changes are looked for follows the bounds of the settings

Cause: intervals were constants that fit a bound of 2.5 s; a deployment with a narrower one, which the settings name, would have been followed too slowly. Settings that were read and never used (heartbeat, stable window, budget window, cold overage and slack) are gone; the least lease and the bounds on configurations and evacuations are used now.

TestNarrowerDrainBoundIsKept: with a bound of 600 ms, a server was still used 600 ms after it left where the reader died 200 ms into a round; now it is not. The end-to-end test of SIGHUP changed settings that nothing used any more; it changes a bound that is used.

Wider bounds change nothing.

--- a/cmd/azureflow/e2e_gateway_test.go
+++ b/cmd/azureflow/e2e_gateway_test.go
@@ -238,7 +238,7 @@
 	s.awaitAnswer(two, "/y", "two")
 	s.store.Put("op/config", fmt.Appendf(nil, gatewayConfig, 4, "one"))
 
-	changed := fmt.Sprintf(gatewaySettings, one.name, one.address, s.address) + "retry_budget_slack = 32\ncold_slack = 7\n"
+	changed := fmt.Sprintf(gatewaySettings, one.name, one.address, s.address) + "config_apply_ms = 2400\n"
 	if err := os.WriteFile(filepath.Join(s.dir, one.name+".toml"), []byte(changed), 0o600); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -130,7 +130,7 @@
 		}
 		current = *s
 		d.presence.chooser.SetOptions(s.placementOptions())
-		d.follower.setZones(s.Zones)
+		d.follower.setSettings(s)
 		d.log.Info("settings reloaded")
 	}
 }
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -19,12 +19,8 @@
 )
 
 const (
-	serverReads  = 800 * time.Millisecond  // a third of the users' time to drain, so that one read may fail
-	serverWait   = 1200 * time.Millisecond // for a change; half of the users' time to drain
-	serverRelist = 15 * time.Second        // a complete list this often, whatever the changes said
-	operatorWait = 1400 * time.Millisecond // with the store's delays, within the users' time for a configuration
-	coveredWait  = 10 * time.Second        // of the same where a peer is asked as well
-	configReads  = time.Second             // finds what a silent watch misses
+	serverRelist = 15 * time.Second // a complete list this often, whatever the changes said
+	coveredWait  = 10 * time.Second // of a watch of the operator's keys where a peer is asked as well
 	coveredCheck = 100 * time.Millisecond
 	retryFirst   = 150 * time.Millisecond
 	retryMax     = time.Second
@@ -37,6 +33,7 @@
 	catalog *Catalog
 	chooser *placement.Chooser
 	log     logrus.FieldLogger
+	pace    atomic.Pointer[pace]
 	table   atomic.Pointer[routing.Table]
 
 	mu       sync.Mutex // guards what follows
@@ -62,6 +59,7 @@
 		lost:     make(map[string]bool),
 	}
 	f.servers = newStoreCopy(f.serverFingerprint)
+	f.pace.Store(newPace(&s.Bounds))
 	return f
 }
 
@@ -81,11 +79,12 @@
 	return xxhash.Sum64String(fmt.Sprintf("%s %+v", e.Key, m))
 }
 
-// setZones replaces the zones of the deployment.
-func (f *follower) setZones(zones map[steering.ZoneName]steering.RegionName) {
+// setSettings takes up the deployment's zones and bounds.
+func (f *follower) setSettings(s *Settings) {
+	f.pace.Store(newPace(&s.Bounds))
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.registry.zones = zones
+	f.registry.zones = s.Zones
 }
 
 // cover notes that a peer's copy makes own reads needless for a while.
@@ -99,7 +98,7 @@
 func (f *follower) fresh(now time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return now.Sub(f.servers.readAt) < shareFresh
+	return now.Sub(f.servers.readAt) < f.pace.Load().shareFresh
 }
 
 // awaitTurn waits while a peer covers the reads. It returns false once ctx has ended.
@@ -142,7 +141,7 @@
 	if time.Now().Before(f.covered) {
 		return coveredWait
 	}
-	return operatorWait
+	return f.pace.Load().operatorWait
 }
 
 // watchOperatorFrom takes changes until the watch fails or its history is gone.
@@ -181,7 +180,7 @@
 
 // pollOperator reads the operator's keys cheaply, in case that the watch went silent.
 func (f *follower) pollOperator(ctx context.Context) {
-	for clock.Sleep(ctx, configReads) == nil {
+	for clock.Sleep(ctx, f.pace.Load().configReads) == nil {
 		entries, version, err := f.store.ListStale(ctx, f.catalog.OperatorPrefix)
 		f.told("operator-read", err)
 		if err == nil {
@@ -211,12 +210,12 @@
 	asked := listed
 	for time.Since(listed) < serverRelist {
 		// Changes come together where servers write often; a watch that waited for one asks again at once.
-		_ = clock.Sleep(ctx, serverReads-time.Since(asked))
+		_ = clock.Sleep(ctx, f.pace.Load().serverReads-time.Since(asked))
 		if !f.awaitTurn(ctx) {
 			return
 		}
 		asked = time.Now()
-		entries, next, err := f.watch(ctx, readServerChanges, f.catalog.ServerPrefix, version, serverWait)
+		entries, next, err := f.watch(ctx, readServerChanges, f.catalog.ServerPrefix, version, f.pace.Load().serverWait)
 		if err != nil {
 			return
 		}
--- a/internal/gateway/follow_test.go
+++ b/internal/gateway/follow_test.go
@@ -74,7 +74,7 @@
 		if !f.known()["a"] {
 			t.Error("a server whose entry lapsed in the outage was dropped before it could return")
 		}
-		time.Sleep(returnMargin + 2*serverReads)
+		time.Sleep(returnMargin + 2*usualServerReads)
 		if f.known()["a"] {
 			t.Error("a server whose entry did not return is still used")
 		}
--- a/internal/gateway/presence.go
+++ b/internal/gateway/presence.go
@@ -43,6 +43,7 @@
 	chooser *placement.Chooser
 	log     logrus.FieldLogger
 	ttl     time.Duration // of answers to callers
+	listing time.Duration // life of the lease
 
 	live   atomic.Pointer[[]presenceRecord] // this VM not included
 	leaves atomic.Bool
@@ -53,6 +54,7 @@
 	const answerTTL = 2 * time.Second // short, so that callers leave a lost entry VM soon
 	p := &presence{
 		store: store, name: s.Name, chooser: chooser, log: log, ttl: answerTTL,
+		listing: max(presenceTTL, s.MinLeaseTTL),
 		self: presenceRecord{
 			Zone: s.Zone, Region: s.Region, Requests: s.Listen.Requests,
 			Peer:     net.JoinHostPort(s.IP, strconv.Itoa(s.Listen.PeerPort)),
@@ -93,7 +95,7 @@
 			return err
 		}
 	}
-	lease, err := p.store.Grant(ctx, presenceTTL)
+	lease, err := p.store.Grant(ctx, p.listing)
 	if err != nil {
 		return err
 	}
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -20,8 +20,7 @@
 	StoreAddress string                                    // host:port of the platform's store
 	LinkMbit     float64                                   // the VM's own link, Mbit/s; 0: not known
 	Listen       ListenSettings
-	Heartbeat    time.Duration // between two entries of a server
-	MinLeaseTTL  time.Duration
+	MinLeaseTTL  time.Duration // the shortest that the store grants
 	Bounds       Bounds
 }
 
@@ -35,16 +34,14 @@
 
 // Bounds are what the users ask of the system.
 type Bounds struct {
-	StableWindow      time.Duration // without disturbance, after which the other bounds hold
-	Drain             time.Duration // after which a leaving server gets nothing new
-	Grace             time.Duration // from the request to stop to the kill
-	RetryBudgetRatio  float64       // sendings beyond the first for each request to a service
-	RetryBudgetWindow time.Duration
-	RetryBudgetSlack  float64 // sendings beyond that in a window
-	ColdOverage       float64 // factor on a cold server's rate
-	ColdSlack         float64 // requests a second beyond that
-	DirectoryTTL      time.Duration
-	MaxShift          float64 // change of the share of requests in other regions, per 2 s
+	Drain            time.Duration // after which a leaving server gets nothing new
+	ConfigApply      time.Duration // after which a configuration is in force
+	Evacuate         time.Duration // after which an evacuated zone gets nothing new
+	Grace            time.Duration // from the request to stop to the kill
+	RetryBudgetRatio float64       // sendings beyond the first for each request to a service
+	RetryBudgetSlack float64       // sendings beyond that in a window
+	DirectoryTTL     time.Duration
+	MaxShift         float64 // change of the share of requests in other regions, per 2 s
 }
 
 // placementOptions returns what the settings say of the choice of servers. Each zone has an entry VM at least.
--- a/internal/gateway/sharing.go
+++ b/internal/gateway/sharing.go
@@ -14,13 +14,8 @@
 	"github.com/azureflow/azureflow/internal/platform/kv"
 )
 
-// Times of the sharing of store reads.
-const (
-	shareInterval = 400 * time.Millisecond
-	shareTimeout  = 300 * time.Millisecond // of a call to a peer, several times the delay between regions
-	shareFresh    = 1400 * time.Millisecond
-	coverInterval = 2 * shareInterval // one lost call does not make the VM read for itself
-)
+// shareTimeout bounds a call to a peer. It is several times the delay between regions.
+const shareTimeout = 300 * time.Millisecond
 
 // sharing keeps store reads few: one entry VM of each region reads the servers' entries, the others ask it for
 // what changed. An entry VM whose peers know nothing fresh reads for itself; one that cannot read at all asks
@@ -84,7 +79,7 @@
 
 // run asks peers until ctx ends.
 func (s *sharing) run(ctx context.Context) {
-	for clock.Sleep(ctx, shareInterval) == nil {
+	for clock.Sleep(ctx, s.follower.pace.Load().shareInterval) == nil {
 		s.round(ctx)
 	}
 }
@@ -93,7 +88,7 @@
 func (s *sharing) round(ctx context.Context) {
 	reader := s.presence.reader()
 	if reader != "" && s.ask(ctx, reader) {
-		s.follower.cover(time.Now().Add(coverInterval))
+		s.follower.cover(time.Now().Add(s.follower.pace.Load().cover))
 		return
 	}
 	if s.follower.fresh(time.Now()) {
@@ -136,7 +131,7 @@
 	}
 	s.take(address, reply, asked)
 	age := time.Duration(reply.GetServers().GetAgeMs()) * time.Millisecond
-	return reply.GetServers().GetIncarnation() != 0 && age < shareFresh
+	return reply.GetServers().GetIncarnation() != 0 && age < s.follower.pace.Load().shareFresh
 }
 
 func (s *sharing) request(address string) *peer.FetchStoreRequest {
--- a/internal/gateway/sharing_test.go
+++ b/internal/gateway/sharing_test.go
@@ -23,8 +23,9 @@
 	stops map[string]context.CancelFunc
 }
 
-// startFleet starts the entry VMs called names; their presence is known to all.
-func startFleet(ctx context.Context, t *testing.T, names ...string) *fleet {
+// startFleet starts the entry VMs called names; their presence is known to all. drain is the time after which a leaving
+// server gets nothing, 0 for that of the test settings.
+func startFleet(ctx context.Context, t *testing.T, drain time.Duration, names ...string) *fleet {
 	fl := &fleet{
 		store: newFakeStore(), gates: make(map[string]*gatedStore), followers: make(map[string]*follower), calls: make(map[string]int),
 		down: make(map[string]bool), stops: make(map[string]context.CancelFunc),
@@ -32,9 +33,14 @@
 	fl.store.put("operator/config", fakeConfig{Version: 1})
 	fl.store.put("server/a", fakeServer{Zone: "north-a", Born: 1})
 	shares := make(map[string]*sharing)
+	bounds := testSettings("").Bounds
+	if drain != 0 {
+		bounds.Drain = drain
+	}
 	for _, name := range names {
 		fl.gates[name] = &gatedStore{fakeStore: fl.store}
 		f := newTestFollower(t, fl.gates[name], name)
+		f.pace.Store(newPace(&bounds))
 		s := testSettings(name)
 		p := newPresence(fl.store, s, f.chooser, f.log)
 		p.self.Peer = name
@@ -110,10 +116,14 @@
 }
 
 func sharingTest(t *testing.T, test func(t *testing.T, fl *fleet), names ...string) {
+	sharingTestWithin(t, 0, test, names...)
+}
+
+func sharingTestWithin(t *testing.T, drain time.Duration, test func(t *testing.T, fl *fleet), names ...string) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
 		defer func() { cancel(); time.Sleep(time.Minute); synctest.Wait() }()
-		fl := startFleet(ctx, t, names...)
+		fl := startFleet(ctx, t, drain, names...)
 		time.Sleep(3 * time.Second)
 		test(t, fl)
 	})
@@ -128,8 +138,8 @@
 			time.Sleep(time.Second)
 		}
 		calls := fl.store.called() - before
-		// The reader asks once each serverReads, which is 13 times; each VM keeps its watch of the operator.
-		if most := int(span/serverReads) + 10; calls > most {
+		// The reader asks once each usualServerReads, which is 13 times; each VM keeps its watch of the operator.
+		if most := int(span/usualServerReads) + 10; calls > most {
 			t.Errorf("%d calls to the store in %v, at most %d expected of three entry VMs", calls, span, most)
 		}
 		fl.store.put("server/b", fakeServer{Zone: "north-b", Born: 1})
@@ -157,6 +167,25 @@
 	}, "vm-1", "vm-2", "vm-3")
 }
 
+// Deployments name their own bound on the time until a leaving server gets nothing.
+func TestNarrowerDrainBoundIsKept(t *testing.T) {
+	const bound = 600 * time.Millisecond
+	const step = 100 * time.Millisecond // between the moments of the loss that are tried
+	for lossAt := time.Duration(0); lossAt < usualServerReads; lossAt += step {
+		sharingTestWithin(t, bound, func(t *testing.T, fl *fleet) {
+			time.Sleep(lossAt)
+			fl.lose("vm-1")
+			fl.store.remove("server/a")
+			time.Sleep(bound)
+			for _, name := range []string{"vm-2", "vm-3"} {
+				if fl.followers[name].known()["a"] {
+					t.Errorf("lost %v in: %s still uses a server %v after it left", lossAt, name, bound)
+				}
+			}
+		}, "vm-1", "vm-2", "vm-3")
+	}
+}
+
 // A VM that the store turns away goes on with what its peers read.
 func TestVMThatTheStoreTurnsAwayFollowsItsPeers(t *testing.T) {
 	sharingTest(t, func(t *testing.T, fl *fleet) {
