gateway: failed store calls become rare with jitter; store and peer calls are counted

Now waits grow from 150 ms to 1 s with jitter (cenkalti/backoff) for lists, watches and renewals; the lease of 3 s is renewed each 1.4 s instead of 1 s, which leaves two tries and those after a failure.

Metrics: store calls by call and outcome, their duration, peer calls by outcome; a log line each 10 s tells the store calls since.

--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -46,6 +46,7 @@
 	handler  *forward.Handler
 	pool     *forward.Pool
 	sharing  *sharing
+	store    *countedStore
 	registry *prometheus.Registry
 	log      logrus.FieldLogger
 
@@ -66,6 +67,7 @@
 	d.loops.Go(func() { d.announce(present) })
 	d.loops.Go(func() { d.presence.follow(ctx) })
 	d.loops.Go(func() { d.sweep(ctx) })
+	d.loops.Go(func() { d.store.run(ctx) })
 	d.loops.Go(func() { d.reload(ctx) })
 	d.log.WithFields(logrus.Fields{
 		"region": d.settings.Region, "zone": d.settings.Zone, "store": d.settings.StoreAddress,
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cenkalti/backoff/v5"
 	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
@@ -22,8 +23,6 @@
 	serverRelist = 15 * time.Second // a complete list this often, whatever the changes said
 	coveredWait  = 10 * time.Second // of a watch of the operator's keys where a peer is asked as well
 	coveredCheck = 100 * time.Millisecond
-	retryFirst   = 150 * time.Millisecond
-	retryMax     = time.Second
 )
 
 // follower keeps configuration and membership as the store has them. It reads the servers' entries
@@ -117,19 +116,17 @@
 
 // watchOperator follows the operator's keys until ctx ends.
 func (f *follower) watchOperator(ctx context.Context) {
-	wait := retryFirst
+	waits := newRetryWaits()
 	for ctx.Err() == nil {
 		asked := time.Now()
 		entries, version, err := f.store.List(ctx, f.catalog.OperatorPrefix)
 		f.told("operator-list", err)
 		if err != nil {
-			_ = clock.Sleep(ctx, wait)
-			wait = min(2*wait, retryMax)
+			_ = clock.Sleep(ctx, waits.NextBackOff())
 			continue
 		}
-		wait = retryFirst
 		f.takeOperator(func(c *storeCopy) bool { return c.takeAll(entries, version, asked) })
-		f.watchOperatorFrom(ctx, version)
+		f.watchOperatorFrom(ctx, version, waits)
 	}
 }
 
@@ -144,8 +141,8 @@
 	return f.pace.Load().operatorWait
 }
 
-// watchOperatorFrom takes changes until the watch fails or its history is gone.
-func (f *follower) watchOperatorFrom(ctx context.Context, version kv.Version) {
+// watchOperatorFrom takes changes until the watch fails, after a wait, or its history is gone.
+func (f *follower) watchOperatorFrom(ctx context.Context, version kv.Version, waits *backoff.ExponentialBackOff) {
 	for ctx.Err() == nil {
 		entries, next, err := f.watch(ctx, "operator-watch", f.catalog.OperatorPrefix, version, f.operatorWait())
 		var compacted *kv.CompactedError
@@ -153,9 +150,10 @@
 			return
 		}
 		if err != nil {
-			_ = clock.Sleep(ctx, retryFirst)
+			_ = clock.Sleep(ctx, waits.NextBackOff())
 			return
 		}
+		waits.Reset()
 		f.takeOperator(func(c *storeCopy) bool { return c.takeChanges(entries, next, time.Now()) })
 		version = max(version, next)
 	}
@@ -191,22 +189,25 @@
 
 // pollServers follows the servers' entries until ctx ends: a list, then the changes since, a few at a time.
 func (f *follower) pollServers(ctx context.Context) {
+	waits := newRetryWaits()
 	for f.awaitTurn(ctx) {
 		asked := time.Now()
 		entries, version, err := f.store.List(ctx, f.catalog.ServerPrefix)
 		f.told(readServerList, err)
 		if err != nil {
-			_ = clock.Sleep(ctx, retryFirst)
+			_ = clock.Sleep(ctx, waits.NextBackOff())
 			continue
 		}
 		f.takeServers(func(c *storeCopy) bool { return c.takeAll(entries, version, asked) })
-		f.pollServersFrom(ctx, version, asked)
+		f.pollServersFrom(ctx, version, asked, waits)
 	}
 }
 
 // pollServersFrom takes the changes after version until a read fails, the history is gone, a peer covers the
-// reads, or it is time for another complete list.
-func (f *follower) pollServersFrom(ctx context.Context, version kv.Version, listed time.Time) {
+// reads, or it is time for another complete list. After a failure it waits.
+func (f *follower) pollServersFrom(
+	ctx context.Context, version kv.Version, listed time.Time, waits *backoff.ExponentialBackOff,
+) {
 	asked := listed
 	for time.Since(listed) < serverRelist {
 		// Changes come together where servers write often; a watch that waited for one asks again at once.
@@ -217,13 +218,31 @@
 		asked = time.Now()
 		entries, next, err := f.watch(ctx, readServerChanges, f.catalog.ServerPrefix, version, f.pace.Load().serverWait)
 		if err != nil {
+			_ = clock.Sleep(ctx, waits.NextBackOff())
 			return
 		}
+		waits.Reset()
 		f.takeServers(func(c *storeCopy) bool { return c.takeChanges(entries, next, time.Now()) })
 		version = max(version, next)
 	}
 }
 
+// Waits between failed calls of the store. Entries that lapsed with the store away are used for 2.3 s after its return, so
+// the longest wait and a list fit into that.
+const (
+	retryFirst  = 150 * time.Millisecond
+	retryMax    = time.Second
+	retryGrowth = 2
+	retryJitter = 0.3 // part of the wait; keeps entry VMs that failed together apart
+)
+
+func newRetryWaits() *backoff.ExponentialBackOff {
+	waits := backoff.NewExponentialBackOff()
+	waits.InitialInterval, waits.MaxInterval = retryFirst, retryMax
+	waits.Multiplier, waits.RandomizationFactor = retryGrowth, retryJitter
+	return waits
+}
+
 // Reads of the servers' entries, as told in logs.
 const (
 	readServerList    = "servers-list"
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"time"
+
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promauto"
 
@@ -12,6 +14,10 @@
 	requests *prometheus.CounterVec
 	seconds  *prometheus.HistogramVec
 	sendings *prometheus.CounterVec
+
+	storeCalls   *prometheus.CounterVec
+	storeSeconds *prometheus.HistogramVec
+	peerCalls    *prometheus.CounterVec
 }
 
 // NewMetrics registers the metrics with registerer.
@@ -29,9 +35,27 @@
 		sendings: auto.NewCounterVec(prometheus.CounterOpts{
 			Namespace: "azureflow", Name: "gateway_sendings_total", Help: "Sendings to servers by how they ended.",
 		}, []string{"service", "region", "outcome"}),
+		storeCalls: auto.NewCounterVec(prometheus.CounterOpts{
+			Namespace: "azureflow", Name: "gateway_store_calls_total", Help: "Calls of the platform's store.",
+		}, []string{"call", "outcome"}),
+		storeSeconds: auto.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: "azureflow", Name: "gateway_store_call_duration_seconds",
+			Help:    "Time that a call of the platform's store took; a watch waits for a change.",
+			Buckets: []float64{0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10},
+		}, []string{"call"}),
+		peerCalls: auto.NewCounterVec(prometheus.CounterOpts{
+			Namespace: "azureflow", Name: "gateway_peer_calls_total", Help: "Calls of other entry VMs for their copies of the store.",
+		}, []string{"outcome"}),
 	}
 }
 
+func (m *Metrics) storeCall(call, outcome string, took time.Duration) {
+	m.storeCalls.WithLabelValues(call, outcome).Inc()
+	m.storeSeconds.WithLabelValues(call).Observe(took.Seconds())
+}
+
+func (m *Metrics) peerCall(outcome string) { m.peerCalls.WithLabelValues(outcome).Inc() }
+
 func (m *Metrics) done(d *forward.Done) {
 	m.requests.WithLabelValues(string(d.Service), d.Kind.String(), d.Reason).Inc()
 	if d.Status >= 200 && d.Status < 300 {
--- a/internal/gateway/module.go
+++ b/internal/gateway/module.go
@@ -31,7 +31,7 @@
 	return fx.Options(
 		fx.Supply(opts.Settings, opts.Catalog, opts),
 		fx.Provide(
-			provideLogger, provideStore, provideChooser, newFollower, newPresence, newSharing, prometheus.NewRegistry,
+			provideLogger, provideCountedStore, provideStore, provideChooser, newFollower, newPresence, newSharing, prometheus.NewRegistry,
 			provideMetrics, newJournal, providePeers, providePool, provideHandler, provideDaemon,
 		),
 		fx.Invoke(newDaemon),
@@ -47,7 +47,11 @@
 	return logger.WithField("vm", opts.Settings.Name), nil
 }
 
-func provideStore(s *Settings, c *Catalog) kv.StaleReader { return c.OpenStore(s.StoreAddress) }
+func provideCountedStore(s *Settings, c *Catalog, m *Metrics, log logrus.FieldLogger) *countedStore {
+	return newCountedStore(c.OpenStore(s.StoreAddress), m, log)
+}
+
+func provideStore(s *countedStore) kv.StaleReader { return s }
 
 func provideChooser(s *Settings) *placement.Chooser {
 	return placement.NewChooser(s.placementOptions())
@@ -71,9 +75,9 @@
 
 func provideDaemon(
 	opts Options, s *Settings, c *Catalog, f *follower, p *presence, h *forward.Handler, pool *forward.Pool, sharing *sharing,
-	registry *prometheus.Registry, log logrus.FieldLogger,
+	store *countedStore, registry *prometheus.Registry, log logrus.FieldLogger,
 ) *daemon {
 	return &daemon{
-		opts: opts, settings: s, catalog: c, follower: f, presence: p, handler: h, pool: pool, sharing: sharing, registry: registry, log: log,
+		opts: opts, settings: s, catalog: c, follower: f, presence: p, handler: h, pool: pool, sharing: sharing, store: store, registry: registry, log: log,
 	}
 }
--- a/internal/gateway/presence.go
+++ b/internal/gateway/presence.go
@@ -21,8 +21,8 @@
 const presencePrefix = "azureflow/entry-vms/"
 
 const (
-	presenceTTL   = 3 * time.Second // a killed VM is named in no answer after it; the users allow 7 s
-	presenceRenew = time.Second
+	presenceTTL   = 3 * time.Second         // a killed VM is named in no answer after it; the users allow 7 s
+	presenceRenew = 1400 * time.Millisecond // two tries within the life of the lease, and those after a failure
 	presenceReads = time.Second
 )
 
@@ -70,12 +70,14 @@
 
 // announce keeps this entry VM listed until ctx ends, then takes it off the list.
 func (p *presence) announce(ctx context.Context) {
+	waits := newRetryWaits()
 	for ctx.Err() == nil {
 		if err := p.renew(ctx); err != nil {
 			p.log.WithFields(logrus.Fields{"error": err.Error()}).Warn("entry VM not listed")
-			_ = clock.Sleep(ctx, retryFirst)
+			_ = clock.Sleep(ctx, waits.NextBackOff())
 			continue
 		}
+		waits.Reset()
 		_ = clock.Sleep(ctx, presenceRenew)
 	}
 	ended, cancel := context.WithTimeout(context.WithoutCancel(ctx), presenceRenew)
--- a/internal/gateway/sharing.go
+++ b/internal/gateway/sharing.go
@@ -27,15 +27,16 @@
 	presence *presence
 	pool     *peer.Pool
 	log      logrus.FieldLogger
+	metrics  *Metrics
 
 	mu    sync.Mutex
 	known map[string]*peer.FetchStoreRequest // by peer address: the copies that this VM has of it
 	turn  int                                // of the peer to ask where the reader does not help
 }
 
-func newSharing(f *follower, p *presence, log logrus.FieldLogger, pool *peer.Pool) *sharing {
+func newSharing(f *follower, p *presence, log logrus.FieldLogger, pool *peer.Pool, metrics *Metrics) *sharing {
 	return &sharing{
-		follower: f, presence: p, pool: pool, log: log, known: make(map[string]*peer.FetchStoreRequest),
+		follower: f, presence: p, pool: pool, log: log, metrics: metrics, known: make(map[string]*peer.FetchStoreRequest),
 	}
 }
 
@@ -125,6 +126,7 @@
 		reply, err = c.FetchStore(ctx, s.request(address))
 		return err
 	})
+	s.metrics.peerCall(callOutcome(err))
 	s.follower.told("peer "+address, err)
 	if err != nil {
 		return false
--- a/internal/gateway/sharing_test.go
+++ b/internal/gateway/sharing_test.go
@@ -8,6 +8,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"github.com/azureflow/azureflow/internal/peer"
 )
 
@@ -53,7 +55,7 @@
 		p.live.Store(&others)
 		shares[name] = newSharing(f, p, f.log, peer.NewPool(func(ctx context.Context, address string) (net.Conn, error) {
 			return fl.dial(ctx, shares[address], address)
-		}))
+		}), NewMetrics(prometheus.NewRegistry()))
 		fl.followers[name] = f
 	}
 	for _, name := range names {
