placement: others' load is assumed from this VM's own where no report tells

Reports of load come with answers, and the first cold answers take 1.2 s; until then each of six entry VMs saw its own sixth of the load, sent 0.02 to 0.17 of the requests elsewhere in the first windows, and the bound on change of region then held that back for 8 s.

Now a server without a report is taken to have, from each other serving entry VM of the region, what this VM has on average; an old report fades into that instead of into nothing.

gateway: two faults that repeated test runs showed. A server without an entry after an outage was kept up to 1 s too long, since the watch waited past its time (it came with the back-off's longer waits; those are 0.6 s now).

--- a/internal/gateway/copy.go
+++ b/internal/gateway/copy.go
@@ -45,9 +45,13 @@
 	}
 	before := c.change
 	listed := make(map[string]bool, len(entries))
-	for i := range entries {
-		listed[entries[i].Key] = true
-		c.put(&entries[i])
+	for _, e := range entries {
+		listed[e.Key] = true
+		// The list may be another VM's, who missed that the key went and came back and so has its older version.
+		if row := c.rows[e.Key]; row != nil && row.entry.Deleted && e.Version < row.entry.Version && row.entry.Version < version {
+			e.Version = version
+		}
+		c.put(&e)
 	}
 	for key, row := range c.rows {
 		if !listed[key] && !row.entry.Deleted && row.entry.Version <= version {
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -216,7 +216,7 @@
 			return
 		}
 		asked = time.Now()
-		entries, next, err := f.watch(ctx, readServerChanges, f.catalog.ServerPrefix, version, f.pace.Load().serverWait)
+		entries, next, err := f.watch(ctx, readServerChanges, f.catalog.ServerPrefix, version, f.serverWait())
 		if err != nil {
 			_ = clock.Sleep(ctx, waits.NextBackOff())
 			return
@@ -227,11 +227,26 @@
 	}
 }
 
-// Waits between failed calls of the store. Entries that lapsed with the store away are used for 2.3 s after its return, so
-// the longest wait and a list fit into that.
+// serverWait returns how long one watch of the servers' entries may wait: not past the time at which servers that are
+// kept without an entry are gone.
+func (f *follower) serverWait() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	wait := f.pace.Load().serverWait
+	if !f.registry.waiting() {
+		return wait
+	}
+	return max(minServerWait, min(wait, time.Until(f.registry.keptUntil())))
+}
+
+// minServerWait keeps watches apart that would wait for nothing.
+const minServerWait = 50 * time.Millisecond
+
+// Waits between failed calls of the store. Entries that lapsed with the store away are used for 2.3 s after its return is
+// seen, so the longest wait is a fraction of that.
 const (
 	retryFirst  = 150 * time.Millisecond
-	retryMax    = time.Second
+	retryMax    = 600 * time.Millisecond
 	retryGrowth = 2
 	retryJitter = 0.3 // part of the wait; keeps entry VMs that failed together apart
 )
--- a/internal/gateway/presence.go
+++ b/internal/gateway/presence.go
@@ -152,9 +152,27 @@
 		live = append(live, r)
 	}
 	p.live.Store(&live)
+	peers.Serving = p.serving()
 	p.chooser.SetPeers(peers)
 }
 
+// serving returns how many entry VMs of this region callers are told of.
+func (p *presence) serving() int {
+	named := make(map[string]bool)
+	zones := map[steering.ZoneName]bool{p.self.Zone: true}
+	for _, r := range *p.live.Load() {
+		if r.Region == p.self.Region {
+			zones[r.Zone] = true
+		}
+	}
+	for zone := range zones {
+		for _, address := range p.Lookup(p.self.Region, zone).Addresses {
+			named[address] = true
+		}
+	}
+	return len(named)
+}
+
 // reader returns the peer address of the entry VM that reads for this region, or "" if that is this one. It is
 // the one with the widest link, since all others take copies from it, and of these the first by address.
 func (p *presence) reader() string {
--- a/internal/gateway/presence_test.go
+++ b/internal/gateway/presence_test.go
@@ -110,3 +110,17 @@
 		t.Errorf("reader is %q, want the VM with the widest link", got)
 	}
 }
+
+// Only the entry VMs that callers are told of count as sharing the region's load.
+func TestServingCountsThoseThatAreNamed(t *testing.T) {
+	p := testPresence(t, map[string]presenceRecord{
+		"self":   {Zone: "north-a", Region: "north", Requests: "self:1", LinkMbit: 0},
+		"wide-1": {Zone: "north-b", Region: "north", Requests: "1", Peer: "1", LinkMbit: 200},
+		"wide-2": {Zone: "north-b", Region: "north", Requests: "2", Peer: "2", LinkMbit: 200},
+		"narrow": {Zone: "north-b", Region: "north", Requests: "3", Peer: "3", LinkMbit: 10},
+		"far":    {Zone: "south-a", Region: "south", Requests: "4", Peer: "4", LinkMbit: 200},
+	})
+	if got := p.serving(); got != 3 {
+		t.Errorf("%d entry VMs serve the region, want itself and the two wide ones", got)
+	}
+}
--- a/internal/gateway/registry.go
+++ b/internal/gateway/registry.go
@@ -50,6 +50,9 @@
 // waiting reports whether servers are kept that are not listed.
 func (g *registry) waiting() bool { return len(g.lapsed) > 0 }
 
+// keptUntil is when servers that are kept are gone.
+func (g *registry) keptUntil() time.Time { return g.returned.Add(returnTime + returnMargin) }
+
 // listed takes a complete list of the servers and returns what changed. A server that is not in it is gone; but
 // one that vanished while the store was away is kept until its entry had time to come back.
 func (g *registry) listed(servers []placement.Member, now time.Time) []change {
@@ -66,7 +69,7 @@
 		g.members[m.ID] = m
 		present[m.ID] = true
 	}
-	keep := !g.returned.IsZero() && now.Sub(g.returned) < returnTime+returnMargin
+	keep := !g.returned.IsZero() && now.Before(g.keptUntil())
 	clear(g.lapsed)
 	for id, m := range g.members {
 		switch {
--- a/internal/placement/chooser.go
+++ b/internal/placement/chooser.go
@@ -114,10 +114,11 @@
 	cold     map[steering.ServiceName]float64 // requests a second that a cold server bears
 }
 
-// Peers counts the live entry VMs, this one included, that divide the fleet's allowances.
+// Peers counts the live entry VMs, this one included. Those of the fleet and of the region divide the allowances.
 type Peers struct {
-	Fleet  int
-	Region int
+	Fleet   int
+	Region  int
+	Serving int // of the region, those that callers are told of
 }
 
 // NewChooser returns a Chooser that knows no server.
--- a/internal/placement/chooser_test.go
+++ b/internal/placement/chooser_test.go
@@ -332,3 +332,39 @@
 		break
 	}
 }
+
+// Replays reuss on zollbrugg-gate-grown, quiet-1: six entry VMs start at once with few servers and no report yet, each
+// sees its own sixth of the load, and the first windows set how much may run elsewhere after them.
+func TestLoadOfOthersIsAssumedUntilReportsCome(t *testing.T) {
+	const requests = 6 // of this VM; six VMs send 36 to the 12 slots of the region
+	for _, test := range []struct {
+		serving int
+		away    bool
+	}{{1, false}, {6, true}} {
+		c := testChooser(member("a", "north"), member("b", "north"),
+			member("c", "south"), member("d", "south"), member("e", "south"), member("f", "south"))
+		c.SetPeers(Peers{Fleet: 12, Region: test.serving, Serving: test.serving})
+		away := 0
+		for object := range uint64(requests) {
+			if p, _ := c.Place(testQuery(object+1), start); p != nil && p.Region != "north" {
+				away++
+			}
+		}
+		if test.away != (away > 0) {
+			t.Errorf("%d entry VMs: %d of %d requests run elsewhere", test.serving, away, requests)
+		}
+	}
+}
+
+// A server from which no report came for long is taken to be as busy as what this VM sends says, not idle.
+func TestOldReportGivesWayToWhatIsAssumed(t *testing.T) {
+	s := newServer(member("a", "north"))
+	s.report(Load{Running: 6, Waiting: 6, Slowness: 1}, start)
+	s.assumed = 2
+	if got := s.load(start.Add(reportFresh)); got != 12 {
+		t.Errorf("%.1f requests by a fresh report, want 12", got)
+	}
+	if got := s.load(start.Add(time.Minute)); got < 1.9 || got > 2.1 {
+		t.Errorf("%.2f requests a minute after the last report, want the 2 that are assumed", got)
+	}
+}
--- a/internal/placement/cost.go
+++ b/internal/placement/cost.go
@@ -54,6 +54,7 @@
 	if home := homes[c.opts.Region]; room <= shiftStay && c.migrates(home, q, now) {
 		return c.estimate(home, home, q, times, now), 1
 	}
+	c.assumeOthers(q.Service)
 	pressure := c.pressures(q.Service, now)
 	for _, s := range c.services[q.Service] {
 		if !c.eligible(s, q, now) || !room.admits(s.member.Region == c.opts.Region) {
@@ -134,6 +135,24 @@
 	return cost
 }
 
+// assumeOthers says what other entry VMs are taken to have at this region's servers of a service where no report
+// tells: as much as this VM on average, each of them. Objects are spread alike from every VM of the region.
+func (c *Chooser) assumeOthers(service steering.ServiceName) {
+	inFlight, servers := 0, 0
+	for _, s := range c.services[service] {
+		if s.member.Region == c.opts.Region {
+			inFlight += s.inFlight
+			servers++
+		}
+	}
+	for _, s := range c.services[service] {
+		s.assumed = 0
+		if s.member.Region == c.opts.Region {
+			s.assumed = float64(inFlight) / float64(servers) * float64(max(0, c.peers.Serving-1))
+		}
+	}
+}
+
 // pressures returns which part of the slots of a service in each region is taken, 1 if all are.
 func (c *Chooser) pressures(service steering.ServiceName, now time.Time) map[steering.RegionName]float64 {
 	load := make(map[steering.RegionName]float64)
--- a/internal/placement/load_test.go
+++ b/internal/placement/load_test.go
@@ -143,22 +143,31 @@
 
 // Replays deploy/days/callers-move-leave-and-repeat on sohar-proof, seed 467565667768: a burst of 2.5 times the
 // requests ends, and the share that runs elsewhere fell by 0.34 within two seconds, where the users allow 0.15.
+//
+// A window of 120 requests differs by chance alone: with them 3 of 20 seeds went over 0.15 (0.165 to 0.167) before others' load was
+// assumed, and 4 (0.154 to 0.175) after. With four times the requests none of 20 does, before or after.
 func TestEndOfABurstKeepsTheShiftBound(t *testing.T) {
-	s := newSimulation(19, 8, 2)
+	for _, seed := range []uint64{1, 15, 19} {
+		endBurst(t, seed)
+	}
+}
+
+func endBurst(t *testing.T, seed uint64) {
+	s := newSimulation(seed, 32, 8)
 	s.useChoosers()
 	const end = 14 * time.Second
-	s.load(0, loadSpan, steady(60))
+	s.load(0, loadSpan, steady(240))
 	s.load(1, loadSpan, func(t time.Duration) float64 {
 		if t < end {
-			return 40 + 20*t.Seconds()
+			return 160 + 80*t.Seconds()
 		}
-		return 60
+		return 240
 	})
 	s.run()
 	windows := s.windows[simRegion(1)]
 	for i := 1; i < len(windows)-1; i++ {
 		if change := windows[i-1].remoteShare() - windows[i].remoteShare(); change > 0.15 {
-			t.Errorf("window %d: the share elsewhere fell by %.3f to %.3f", i, change, windows[i].remoteShare())
+			t.Errorf("seed %d, window %d: the share elsewhere fell by %.3f to %.3f", seed, i, change, windows[i].remoteShare())
 		}
 	}
 	// At the bound the share falls by 0.15 each 2 s, to nothing in 10 s; objects that are at hand elsewhere may stay.
--- a/internal/placement/server.go
+++ b/internal/placement/server.go
@@ -36,6 +36,7 @@
 	reported   time.Time // when the last report came
 	others     float64   // requests of other entry VMs at the server, by the last report
 	othersMean float64
+	assumed    float64 // the same where no report tells
 	slowness   float64 // of its machine, by the last report
 	factor     float64 // service time beside that of other servers, what reports do not tell, at learned
 	learned    time.Time
@@ -78,11 +79,11 @@
 }
 
 // othersAt returns the requests of other entry VMs at the server. A report counts in full while it is fresh,
-// then gives way to the mean of the reports before; without any newer report that fades too, so that a server which
-// was full once is tried again.
+// then gives way to the mean of the reports before; without any newer report that fades into what is assumed, so that
+// a server which was full once is tried again.
 func (s *Server) othersAt(now time.Time) float64 {
 	if s.reported.IsZero() {
-		return 0
+		return s.assumed
 	}
 	age := now.Sub(s.reported)
 	if age <= reportFresh {
@@ -92,7 +93,7 @@
 		old := float64(age-reportFresh) / float64(reportStale-reportFresh)
 		return s.others*(1-old) + s.othersMean*old
 	}
-	return s.othersMean * math.Exp2(-(age-reportStale).Seconds()/othersHalf.Seconds())
+	return s.assumed + (s.othersMean-s.assumed)*math.Exp2(-(age-reportStale).Seconds()/othersHalf.Seconds())
 }
 
 // slownessAt returns how slow work is at the server at now, relative to the usual. The machine's part of it
--- a/internal/placement/simulation_test.go
+++ b/internal/placement/simulation_test.go
@@ -155,7 +155,7 @@
 			RetryRatio: 0.2, RetrySlack: 64,
 		})
 		c.Update(s.membership())
-		c.SetPeers(Peers{Fleet: len(s.regions), Region: 2})
+		c.SetPeers(Peers{Fleet: len(s.regions), Region: 2, Serving: 2})
 		s.policies = append(s.policies, c)
 	}
 }
--- a/internal/region/plan_test.go
+++ b/internal/region/plan_test.go
@@ -2,28 +2,19 @@
 
 import (
 	"encoding/json"
-	"flag"
 	"fmt"
 	"math"
-	"os"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
 
+	"github.com/azureflow/azureflow/internal/proptest"
 	"github.com/azureflow/azureflow/internal/review"
 	"github.com/azureflow/azureflow/internal/steering"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.checks": "1000", "rapid.nofailfile": "true"} {
-		if f := flag.Lookup(name); f != nil && f.Value.String() == f.DefValue {
-			_ = flag.Set(name, value)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { proptest.Main(m, 1000) }
 
 var names = []steering.RegionName{"batinah", "dhofar", "muscat"}
 
--- a/internal/zone/world_test.go
+++ b/internal/zone/world_test.go
@@ -3,11 +3,9 @@
 import (
 	"context"
 	"errors"
-	"flag"
 	"fmt"
 	"hash/fnv"
 	"math/rand/v2"
-	"os"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -17,19 +15,12 @@
 	"github.com/azureflow/azureflow/internal/contract"
 	"github.com/azureflow/azureflow/internal/peer"
 	"github.com/azureflow/azureflow/internal/platform/platformtest"
+	"github.com/azureflow/azureflow/internal/proptest"
 	"github.com/azureflow/azureflow/internal/steering"
 	"github.com/azureflow/azureflow/internal/vm"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.checks": "40", "rapid.nofailfile": "true"} {
-		if f := flag.Lookup(name); f != nil && f.Value.String() == f.DefValue {
-			_ = flag.Set(name, value)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { proptest.Main(m, 40) }
 
 const service steering.ServiceName = "certdesk"
 
