--- /dev/null
+++ b/internal/gateway/directory.go
@@ -0,0 +1,78 @@
+package gateway
+
+import (
+	"sort"
+
+	"github.com/azureflow/azureflow/internal/steering"
+)
+
+// Lookup returns the entry VMs for callers in a zone: those of the zone, else of its region, else all. Of these
+// it leaves out the ones whose links are too narrow for an even share.
+func (p *presence) Lookup(region steering.RegionName, zone steering.ZoneName) Found {
+	var inZone, inRegion, all []*presenceRecord
+	add := func(r *presenceRecord) {
+		all = append(all, r)
+		if r.Region == region {
+			inRegion = append(inRegion, r)
+		}
+		if r.Zone == zone {
+			inZone = append(inZone, r)
+		}
+	}
+	if !p.leaves.Load() {
+		add(&p.self)
+	}
+	for _, r := range *p.live.Load() {
+		add(&r)
+	}
+	found := all
+	switch {
+	case len(inZone) > 0:
+		found = inZone
+	case len(inRegion) > 0:
+		found = inRegion
+	}
+	found = widest(found)
+	addresses := make([]string, 0, maxAddresses)
+	for _, r := range found[:min(len(found), maxAddresses)] {
+		addresses = append(addresses, r.Requests)
+	}
+	sort.Strings(addresses)
+	return Found{Addresses: addresses, TTL: p.ttl}
+}
+
+// leastNamed is the number of entry VMs that an answer names if there are so many: one may have died unnoticed.
+const leastNamed = 2
+
+// widest returns the records that carry most together. Callers choose evenly among those named, so that n of them
+// carry n times what the narrowest one does: a VM with a narrow link would hold up its share of the callers.
+func widest(records []*presenceRecord) []*presenceRecord {
+	sort.SliceStable(records, func(i, j int) bool { return records[i].widerThan(records[j]) })
+	best, most := len(records), 0.0
+	for n := leastNamed; n <= len(records); n++ {
+		if mbit := float64(n) * records[n-1].LinkMbit; mbit >= most {
+			best, most = n, mbit
+		}
+	}
+	return records[:best]
+}
+
+// maxAddresses is the most that a caller reads from an answer, by the protocol.
+const maxAddresses = 64
+
+// serving returns how many entry VMs of this region callers are told of.
+func (p *presence) serving() int {
+	named := make(map[string]bool)
+	zones := map[steering.ZoneName]bool{p.self.Zone: true}
+	for _, r := range *p.live.Load() {
+		if r.Region == p.self.Region {
+			zones[r.Zone] = true
+		}
+	}
+	for zone := range zones {
+		for _, address := range p.Lookup(p.self.Region, zone).Addresses {
+			named[address] = true
+		}
+	}
+	return len(named)
+}
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -100,6 +100,13 @@
 	return now.Sub(f.servers.readAt) < f.pace.Load().shareFresh
 }
 
+// readTimes returns when the reads were asked for that the copies reflect; zero if there was none.
+func (f *follower) readTimes() (servers, operator time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.servers.readAt, f.operator.readAt
+}
+
 // awaitTurn waits while a peer covers the reads. It returns false once ctx has ended.
 func (f *follower) awaitTurn(ctx context.Context) bool {
 	for ctx.Err() == nil {
--- a/internal/gateway/module.go
+++ b/internal/gateway/module.go
@@ -32,9 +32,9 @@
 		fx.Supply(opts.Settings, opts.Catalog, opts),
 		fx.Provide(
 			provideLogger, provideCountedStore, provideStore, provideChooser, newFollower, newPresence, newSharing, prometheus.NewRegistry,
-			provideMetrics, newJournal, providePeers, providePool, provideHandler, provideDaemon,
+			provideMetrics, newStateCollector, newJournal, providePeers, providePool, provideHandler, provideDaemon,
 		),
-		fx.Invoke(newDaemon),
+		fx.Invoke(registerState, newDaemon),
 		fx.StopTimeout(opts.Settings.StopTimeout()),
 	)
 }
@@ -59,6 +59,8 @@
 
 func provideMetrics(r *prometheus.Registry) *Metrics { return NewMetrics(r) }
 
+func registerState(r *prometheus.Registry, s *stateCollector) error { return r.Register(s) }
+
 func providePeers() *peer.Pool { return peer.NewPool(nil) }
 
 func providePool() *forward.Pool {
--- a/internal/gateway/presence.go
+++ b/internal/gateway/presence.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"net"
-	"sort"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -156,29 +155,12 @@
 	p.chooser.SetPeers(peers)
 }
 
-// serving returns how many entry VMs of this region callers are told of.
-func (p *presence) serving() int {
-	named := make(map[string]bool)
-	zones := map[steering.ZoneName]bool{p.self.Zone: true}
-	for _, r := range *p.live.Load() {
-		if r.Region == p.self.Region {
-			zones[r.Zone] = true
-		}
-	}
-	for zone := range zones {
-		for _, address := range p.Lookup(p.self.Region, zone).Addresses {
-			named[address] = true
-		}
-	}
-	return len(named)
-}
-
 // reader returns the peer address of the entry VM that reads for this region, or "" if that is this one. It is
 // the one with the widest link, since all others take copies from it, and of these the first by address.
 func (p *presence) reader() string {
 	reader := &p.self
 	for _, r := range *p.live.Load() {
-		if r.Region == p.self.Region && r.Peer != "" && r.readsBefore(reader) {
+		if r.Region == p.self.Region && r.Peer != "" && r.widerThan(reader) {
 			reader = &r
 		}
 	}
@@ -188,7 +170,8 @@
 	return reader.Peer
 }
 
-func (r *presenceRecord) readsBefore(other *presenceRecord) bool {
+// widerThan orders entry VMs: the wider link first, then the lower address.
+func (r *presenceRecord) widerThan(other *presenceRecord) bool {
 	if r.LinkMbit != other.LinkMbit {
 		return r.LinkMbit > other.LinkMbit
 	}
@@ -197,60 +180,3 @@
 
 // leave takes this entry VM out of its own answers.
 func (p *presence) leave() { p.leaves.Store(true) }
-
-// Lookup returns the entry VMs for callers in a zone: those of the zone, else of its region, else all. Of these
-// it leaves out the ones whose links are too narrow for an even share.
-func (p *presence) Lookup(region steering.RegionName, zone steering.ZoneName) Found {
-	var inZone, inRegion, all []*presenceRecord
-	add := func(r *presenceRecord) {
-		all = append(all, r)
-		if r.Region == region {
-			inRegion = append(inRegion, r)
-		}
-		if r.Zone == zone {
-			inZone = append(inZone, r)
-		}
-	}
-	if !p.leaves.Load() {
-		add(&p.self)
-	}
-	for _, r := range *p.live.Load() {
-		add(&r)
-	}
-	found := all
-	switch {
-	case len(inZone) > 0:
-		found = inZone
-	case len(inRegion) > 0:
-		found = inRegion
-	}
-	found = widest(found)
-	addresses := make([]string, 0, maxAddresses)
-	for _, r := range found[:min(len(found), maxAddresses)] {
-		addresses = append(addresses, r.Requests)
-	}
-	sort.Strings(addresses)
-	return Found{Addresses: addresses, TTL: p.ttl}
-}
-
-// leastNamed is the number of entry VMs that an answer names if there are so many: one may have died unnoticed.
-const leastNamed = 2
-
-// widest returns the records that carry most together. Callers choose evenly among those named, so that n of them
-// carry n times what the narrowest one does: a VM with a narrow link would hold up its share of the callers.
-func widest(records []*presenceRecord) []*presenceRecord {
-	sort.SliceStable(records, func(i, j int) bool { return records[i].readsBefore(records[j]) })
-	best, most := len(records), 0.0
-	for n := min(leastNamed, len(records)); n <= len(records); n++ {
-		if n == 0 {
-			continue
-		}
-		if mbit := float64(n) * records[n-1].LinkMbit; mbit >= most {
-			best, most = n, mbit
-		}
-	}
-	return records[:best]
-}
-
-// maxAddresses is the most that a caller reads from an answer, by the protocol.
-const maxAddresses = 64
--- /dev/null
+++ b/internal/gateway/state.go
@@ -0,0 +1,79 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/azureflow/azureflow/internal/placement"
+)
+
+// stateCollector shows what this entry VM believes at the moment of a scrape.
+type stateCollector struct {
+	follower *follower
+	presence *presence
+	chooser  *placement.Chooser
+
+	servers  *prometheus.Desc
+	inFlight *prometheus.Desc
+	pressure *prometheus.Desc
+	budget   *prometheus.Desc
+	peers    *prometheus.Desc
+	age      *prometheus.Desc
+	version  *prometheus.Desc
+}
+
+var _ prometheus.Collector = (*stateCollector)(nil)
+
+func newStateCollector(f *follower, p *presence, c *placement.Chooser) *stateCollector {
+	desc := func(name, help string, labels ...string) *prometheus.Desc {
+		return prometheus.NewDesc(prometheus.BuildFQName("azureflow", "gateway", name), help, labels, nil)
+	}
+	return &stateCollector{
+		follower: f, presence: p, chooser: c,
+		servers:  desc("servers", "Servers by what is believed of them.", "service", "state"),
+		inFlight: desc("requests_in_flight", "Requests of this entry VM at servers.", "service"),
+		pressure: desc("slots_taken_ratio", "Part of the slots in this region that is taken.", "service"),
+		budget:   desc("retry_budget_sendings", "Sendings beyond the first that are allowed now.", "service"),
+		peers:    desc("entry_vms", "Other entry VMs that are listed."),
+		age:      desc("store_copy_age_seconds", "Time since the read that a copy of the store reflects.", "copy"),
+		version:  desc("configuration_version", "Version of the configuration in force, 0 if none is."),
+	}
+}
+
+// Describe implements prometheus.Collector.
+func (s *stateCollector) Describe(to chan<- *prometheus.Desc) {
+	for _, d := range []*prometheus.Desc{s.servers, s.inFlight, s.pressure, s.budget, s.peers, s.age, s.version} {
+		to <- d
+	}
+}
+
+// Collect implements prometheus.Collector.
+func (s *stateCollector) Collect(to chan<- prometheus.Metric) {
+	now := time.Now()
+	gauge := func(d *prometheus.Desc, value float64, labels ...string) {
+		to <- prometheus.MustNewConstMetric(d, prometheus.GaugeValue, value, labels...)
+	}
+	for name, state := range s.chooser.State(now) {
+		service := string(name)
+		gauge(s.servers, float64(state.Usable-state.Cold), service, "warm")
+		gauge(s.servers, float64(state.Cold), service, "cold")
+		gauge(s.servers, float64(state.Leaving), service, "leaving")
+		gauge(s.servers, float64(state.Ejected), service, "ejected")
+		gauge(s.inFlight, float64(state.InFlight), service)
+		gauge(s.pressure, state.Pressure, service)
+		gauge(s.budget, state.RetryBudget, service)
+	}
+	gauge(s.peers, float64(len(*s.presence.live.Load())))
+	servers, operator := s.follower.readTimes()
+	for copied, readAt := range map[string]time.Time{"servers": servers, "operator": operator} {
+		if !readAt.IsZero() {
+			gauge(s.age, now.Sub(readAt).Seconds(), copied)
+		}
+	}
+	version := 0.0
+	if t := s.follower.Table(); t != nil {
+		version = float64(t.Version())
+	}
+	gauge(s.version, version)
+}
--- /dev/null
+++ b/internal/gateway/state_test.go
@@ -0,0 +1,40 @@
+package gateway
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+)
+
+func TestStateIsScraped(t *testing.T) {
+	following(t, func(t *testing.T, store *fakeStore, f *follower) {
+		registry := prometheus.NewRegistry()
+		p := newPresence(store, testSettings("one"), f.chooser, silentLog())
+		if err := registry.Register(newStateCollector(f, p, f.chooser)); err != nil {
+			t.Fatal(err)
+		}
+		page := httptest.NewRecorder()
+		promhttp.HandlerFor(registry, promhttp.HandlerOpts{}).ServeHTTP(page, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+		for _, want := range []string{
+			`azureflow_gateway_servers{service="desk",state="warm"} 2`,
+			`azureflow_gateway_servers{service="desk",state="leaving"} 0`,
+			`azureflow_gateway_requests_in_flight{service="desk"} 0`,
+			`azureflow_gateway_slots_taken_ratio{service="desk"} 0`,
+			`azureflow_gateway_retry_budget_sendings{service="desk"} 0`,
+			`azureflow_gateway_store_copy_age_seconds{copy="servers"}`,
+			`azureflow_gateway_configuration_version 3`,
+			`azureflow_gateway_entry_vms 0`,
+		} {
+			if !strings.Contains(page.Body.String(), want) {
+				t.Errorf("the metrics lack %s", want)
+			}
+		}
+		if t.Failed() {
+			t.Log(page.Body.String())
+		}
+	})
+}
--- a/internal/placement/budget.go
+++ b/internal/placement/budget.go
@@ -18,6 +18,14 @@
 	b.tokens = min(b.tokens+b.Ratio, b.Burst)
 }
 
+// Left returns how many sendings are allowed now.
+func (b *RetryBudget) Left() float64 {
+	if !b.begun {
+		return b.Burst
+	}
+	return b.tokens
+}
+
 // Take spends one sending if the budget allows it.
 func (b *RetryBudget) Take() bool {
 	if b.tokens < 1 {
--- /dev/null
+++ b/internal/placement/state.go
@@ -0,0 +1,50 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/azureflow/azureflow/internal/steering"
+)
+
+// ServiceState is what a Chooser believes of one service at a moment.
+type ServiceState struct {
+	Usable      int     // servers that may get requests
+	Cold        int     // of these, those that have just started
+	Leaving     int     // servers that get nothing new: draining, or in an evacuated zone
+	Ejected     int     // servers that get nothing for what was seen of them
+	InFlight    int     // requests of this entry VM
+	Pressure    float64 // part of the slots in this region that is taken, 1 if all are
+	RetryBudget float64 // sendings beyond the first that are allowed now
+}
+
+// State returns what is believed of each service at now.
+func (c *Chooser) State(now time.Time) map[steering.ServiceName]ServiceState {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	states := make(map[steering.ServiceName]ServiceState, len(c.services))
+	for service, servers := range c.services {
+		var state ServiceState
+		for _, s := range servers {
+			c.count(&state, s, now)
+		}
+		state.Pressure = c.pressures(service, now)[c.opts.Region]
+		state.RetryBudget = c.budget(service).Left()
+		states[service] = state
+	}
+	return states
+}
+
+func (c *Chooser) count(state *ServiceState, s *Server, now time.Time) {
+	state.InFlight += s.inFlight
+	switch {
+	case s.member.Draining || c.away[s.member.Zone]:
+		state.Leaving++
+	case !s.health.usable(now):
+		state.Ejected++
+	default:
+		state.Usable++
+		if s.cold(now) {
+			state.Cold++
+		}
+	}
+}
