--- a/cmd/azureflow/e2e_pause_test.go
+++ b/cmd/azureflow/e2e_pause_test.go
@@ -10,7 +10,7 @@
 	"testing"
 
 	"github.com/azureflow/azureflow/internal/admin"
-	"github.com/azureflow/azureflow/internal/platform"
+	"github.com/azureflow/azureflow/internal/refplatform"
 	"github.com/azureflow/azureflow/internal/standin"
 )
 
@@ -174,7 +174,7 @@
 		Leader     string
 		Successors []string
 	}
-	store := platform.NewClient(platform.ClientOptions{StoreURL: s.platform})
+	store := refplatform.NewClient(refplatform.ClientOptions{StoreURL: s.platform})
 	entry, err := store.Get(s.t.Context(), "zones/"+zone+"/record")
 	if err != nil || json.Unmarshal(entry.Value, &record) != nil {
 		return false
--- a/cmd/azureflow/exit.go
+++ b/cmd/azureflow/exit.go
@@ -6,7 +6,7 @@
 	"net"
 	"net/url"
 
-	"github.com/azureflow/azureflow/internal/platform"
+	"github.com/azureflow/azureflow/internal/refplatform"
 )
 
 // Exit codes of every command.
@@ -39,8 +39,8 @@
 func exitCode(err error) int {
 	var (
 		unreachable *unreachableError
-		unavailable *platform.UnavailableError
-		effect      *platform.EffectUnknownError
+		unavailable *refplatform.UnavailableError
+		effect      *refplatform.EffectUnknownError
 		network     net.Error
 		request     *url.Error
 		file        *fs.PathError // would pass for a net.Error: it has the same methods
--- a/cmd/azureflow/publish.go
+++ b/cmd/azureflow/publish.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"github.com/azureflow/azureflow/internal/peer"
-	"github.com/azureflow/azureflow/internal/platform"
+	"github.com/azureflow/azureflow/internal/refplatform"
 	"github.com/azureflow/azureflow/internal/steering"
 	"github.com/azureflow/azureflow/internal/vm"
 )
@@ -72,16 +72,16 @@
 	return nil
 }
 
-func (c *publishCommand) client() *platform.Client {
+func (c *publishCommand) client() *refplatform.Client {
 	list := c.VMList
 	if list == "" {
 		list = c.Store
 	}
-	return platform.NewClient(platform.ClientOptions{StoreURL: c.Store, VMListURL: list, Name: "publish"})
+	return refplatform.NewClient(refplatform.ClientOptions{StoreURL: c.Store, VMListURL: list, Name: "publish"})
 }
 
 // peerAddresses returns a function that lists the peer addresses of the entry VMs.
-func peerAddresses(list platform.VMList) func(ctx context.Context) ([]string, error) {
+func peerAddresses(list refplatform.VMList) func(ctx context.Context) ([]string, error) {
 	return func(ctx context.Context) ([]string, error) {
 		rows, err := list.VMs(ctx)
 		if err != nil {
--- a/cmd/azureflow/wait.go
+++ b/cmd/azureflow/wait.go
@@ -9,7 +9,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/azureflow/azureflow/internal/admin"
-	"github.com/azureflow/azureflow/internal/platform"
+	"github.com/azureflow/azureflow/internal/refplatform"
 	"github.com/azureflow/azureflow/internal/steering"
 	"github.com/azureflow/azureflow/internal/vm"
 )
@@ -26,7 +26,7 @@
 
 // waitInForce asks every entry VM of the VM list until revision is in force on all or limit passed, and
 // returns those on which it is not.
-func waitInForce(ctx context.Context, list platform.VMList, revision steering.Revision, limit time.Duration) []laggard {
+func waitInForce(ctx context.Context, list refplatform.VMList, revision steering.Revision, limit time.Duration) []laggard {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	rows, err := list.VMs(ctx)
--- a/internal/demo/world.go
+++ b/internal/demo/world.go
@@ -15,7 +15,7 @@
 
 	"github.com/azureflow/azureflow/internal/admin"
 	"github.com/azureflow/azureflow/internal/entry"
-	"github.com/azureflow/azureflow/internal/platform"
+	"github.com/azureflow/azureflow/internal/refplatform"
 	"github.com/azureflow/azureflow/internal/standin"
 	"github.com/azureflow/azureflow/internal/steering"
 	"github.com/azureflow/azureflow/internal/vm"
@@ -187,7 +187,7 @@
 func (w *world) publishTree(ctx context.Context, tree *steering.Tree) (steering.Revision, error) {
 	operator := w.operator()
 	defer operator.CloseIdleConnections()
-	client := platform.NewClient(platform.ClientOptions{
+	client := refplatform.NewClient(refplatform.ClientOptions{
 		StoreURL: w.platformAt, VMListURL: w.platformAt, Name: "publish", Transport: operator,
 	})
 	publisher := steering.NewPublisher(steering.PublisherOptions{Store: client})
--- a/internal/entry/adminsources.go
+++ b/internal/entry/adminsources.go
@@ -11,7 +11,7 @@
 	"github.com/azureflow/azureflow/internal/admin"
 	"github.com/azureflow/azureflow/internal/contract"
 	"github.com/azureflow/azureflow/internal/link"
-	"github.com/azureflow/azureflow/internal/platform"
+	"github.com/azureflow/azureflow/internal/refplatform"
 	"github.com/azureflow/azureflow/internal/region"
 	"github.com/azureflow/azureflow/internal/review"
 	"github.com/azureflow/azureflow/internal/steering"
@@ -69,14 +69,14 @@
 	table     *region.Table
 	topology  *topology
 	peers     *peers
-	store     platform.Store
+	store     refplatform.Store
 	records   *review.Log
 }
 
 func provideAdmin(
 	s *steering.Settings, self Identity, f *steering.Follower, a *alarms, lags *lags, d *vm.Directory, l *vm.Leaders, dom *domains,
 	links *links, book *contract.Book, pools *pools, flows *flows, table *region.Table, t *topology, p *peers,
-	store platform.Store, records *review.Log, registry *prometheus.Registry,
+	store refplatform.Store, records *review.Log, registry *prometheus.Registry,
 ) adminHandler {
 	src := &adminSources{
 		self: self, follower: f, alarms: a, lags: lags, directory: d, leaders: l, domains: dom, links: links, book: book,
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -13,7 +13,7 @@
 
 	"github.com/azureflow/azureflow/internal/contract"
 	"github.com/azureflow/azureflow/internal/peer"
-	"github.com/azureflow/azureflow/internal/platform"
+	"github.com/azureflow/azureflow/internal/refplatform"
 	"github.com/azureflow/azureflow/internal/region"
 	"github.com/azureflow/azureflow/internal/request"
 	"github.com/azureflow/azureflow/internal/review"
@@ -35,7 +35,7 @@
 
 	Settings  *steering.Settings
 	Self      Identity
-	Store     platform.Store
+	Store     refplatform.Store
 	VMList    *zoneList
 	Directory *vm.Directory
 	Exchanger *vm.Exchanger
--- a/internal/entry/domains.go
+++ b/internal/entry/domains.go
@@ -9,7 +9,7 @@
 
 	"github.com/azureflow/azureflow/internal/contract"
 	"github.com/azureflow/azureflow/internal/peer"
-	"github.com/azureflow/azureflow/internal/platform"
+	"github.com/azureflow/azureflow/internal/refplatform"
 	"github.com/azureflow/azureflow/internal/steering"
 	"github.com/azureflow/azureflow/internal/vm"
 	"github.com/azureflow/azureflow/internal/zone"
@@ -26,7 +26,7 @@
 // domainDeps is what a domain is made of.
 type domainDeps struct {
 	self      Identity
-	store     platform.Store
+	store     refplatform.Store
 	directory *vm.Directory
 	book      *contract.Book
 	leaders   *vm.Leaders
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -8,7 +8,7 @@
 
 	"github.com/azureflow/azureflow/internal/contract"
 	"github.com/azureflow/azureflow/internal/peer"
-	"github.com/azureflow/azureflow/internal/platform"
+	"github.com/azureflow/azureflow/internal/refplatform"
 	"github.com/azureflow/azureflow/internal/review"
 	"github.com/azureflow/azureflow/internal/steering"
 	"github.com/azureflow/azureflow/internal/telemetry"
@@ -36,7 +36,7 @@
 }
 
 func provideFollower(
-	s *steering.Settings, self Identity, store platform.Store, p *peers, l *vm.Leaders,
+	s *steering.Settings, self Identity, store refplatform.Store, p *peers, l *vm.Leaders,
 	recorder review.Recorder, m *telemetry.Metrics, log logrus.FieldLogger,
 ) followed {
 	out := followed{Pokes: &pokes{}, Alarms: &alarms{}}
@@ -66,7 +66,7 @@
 }
 
 func provideDomains(
-	self Identity, store platform.Store, d *vm.Directory, book *contract.Book, l *vm.Leaders, p *peers, rooms *rooms,
+	self Identity, store refplatform.Store, d *vm.Directory, book *contract.Book, l *vm.Leaders, p *peers, rooms *rooms,
 	c *contacts, recorder review.Recorder, log logrus.FieldLogger,
 ) *domains {
 	return newDomains(domainDeps{
--- a/internal/entry/module.go
+++ b/internal/entry/module.go
@@ -13,7 +13,7 @@
 	"github.com/azureflow/azureflow/internal/contract"
 	"github.com/azureflow/azureflow/internal/lookup"
 	"github.com/azureflow/azureflow/internal/peer"
-	"github.com/azureflow/azureflow/internal/platform"
+	"github.com/azureflow/azureflow/internal/refplatform"
 	"github.com/azureflow/azureflow/internal/region"
 	"github.com/azureflow/azureflow/internal/request"
 	"github.com/azureflow/azureflow/internal/review"
@@ -74,8 +74,8 @@
 
 func provideMetrics(r *prometheus.Registry) *telemetry.Metrics { return telemetry.NewMetrics(r) }
 
-func providePlatform(s *steering.Settings, opts Options) (platform.Store, platform.VMList) {
-	c := platform.NewClient(platform.ClientOptions{
+func providePlatform(s *steering.Settings, opts Options) (refplatform.Store, refplatform.VMList) {
+	c := refplatform.NewClient(refplatform.ClientOptions{
 		StoreURL:  s.Platform.Store,
 		VMListURL: s.Platform.VMList,
 		Name:      s.VM.Name,
--- a/internal/entry/vmlist.go
+++ b/internal/entry/vmlist.go
@@ -9,7 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/azureflow/azureflow/internal/peer"
-	"github.com/azureflow/azureflow/internal/platform"
+	"github.com/azureflow/azureflow/internal/refplatform"
 	"github.com/azureflow/azureflow/internal/vm"
 )
 
@@ -29,7 +29,7 @@
 type zoneList struct {
 	self      Identity
 	every     time.Duration // between two polls
-	platform  platform.VMList
+	platform  refplatform.VMList
 	directory *vm.Directory
 	ask       func(context.Context, vm.Name, *peer.FetchVMsRequest) (*peer.FetchVMsReply, error)
 	log       *vm.ListLog
@@ -37,14 +37,14 @@
 	solo      time.Time             // the next own reading while the reader's list is stale
 }
 
-func provideZoneList(opts Options, self Identity, list platform.VMList, d *vm.Directory, p *peers) *zoneList {
+func provideZoneList(opts Options, self Identity, list refplatform.VMList, d *vm.Directory, p *peers) *zoneList {
 	return &zoneList{
 		self: self, every: opts.Settings.Limits.PollVMList.Std(), platform: list, directory: d, ask: p.fetchVMs,
 		log: vm.NewListLog(), skipped: make(map[vm.Name]time.Time),
 	}
 }
 
-// VMs implements platform.VMList.
+// VMs implements refplatform.VMList.
 func (z *zoneList) VMs(ctx context.Context) ([]vm.VM, error) {
 	now := time.Now()
 	reader := z.reader(now)
--- a/internal/gateway/calls.go
+++ b/internal/gateway/calls.go
@@ -9,7 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/azureflow/azureflow/internal/clock"
-	"github.com/azureflow/azureflow/internal/platform/kv"
+	"github.com/azureflow/azureflow/internal/kv"
 )
 
 // Names of store calls in metrics and log lines.
--- a/internal/gateway/catalog.go
+++ b/internal/gateway/catalog.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"github.com/azureflow/azureflow/internal/forward"
+	"github.com/azureflow/azureflow/internal/kv"
 	"github.com/azureflow/azureflow/internal/placement"
-	"github.com/azureflow/azureflow/internal/platform/kv"
 	"github.com/azureflow/azureflow/internal/routing"
 	"github.com/azureflow/azureflow/internal/steering"
 )
--- a/internal/gateway/copy.go
+++ b/internal/gateway/copy.go
@@ -4,7 +4,7 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/azureflow/azureflow/internal/platform/kv"
+	"github.com/azureflow/azureflow/internal/kv"
 )
 
 // storeCopy is this entry VM's copy of the keys with one prefix. It is filled by reads of the store and by the
--- a/internal/gateway/copy_test.go
+++ b/internal/gateway/copy_test.go
@@ -8,8 +8,8 @@
 	"github.com/cespare/xxhash/v2"
 	"pgregory.net/rapid"
 
+	"github.com/azureflow/azureflow/internal/kv"
 	"github.com/azureflow/azureflow/internal/peer"
-	"github.com/azureflow/azureflow/internal/platform/kv"
 	"github.com/azureflow/azureflow/internal/routing"
 )
 
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -14,8 +14,8 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/azureflow/azureflow/internal/kv"
 	"github.com/azureflow/azureflow/internal/placement"
-	"github.com/azureflow/azureflow/internal/platform/kv"
 	"github.com/azureflow/azureflow/internal/routing"
 	"github.com/azureflow/azureflow/internal/steering"
 )
--- a/internal/gateway/follow_test.go
+++ b/internal/gateway/follow_test.go
@@ -6,8 +6,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/azureflow/azureflow/internal/kv"
 	"github.com/azureflow/azureflow/internal/placement"
-	"github.com/azureflow/azureflow/internal/platform/kv"
 )
 
 // drainBound is the users' bound on how long a leaving server may still get requests.
--- a/internal/gateway/module.go
+++ b/internal/gateway/module.go
@@ -9,9 +9,9 @@
 	"go.uber.org/fx"
 
 	"github.com/azureflow/azureflow/internal/forward"
+	"github.com/azureflow/azureflow/internal/kv"
 	"github.com/azureflow/azureflow/internal/peer"
 	"github.com/azureflow/azureflow/internal/placement"
-	"github.com/azureflow/azureflow/internal/platform/kv"
 	"github.com/azureflow/azureflow/internal/request"
 	"github.com/azureflow/azureflow/internal/steering"
 	"github.com/azureflow/azureflow/internal/telemetry"
--- a/internal/gateway/presence.go
+++ b/internal/gateway/presence.go
@@ -11,8 +11,8 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/azureflow/azureflow/internal/clock"
+	"github.com/azureflow/azureflow/internal/kv"
 	"github.com/azureflow/azureflow/internal/placement"
-	"github.com/azureflow/azureflow/internal/platform/kv"
 	"github.com/azureflow/azureflow/internal/steering"
 )
 
--- a/internal/gateway/presence_test.go
+++ b/internal/gateway/presence_test.go
@@ -6,8 +6,8 @@
 	"testing"
 	"time"
 
+	"github.com/azureflow/azureflow/internal/kv"
 	"github.com/azureflow/azureflow/internal/placement"
-	"github.com/azureflow/azureflow/internal/platform/kv"
 	"github.com/azureflow/azureflow/internal/steering"
 )
 
--- a/internal/gateway/sharing.go
+++ b/internal/gateway/sharing.go
@@ -10,8 +10,8 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/azureflow/azureflow/internal/clock"
+	"github.com/azureflow/azureflow/internal/kv"
 	"github.com/azureflow/azureflow/internal/peer"
-	"github.com/azureflow/azureflow/internal/platform/kv"
 )
 
 // shareTimeout bounds a call to a peer. It is several times the delay between regions.
--- a/internal/platform/kv/kv.go
+++ b/internal/kv/kv.go
@@ -1,6 +1,6 @@
 // Package kv is the interface of the platform's key-value store: compare-and-swap, leases and
 // watches. It depends on no other package of the project, so that every package can use it;
-// package platform names the same types.
+// package refplatform names the same types.
 package kv
 
 import (
--- a/internal/platform/client.go
+++ b/internal/refplatform/client.go
@@ -1,4 +1,4 @@
-package platform
+package refplatform
 
 import (
 	"context"
@@ -15,7 +15,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/azureflow/azureflow/internal/platform/kv"
+	"github.com/azureflow/azureflow/internal/kv"
 )
 
 const (
--- a/internal/platform/client_test.go
+++ b/internal/refplatform/client_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package refplatform_test
 
 import (
 	"context"
@@ -9,7 +9,7 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/azureflow/azureflow/internal/platform"
+	"github.com/azureflow/azureflow/internal/refplatform"
 	"github.com/azureflow/azureflow/internal/standin"
 )
 
@@ -82,7 +82,7 @@
 		server := &http.Server{Handler: standin.NewPlatform(standin.PlatformOptions{}).Handler()}
 		go func() { _ = server.Serve(n) }()
 		transport := &http.Transport{DialContext: n.dial, MaxIdleConnsPerHost: 4}
-		c := platform.NewClient(platform.ClientOptions{StoreURL: "http://store", Transport: transport})
+		c := refplatform.NewClient(refplatform.ClientOptions{StoreURL: "http://store", Transport: transport})
 		if _, err := c.CompareAndSwap(t.Context(), "a", 0, []byte("1"), 0); err != nil {
 			t.Fatal(err)
 		}
--- a/internal/platform/errors.go
+++ b/internal/refplatform/errors.go
@@ -1,6 +1,6 @@
-package platform
+package refplatform
 
-import "github.com/azureflow/azureflow/internal/platform/kv"
+import "github.com/azureflow/azureflow/internal/kv"
 
 // The errors of the store, as package kv defines them.
 type (
--- a/internal/platform/platform.go
+++ b/internal/refplatform/platform.go
@@ -1,10 +1,11 @@
-// Package platform is the client of the platform's key-value store and VM list.
-package platform
+// Package refplatform is the client of the reference platform, which this repository's stand-ins speak: a key-value
+// store and a VM list. The users' platform is met by the adapter platform/ at the root.
+package refplatform
 
 import (
 	"context"
 
-	"github.com/azureflow/azureflow/internal/platform/kv"
+	"github.com/azureflow/azureflow/internal/kv"
 	"github.com/azureflow/azureflow/internal/vm"
 )
 
--- a/internal/platform/platformtest/store.go
+++ b/internal/refplatform/refplatformtest/store.go
@@ -3,7 +3,7 @@
 //
 // A test gives each client of its own (for example each zone) NewClient and sets faults on the
 // client (SetFaults) or on the whole store (SetStoreFaults); SetHook decides call by call.
-package platformtest
+package refplatformtest
 
 import "github.com/azureflow/azureflow/internal/standin/memkv"
 
--- a/internal/platform/platformtest/vmlist.go
+++ b/internal/refplatform/refplatformtest/vmlist.go
@@ -1,12 +1,12 @@
-package platformtest
+package refplatformtest
 
 import (
 	"context"
 	"slices"
 	"sync"
 
-	"github.com/azureflow/azureflow/internal/platform"
-	"github.com/azureflow/azureflow/internal/platform/kv"
+	"github.com/azureflow/azureflow/internal/kv"
+	"github.com/azureflow/azureflow/internal/refplatform"
 	"github.com/azureflow/azureflow/internal/standin/memkv"
 	"github.com/azureflow/azureflow/internal/vm"
 )
@@ -19,7 +19,7 @@
 	calls int
 }
 
-var _ platform.VMList = (*VMList)(nil)
+var _ refplatform.VMList = (*VMList)(nil)
 
 // Set replaces the VMs of the list.
 func (l *VMList) Set(vms ...vm.VM) {
@@ -42,7 +42,7 @@
 	return l.calls
 }
 
-// VMs implements platform.VMList.
+// VMs implements refplatform.VMList.
 func (l *VMList) VMs(context.Context) ([]vm.VM, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/platform/vmlist_test.go
+++ b/internal/refplatform/vmlist_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package refplatform_test
 
 import (
 	"fmt"
@@ -8,7 +8,7 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/azureflow/azureflow/internal/platform"
+	"github.com/azureflow/azureflow/internal/refplatform"
 	"github.com/azureflow/azureflow/internal/standin"
 	"github.com/azureflow/azureflow/internal/steering"
 	"github.com/azureflow/azureflow/internal/vm"
@@ -33,14 +33,14 @@
 	return resp, nil
 }
 
-func listClient(vms int, lag time.Duration) (*direct, *standin.Platform, *platform.Client) {
+func listClient(vms int, lag time.Duration) (*direct, *standin.Platform, *refplatform.Client) {
 	o := standin.PlatformOptions{VMListLag: lag}
 	for i := range vms {
 		o.VMs = append(o.VMs, listedVM(i))
 	}
 	p := standin.NewPlatform(o)
 	d := &direct{handler: p.Handler()}
-	return d, p, platform.NewClient(platform.ClientOptions{VMListURL: "http://list", Transport: d})
+	return d, p, refplatform.NewClient(refplatform.ClientOptions{VMListURL: "http://list", Transport: d})
 }
 
 func listedVM(i int) vm.VM {
@@ -89,7 +89,7 @@
 	for _, n := range []int{7, 40, 400, 4300} {
 		d, _, c := listClient(n, 0)
 		get := func(encoding string) int {
-			r, _ := http.NewRequest(http.MethodGet, "http://list"+platform.PathVMs, http.NoBody)
+			r, _ := http.NewRequest(http.MethodGet, "http://list"+refplatform.PathVMs, http.NoBody)
 			r.Header.Set("Accept-Encoding", encoding)
 			resp, _ := d.RoundTrip(r)
 			_ = resp.Body.Close()
--- a/internal/platform/wire.go
+++ b/internal/refplatform/wire.go
@@ -1,7 +1,7 @@
-package platform
+package refplatform
 
 import (
-	"github.com/azureflow/azureflow/internal/platform/kv"
+	"github.com/azureflow/azureflow/internal/kv"
 	"github.com/azureflow/azureflow/internal/vm"
 )
 
--- a/internal/review/digest.go
+++ b/internal/review/digest.go
@@ -10,7 +10,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/azureflow/azureflow/internal/peer"
-	"github.com/azureflow/azureflow/internal/platform"
+	"github.com/azureflow/azureflow/internal/refplatform"
 	"github.com/azureflow/azureflow/internal/steering"
 )
 
@@ -30,7 +30,7 @@
 // DigesterOptions configure a Digester.
 type DigesterOptions struct {
 	Log   *Log
-	Store platform.Store
+	Store refplatform.Store
 	Zone  steering.ZoneName
 	// Leader tells whether this VM is the leader of its zone, which alone writes. Nil: it is.
 	Leader func() bool
@@ -53,7 +53,7 @@
 	queue   digestQueue
 	limiter *rate.Limiter
 	write   *digestWrite // handed to the store, answer not known
-	lease   platform.Lease
+	lease   refplatform.Lease
 	leased  time.Time
 	writes  uint64
 }
@@ -217,10 +217,10 @@
 	}
 	d.write.tried = true
 	_, err := d.options.Store.CompareAndSwap(ctx, d.write.key, 0, d.write.value, d.lease.ID)
-	var conflict *platform.ConflictError
-	var lapsed *platform.LeaseLapsedError
-	var tooLarge *platform.ValueTooLargeError
-	var unavailable *platform.UnavailableError
+	var conflict *refplatform.ConflictError
+	var lapsed *refplatform.LeaseLapsedError
+	var tooLarge *refplatform.ValueTooLargeError
+	var unavailable *refplatform.UnavailableError
 	switch {
 	case err == nil, errors.As(err, &conflict):
 		d.options.Log.metrics.DigestWritten(len(d.write.value))
@@ -229,7 +229,7 @@
 		d.write.tried = false
 		return false
 	case errors.As(err, &lapsed):
-		d.lease = platform.Lease{}
+		d.lease = refplatform.Lease{}
 		return false
 	case errors.As(err, &tooLarge):
 		d.options.Log.metrics.RecordsDropped("digest", d.write.records)
--- a/internal/review/digest_test.go
+++ b/internal/review/digest_test.go
@@ -9,11 +9,11 @@
 	"time"
 
 	"github.com/azureflow/azureflow/internal/peer"
-	"github.com/azureflow/azureflow/internal/platform/platformtest"
+	"github.com/azureflow/azureflow/internal/refplatform/refplatformtest"
 )
 
 // written returns all that the digests in store hold of the time since from.
-func written(t *testing.T, store *platformtest.Store, from time.Time, zones ...string) *Batch {
+func written(t *testing.T, store *refplatformtest.Store, from time.Time, zones ...string) *Batch {
 	t.Helper()
 	all := &Batch{}
 	reader := DigestReader{Store: store, Zones: zoneNames(zones)}
@@ -49,7 +49,7 @@
 
 func TestDigestKeepsRefusalsWholeAndCountsTheRest(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store := platformtest.NewStore(platformtest.StoreOptions{})
+		store := refplatformtest.NewStore(refplatformtest.StoreOptions{})
 		l := NewLog(LogOptions{Self: "e1", Incarnation: 1})
 		d := NewDigester(DigesterOptions{Log: l, Store: store, Zone: "batinah-a"})
 		ctx, cancel := context.WithCancel(t.Context())
@@ -92,7 +92,7 @@
 // One leader writes for its zone; the other VMs hand it their digests.
 func TestOnlyTheLeaderWrites(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store := platformtest.NewStore(platformtest.StoreOptions{})
+		store := refplatformtest.NewStore(refplatformtest.StoreOptions{})
 		leader := NewLog(LogOptions{Self: "e1", Incarnation: 1})
 		start := time.Now()
 		for i := range 8 {
@@ -132,13 +132,13 @@
 func TestStoreDownForAnHour(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const pending, perSecond = 32 << 10, 5
-		store := platformtest.NewStore(platformtest.StoreOptions{})
+		store := refplatformtest.NewStore(refplatformtest.StoreOptions{})
 		m := &countingMetrics{}
 		l := NewLog(LogOptions{Self: "e1", Incarnation: 1, Capacity: 1024, Metrics: m})
 		d := NewDigester(DigesterOptions{Log: l, Store: store, Zone: "batinah-a", PendingBytes: pending})
 		go func() { _ = d.Run(t.Context()) }()
 		start := time.Now()
-		store.SetStoreFaults(platformtest.Faults{Down: true})
+		store.SetStoreFaults(refplatformtest.Faults{Down: true})
 		most, refused, shifts := 0, 0, 0
 		for second := range 3600 {
 			for range perSecond {
@@ -154,7 +154,7 @@
 			_, bytes := d.Pending()
 			most = max(most, bytes)
 		}
-		store.SetStoreFaults(platformtest.Faults{})
+		store.SetStoreFaults(refplatformtest.Faults{})
 		time.Sleep(2 * time.Minute)
 		chunks, _ := d.Pending()
 		got := written(t, store, start, "batinah-a")
@@ -188,13 +188,13 @@
 // An answer that is lost after the write took effect leads to no second digest.
 func TestLostAnswerOfTheStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store := platformtest.NewStore(platformtest.StoreOptions{})
+		store := refplatformtest.NewStore(refplatformtest.StoreOptions{})
 		l := NewLog(LogOptions{Self: "e1", Incarnation: 1})
 		d := NewDigester(DigesterOptions{Log: l, Store: store, Zone: "batinah-a"})
 		go func() { _ = d.Run(t.Context()) }()
 		start := time.Now()
 		time.Sleep(15 * time.Second)
-		store.SetStoreFaults(platformtest.Faults{LoseAnswers: 2})
+		store.SetStoreFaults(refplatformtest.Faults{LoseAnswers: 2})
 		for range 40 {
 			refusal(l, "stampbook", ConstraintCap)
 			time.Sleep(time.Second)
@@ -210,7 +210,7 @@
 // After every entry VM was replaced, the store still tells what happened.
 func TestExplainFromDigestsAlone(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store := platformtest.NewStore(platformtest.StoreOptions{})
+		store := refplatformtest.NewStore(refplatformtest.StoreOptions{})
 		f := newFleet(2)
 		for i, n := range f.nodes {
 			ctx, cancel := context.WithCancel(t.Context())
@@ -242,7 +242,7 @@
 // Digests vanish with their age.
 func TestDigestsAreKeptByAge(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store := platformtest.NewStore(platformtest.StoreOptions{})
+		store := refplatformtest.NewStore(refplatformtest.StoreOptions{})
 		l := NewLog(LogOptions{Self: "e1", Incarnation: 1})
 		d := NewDigester(DigesterOptions{Log: l, Store: store, Zone: "batinah-a", Interval: time.Minute, Retention: 2 * time.Hour})
 		go func() { _ = d.Run(t.Context()) }()
--- a/internal/review/digestreader.go
+++ b/internal/review/digestreader.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"github.com/azureflow/azureflow/internal/platform"
+	"github.com/azureflow/azureflow/internal/refplatform"
 	"github.com/azureflow/azureflow/internal/steering"
 )
 
@@ -25,7 +25,7 @@
 
 // DigestReader reads digests back from the store.
 type DigestReader struct {
-	Store platform.Store
+	Store refplatform.Store
 	Zones []steering.ZoneName
 }
 
--- a/internal/review/fleet_test.go
+++ b/internal/review/fleet_test.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"github.com/azureflow/azureflow/internal/peer"
-	"github.com/azureflow/azureflow/internal/platform"
+	"github.com/azureflow/azureflow/internal/refplatform"
 	"github.com/azureflow/azureflow/internal/steering"
 	"github.com/azureflow/azureflow/internal/vm"
 )
@@ -63,7 +63,7 @@
 }
 
 // sources asks all nodes from the first living one.
-func (f *fleet) sources(store platform.Store, zones ...steering.ZoneName) Sources {
+func (f *fleet) sources(store refplatform.Store, zones ...steering.ZoneName) Sources {
 	var s Sources
 	for _, n := range f.nodes {
 		if s.Local == nil && !n.dead.Load() {
--- a/internal/review/requestcost_test.go
+++ b/internal/review/requestcost_test.go
@@ -19,7 +19,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/azureflow/azureflow/internal/peer"
-	"github.com/azureflow/azureflow/internal/platform/platformtest"
+	"github.com/azureflow/azureflow/internal/refplatform/refplatformtest"
 	"github.com/azureflow/azureflow/internal/request"
 	"github.com/azureflow/azureflow/internal/review"
 	"github.com/azureflow/azureflow/internal/steering"
@@ -93,7 +93,7 @@
 		_, err := peerLog.MirrorRecords(ctx, r)
 		return err
 	}})
-	store := platformtest.NewStore(platformtest.StoreOptions{})
+	store := refplatformtest.NewStore(refplatformtest.StoreOptions{})
 	digester := review.NewDigester(review.DigesterOptions{Log: l, Store: store, Zone: "batinah-a"})
 	var wait sync.WaitGroup
 	for _, run := range []func(context.Context) error{l.Run, mirror.Run, digester.Run} {
--- a/internal/standin/memkv/client.go
+++ b/internal/standin/memkv/client.go
@@ -7,7 +7,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"github.com/azureflow/azureflow/internal/clock"
-	"github.com/azureflow/azureflow/internal/platform/kv"
+	"github.com/azureflow/azureflow/internal/kv"
 )
 
 // ErrInjected is the cause of errors that a fault made.
--- a/internal/standin/memkv/engine.go
+++ b/internal/standin/memkv/engine.go
@@ -9,7 +9,7 @@
 	"sync"
 	"time"
 
-	"github.com/azureflow/azureflow/internal/platform/kv"
+	"github.com/azureflow/azureflow/internal/kv"
 )
 
 // record is the state of one key; a deleted key stays as a tombstone, for watches.
--- a/internal/standin/memkv/snapshot.go
+++ b/internal/standin/memkv/snapshot.go
@@ -3,7 +3,7 @@
 import (
 	"maps"
 
-	"github.com/azureflow/azureflow/internal/platform/kv"
+	"github.com/azureflow/azureflow/internal/kv"
 )
 
 // Snapshot is the state of a store's keys at one version.
--- a/internal/standin/memkv/store_test.go
+++ b/internal/standin/memkv/store_test.go
@@ -7,7 +7,7 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/azureflow/azureflow/internal/platform/kv"
+	"github.com/azureflow/azureflow/internal/kv"
 )
 
 func mustSwap(t *testing.T, s kv.Store, key string, expect kv.Version, value string, lease kv.LeaseID) kv.Version {
--- a/internal/standin/memkv/watch.go
+++ b/internal/standin/memkv/watch.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/azureflow/azureflow/internal/clock"
-	"github.com/azureflow/azureflow/internal/platform/kv"
+	"github.com/azureflow/azureflow/internal/kv"
 )
 
 // Watch implements kv.Store.
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -3,7 +3,7 @@
 //
 // # The platform over HTTP
 //
-// Answers are JSON; one that is not 200 holds a platform.Problem. The header Platform-Client names
+// Answers are JSON; one that is not 200 holds a refplatform.Problem. The header Platform-Client names
 // the client of a call, so that faults can be switched on for one client (for example a zone) alone.
 //
 //	GET    /v1/key?key=K                      an entry: key, value (base64), version
@@ -40,7 +40,7 @@
 
 	"github.com/gorilla/mux"
 
-	"github.com/azureflow/azureflow/internal/platform"
+	"github.com/azureflow/azureflow/internal/refplatform"
 	"github.com/azureflow/azureflow/internal/standin/memkv"
 	"github.com/azureflow/azureflow/internal/vm"
 )
@@ -104,22 +104,22 @@
 // Handler returns the HTTP interface that the package comment describes.
 func (p *Platform) Handler() http.Handler {
 	r := mux.NewRouter()
-	r.HandleFunc(platform.PathKey, p.getKey).Methods(http.MethodGet)
-	r.HandleFunc(platform.PathKey, p.putKey).Methods(http.MethodPut)
-	r.HandleFunc(platform.PathKey, p.deleteKey).Methods(http.MethodDelete)
-	r.HandleFunc(platform.PathKeys, p.listKeys).Methods(http.MethodGet)
-	r.HandleFunc(platform.PathWatch, p.watch).Methods(http.MethodGet)
-	r.HandleFunc(platform.PathLeases, p.grantLease).Methods(http.MethodPost)
-	r.HandleFunc(platform.PathLease, p.renewLease).Methods(http.MethodPost)
-	r.HandleFunc(platform.PathLease, p.endLease).Methods(http.MethodDelete)
-	r.HandleFunc(platform.PathVMs, p.listVMs).Methods(http.MethodGet)
+	r.HandleFunc(refplatform.PathKey, p.getKey).Methods(http.MethodGet)
+	r.HandleFunc(refplatform.PathKey, p.putKey).Methods(http.MethodPut)
+	r.HandleFunc(refplatform.PathKey, p.deleteKey).Methods(http.MethodDelete)
+	r.HandleFunc(refplatform.PathKeys, p.listKeys).Methods(http.MethodGet)
+	r.HandleFunc(refplatform.PathWatch, p.watch).Methods(http.MethodGet)
+	r.HandleFunc(refplatform.PathLeases, p.grantLease).Methods(http.MethodPost)
+	r.HandleFunc(refplatform.PathLease, p.renewLease).Methods(http.MethodPost)
+	r.HandleFunc(refplatform.PathLease, p.endLease).Methods(http.MethodDelete)
+	r.HandleFunc(refplatform.PathVMs, p.listVMs).Methods(http.MethodGet)
 	p.operatorRoutes(r)
 	return r
 }
 
 // client returns the store's client that a request names.
 func (p *Platform) client(r *http.Request) *memkv.Client {
-	return p.clientNamed(r.Header.Get(platform.HeaderClient))
+	return p.clientNamed(r.Header.Get(refplatform.HeaderClient))
 }
 
 func (p *Platform) clientNamed(name string) *memkv.Client {
--- a/internal/standin/platform_test.go
+++ b/internal/standin/platform_test.go
@@ -10,16 +10,16 @@
 	"testing"
 	"time"
 
-	"github.com/azureflow/azureflow/internal/platform"
+	"github.com/azureflow/azureflow/internal/refplatform"
 	"github.com/azureflow/azureflow/internal/standin"
 	"github.com/azureflow/azureflow/internal/vm"
 )
 
-func startPlatform(t *testing.T, o standin.PlatformOptions) (string, *platform.Client) {
+func startPlatform(t *testing.T, o standin.PlatformOptions) (string, *refplatform.Client) {
 	t.Helper()
 	server := httptest.NewServer(standin.NewPlatform(o).Handler())
 	t.Cleanup(server.Close)
-	return server.URL, platform.NewClient(platform.ClientOptions{
+	return server.URL, refplatform.NewClient(refplatform.ClientOptions{
 		StoreURL: server.URL, VMListURL: server.URL, Name: "zone-a", Timeout: time.Minute,
 	})
 }
@@ -55,11 +55,11 @@
 	if err != nil || entry.Version != v1 || !bytes.Equal(entry.Value, []byte{0, 255, '\n'}) {
 		t.Fatalf("got %v %v", entry, err)
 	}
-	var conflict *platform.ConflictError
+	var conflict *refplatform.ConflictError
 	if _, err := c.CompareAndSwap(ctx, "a/b c", v1+1, nil, 0); !errors.As(err, &conflict) || conflict.Current != v1 {
 		t.Fatalf("got %v", err)
 	}
-	var missing *platform.NotFoundError
+	var missing *refplatform.NotFoundError
 	if _, err := c.Get(ctx, "none"); !errors.As(err, &missing) || missing.Key != "none" {
 		t.Fatalf("got %v", err)
 	}
@@ -78,7 +78,7 @@
 	if err != nil || len(entries) != 1 || !entries[0].Deleted {
 		t.Fatalf("got %v %v", entries, err)
 	}
-	var lapsed *platform.LeaseLapsedError
+	var lapsed *refplatform.LeaseLapsedError
 	if err := c.KeepAlive(ctx, lease.ID); !errors.As(err, &lapsed) || lapsed.ID != lease.ID {
 		t.Fatalf("got %v", err)
 	}
@@ -88,7 +88,7 @@
 	if entries, _, err := c.List(ctx, ""); err != nil || len(entries) != 0 {
 		t.Fatalf("got %v %v", entries, err)
 	}
-	var large *platform.ValueTooLargeError
+	var large *refplatform.ValueTooLargeError
 	if _, err := c.CompareAndSwap(ctx, "big", 0, make([]byte, 1_000_001), 0); !errors.As(err, &large) {
 		t.Fatalf("got %v", err)
 	}
@@ -97,8 +97,8 @@
 func TestStoreFaultsOverHTTP(t *testing.T) {
 	url, c := startPlatform(t, standin.PlatformOptions{})
 	ctx := t.Context()
-	var unavailable *platform.UnavailableError
-	var unknown *platform.EffectUnknownError
+	var unavailable *refplatform.UnavailableError
+	var unknown *refplatform.EffectUnknownError
 	operate(t, http.MethodPut, url+"/faults?client=zone-a", standin.PlatformFaults{Down: true})
 	if _, err := c.CompareAndSwap(ctx, "a", 0, []byte("1"), 0); !errors.As(err, &unavailable) {
 		t.Fatalf("down: %v", err)
@@ -115,7 +115,7 @@
 		t.Fatal(err)
 	}
 	operate(t, http.MethodPut, url+"/faults", standin.PlatformFaults{Stale: "old"})
-	var missing *platform.NotFoundError
+	var missing *refplatform.NotFoundError
 	if _, err := c.Get(ctx, "b"); !errors.As(err, &missing) {
 		t.Fatalf("stale: %v", err)
 	}
@@ -131,7 +131,7 @@
 	silent := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-accept }))
 	defer silent.Close()
 	defer close(accept)
-	c := platform.NewClient(platform.ClientOptions{StoreURL: silent.URL})
+	c := refplatform.NewClient(refplatform.ClientOptions{StoreURL: silent.URL})
 	ctx, cancel := context.WithCancel(t.Context())
 	reached := make(chan error)
 	go func() {
@@ -140,14 +140,14 @@
 	}()
 	accept <- struct{}{}
 	cancel()
-	var unknown *platform.EffectUnknownError
+	var unknown *refplatform.EffectUnknownError
 	if err := <-reached; !errors.As(err, &unknown) {
 		t.Errorf("cancelled after sending: %v", err)
 	}
 	gone := httptest.NewServer(http.NotFoundHandler())
 	gone.Close()
-	c = platform.NewClient(platform.ClientOptions{StoreURL: gone.URL})
-	var unavailable *platform.UnavailableError
+	c = refplatform.NewClient(refplatform.ClientOptions{StoreURL: gone.URL})
+	var unavailable *refplatform.UnavailableError
 	if _, err := c.CompareAndSwap(t.Context(), "a", 0, nil, 0); !errors.As(err, &unavailable) {
 		t.Errorf("refused connection: %v", err)
 	}
--- a/internal/standin/platformoperator.go
+++ b/internal/standin/platformoperator.go
@@ -12,7 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/gorilla/mux"
 
-	"github.com/azureflow/azureflow/internal/platform"
+	"github.com/azureflow/azureflow/internal/refplatform"
 	"github.com/azureflow/azureflow/internal/standin/memkv"
 	"github.com/azureflow/azureflow/internal/vm"
 )
@@ -76,11 +76,11 @@
 }
 
 func (p *Platform) listVMs(w http.ResponseWriter, r *http.Request) {
-	if p.listDown(r.Header.Get(platform.HeaderClient)) {
-		writePlatformProblem(w, http.StatusServiceUnavailable, platform.Problem{Code: platform.CodeUnavailable})
+	if p.listDown(r.Header.Get(refplatform.HeaderClient)) {
+		writePlatformProblem(w, http.StatusServiceUnavailable, refplatform.Problem{Code: refplatform.CodeUnavailable})
 		return
 	}
-	writeTagged(w, r, platform.VMsAnswer{VMs: p.vms.lagged()})
+	writeTagged(w, r, refplatform.VMsAnswer{VMs: p.vms.lagged()})
 }
 
 // writeTagged answers with value and its entity tag, or that the caller has it. An answer that takes more
@@ -89,7 +89,7 @@
 	const packetBytes = 1400
 	body, err := json.Marshal(value)
 	if err != nil {
-		writePlatformProblem(w, http.StatusInternalServerError, platform.Problem{Code: platform.CodeInvalid, Detail: err.Error()})
+		writePlatformProblem(w, http.StatusInternalServerError, refplatform.Problem{Code: refplatform.CodeInvalid, Detail: err.Error()})
 		return
 	}
 	etag := fmt.Sprintf(`"%016x"`, xxhash.Sum64(body))
@@ -110,7 +110,7 @@
 }
 
 func (p *Platform) operatorVMs(w http.ResponseWriter, _ *http.Request) {
-	writePlatformJSON(w, http.StatusOK, platform.VMsAnswer{VMs: p.vms.now()})
+	writePlatformJSON(w, http.StatusOK, refplatform.VMsAnswer{VMs: p.vms.now()})
 }
 
 func (p *Platform) putVM(w http.ResponseWriter, r *http.Request) {
@@ -131,7 +131,7 @@
 func (p *Platform) leaveVM(w http.ResponseWriter, r *http.Request) {
 	name := mux.Vars(r)["name"]
 	if !p.vms.markLeaving(vm.Name(name)) {
-		writePlatformProblem(w, http.StatusNotFound, platform.Problem{Code: platform.CodeNotFound, Key: name})
+		writePlatformProblem(w, http.StatusNotFound, refplatform.Problem{Code: refplatform.CodeNotFound, Key: name})
 		return
 	}
 	writePlatformJSON(w, http.StatusOK, struct{}{})
@@ -162,7 +162,7 @@
 	p.mu.Lock()
 	p.snapshots[mux.Vars(r)["name"]] = snapshot
 	p.mu.Unlock()
-	writePlatformJSON(w, http.StatusOK, platform.VersionAnswer{Version: snapshot.Version()})
+	writePlatformJSON(w, http.StatusOK, refplatform.VersionAnswer{Version: snapshot.Version()})
 }
 
 func (p *Platform) restoreSnapshot(w http.ResponseWriter, r *http.Request) {
@@ -171,11 +171,11 @@
 	snapshot, ok := p.snapshots[name]
 	p.mu.Unlock()
 	if !ok {
-		writePlatformProblem(w, http.StatusNotFound, platform.Problem{Code: platform.CodeNotFound, Key: name})
+		writePlatformProblem(w, http.StatusNotFound, refplatform.Problem{Code: refplatform.CodeNotFound, Key: name})
 		return
 	}
 	p.store.Restore(snapshot)
-	writePlatformJSON(w, http.StatusOK, platform.VersionAnswer{Version: snapshot.Version()})
+	writePlatformJSON(w, http.StatusOK, refplatform.VersionAnswer{Version: snapshot.Version()})
 }
 
 // readOperatorBody decodes a JSON body strictly, or answers what is wrong.
@@ -183,7 +183,7 @@
 	d := json.NewDecoder(io.LimitReader(r.Body, maxOperatorBody))
 	d.DisallowUnknownFields()
 	if err := d.Decode(target); err != nil {
-		writePlatformProblem(w, http.StatusBadRequest, platform.Problem{Code: platform.CodeInvalid, Detail: err.Error()})
+		writePlatformProblem(w, http.StatusBadRequest, refplatform.Problem{Code: refplatform.CodeInvalid, Detail: err.Error()})
 		return false
 	}
 	return true
--- a/internal/standin/platformstore.go
+++ b/internal/standin/platformstore.go
@@ -8,8 +8,8 @@
 	"strconv"
 	"time"
 
-	"github.com/azureflow/azureflow/internal/platform"
-	"github.com/azureflow/azureflow/internal/platform/kv"
+	"github.com/azureflow/azureflow/internal/kv"
+	"github.com/azureflow/azureflow/internal/refplatform"
 )
 
 func (p *Platform) getKey(w http.ResponseWriter, r *http.Request) {
@@ -19,7 +19,7 @@
 
 func (p *Platform) listKeys(w http.ResponseWriter, r *http.Request) {
 	entries, version, err := p.client(r).List(r.Context(), r.URL.Query().Get("prefix"))
-	answerPlatform(w, platform.EntriesAnswer{Entries: entries, Version: version}, err)
+	answerPlatform(w, refplatform.EntriesAnswer{Entries: entries, Version: version}, err)
 }
 
 func (p *Platform) putKey(w http.ResponseWriter, r *http.Request) {
@@ -28,11 +28,11 @@
 	lease, leaseErr := strconv.ParseUint(query.Get("lease"), 10, 64)
 	value, bodyErr := io.ReadAll(io.LimitReader(r.Body, kv.MaxValueBytes+1))
 	if err := errors.Join(expectErr, leaseErr, bodyErr); err != nil || query.Get("key") == "" {
-		writePlatformProblem(w, http.StatusBadRequest, platform.Problem{Code: platform.CodeInvalid})
+		writePlatformProblem(w, http.StatusBadRequest, refplatform.Problem{Code: refplatform.CodeInvalid})
 		return
 	}
 	version, err := p.client(r).CompareAndSwap(r.Context(), query.Get("key"), kv.Version(expect), value, kv.LeaseID(lease))
-	answerPlatform(w, platform.VersionAnswer{Version: version}, err)
+	answerPlatform(w, refplatform.VersionAnswer{Version: version}, err)
 }
 
 func (p *Platform) deleteKey(w http.ResponseWriter, r *http.Request) {
@@ -41,7 +41,7 @@
 		return
 	}
 	err := p.client(r).Delete(r.Context(), r.URL.Query().Get("key"), kv.Version(expect))
-	answerPlatform(w, platform.VersionAnswer{}, err)
+	answerPlatform(w, refplatform.VersionAnswer{}, err)
 }
 
 func (p *Platform) watch(w http.ResponseWriter, r *http.Request) {
@@ -50,7 +50,7 @@
 		return
 	}
 	entries, version, err := p.client(r).Watch(r.Context(), r.URL.Query().Get("prefix"), kv.Version(after))
-	answerPlatform(w, platform.EntriesAnswer{Entries: entries, Version: version}, err)
+	answerPlatform(w, refplatform.EntriesAnswer{Entries: entries, Version: version}, err)
 }
 
 func (p *Platform) grantLease(w http.ResponseWriter, r *http.Request) {
@@ -59,7 +59,7 @@
 		return
 	}
 	lease, err := p.client(r).Grant(r.Context(), time.Duration(ttl)*time.Millisecond)
-	answerPlatform(w, platform.LeaseAnswer{ID: lease.ID, TTLMs: lease.TTL.Milliseconds(), Epoch: lease.Epoch}, err)
+	answerPlatform(w, refplatform.LeaseAnswer{ID: lease.ID, TTLMs: lease.TTL.Milliseconds(), Epoch: lease.Epoch}, err)
 }
 
 func (p *Platform) renewLease(w http.ResponseWriter, r *http.Request) {
@@ -67,7 +67,7 @@
 	if !ok {
 		return
 	}
-	answerPlatform(w, platform.VersionAnswer{}, p.client(r).KeepAlive(r.Context(), kv.LeaseID(id)))
+	answerPlatform(w, refplatform.VersionAnswer{}, p.client(r).KeepAlive(r.Context(), kv.LeaseID(id)))
 }
 
 func (p *Platform) endLease(w http.ResponseWriter, r *http.Request) {
@@ -75,14 +75,14 @@
 	if !ok {
 		return
 	}
-	answerPlatform(w, platform.VersionAnswer{}, p.client(r).Revoke(r.Context(), kv.LeaseID(id)))
+	answerPlatform(w, refplatform.VersionAnswer{}, p.client(r).Revoke(r.Context(), kv.LeaseID(id)))
 }
 
 // queryNumber returns a number of the query, or answers that it is missing.
 func queryNumber(w http.ResponseWriter, r *http.Request, name string) (uint64, bool) {
 	n, err := strconv.ParseUint(r.URL.Query().Get(name), 10, 64)
 	if err != nil {
-		writePlatformProblem(w, http.StatusBadRequest, platform.Problem{Code: platform.CodeInvalid, Detail: name})
+		writePlatformProblem(w, http.StatusBadRequest, refplatform.Problem{Code: refplatform.CodeInvalid, Detail: name})
 		return 0, false
 	}
 	return n, true
@@ -103,30 +103,30 @@
 	writePlatformJSON(w, http.StatusOK, value)
 }
 
-func problemOf(err error) (int, platform.Problem) {
+func problemOf(err error) (int, refplatform.Problem) {
 	var missing *kv.NotFoundError
 	var conflict *kv.ConflictError
 	var lapsed *kv.LeaseLapsedError
 	var large *kv.ValueTooLargeError
 	switch {
 	case errors.As(err, &missing):
-		return http.StatusNotFound, platform.Problem{Code: platform.CodeNotFound, Key: missing.Key}
+		return http.StatusNotFound, refplatform.Problem{Code: refplatform.CodeNotFound, Key: missing.Key}
 	case errors.As(err, &conflict):
-		return http.StatusConflict, platform.Problem{
-			Code: platform.CodeConflict, Key: conflict.Key,
+		return http.StatusConflict, refplatform.Problem{
+			Code: refplatform.CodeConflict, Key: conflict.Key,
 			Expected: conflict.Expected, Current: conflict.Current,
 		}
 	case errors.As(err, &lapsed):
-		return http.StatusGone, platform.Problem{Code: platform.CodeLapsed, Lease: lapsed.ID}
+		return http.StatusGone, refplatform.Problem{Code: refplatform.CodeLapsed, Lease: lapsed.ID}
 	case errors.As(err, &large):
-		return http.StatusRequestEntityTooLarge, platform.Problem{
-			Code: platform.CodeTooLarge, Key: large.Key, Bytes: large.Bytes, Limit: large.Limit,
+		return http.StatusRequestEntityTooLarge, refplatform.Problem{
+			Code: refplatform.CodeTooLarge, Key: large.Key, Bytes: large.Bytes, Limit: large.Limit,
 		}
 	}
-	return http.StatusServiceUnavailable, platform.Problem{Code: platform.CodeUnavailable, Detail: err.Error()}
+	return http.StatusServiceUnavailable, refplatform.Problem{Code: refplatform.CodeUnavailable, Detail: err.Error()}
 }
 
-func writePlatformProblem(w http.ResponseWriter, status int, problem platform.Problem) {
+func writePlatformProblem(w http.ResponseWriter, status int, problem refplatform.Problem) {
 	writePlatformJSON(w, status, problem)
 }
 
--- a/internal/steering/bench_test.go
+++ b/internal/steering/bench_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"github.com/azureflow/azureflow/internal/platform/kv"
+	"github.com/azureflow/azureflow/internal/kv"
 	"github.com/azureflow/azureflow/internal/standin/memkv"
 )
 
--- a/internal/steering/commit.go
+++ b/internal/steering/commit.go
@@ -6,7 +6,7 @@
 	"errors"
 	"slices"
 
-	"github.com/azureflow/azureflow/internal/platform/kv"
+	"github.com/azureflow/azureflow/internal/kv"
 )
 
 // write writes the parts of one try and moves the head. It reports whether the publication is over.
--- a/internal/steering/follow_test.go
+++ b/internal/steering/follow_test.go
@@ -8,7 +8,7 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/azureflow/azureflow/internal/platform/platformtest"
+	"github.com/azureflow/azureflow/internal/refplatform/refplatformtest"
 	"github.com/azureflow/azureflow/internal/steering"
 )
 
@@ -22,7 +22,7 @@
 	alarms    []steering.Alarm
 }
 
-func (w *watcher) options(store *platformtest.Client) steering.FollowerOptions {
+func (w *watcher) options(store *refplatformtest.Client) steering.FollowerOptions {
 	return steering.FollowerOptions{
 		Store: store,
 		OnRevision: func(c *steering.Configuration) {
@@ -67,7 +67,7 @@
 
 func TestFollowerTakesEachRevisionFromTheWatch(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store := platformtest.NewStore(platformtest.StoreOptions{})
+		store := refplatformtest.NewStore(refplatformtest.StoreOptions{})
 		publishBase(t, store.Client)
 		zone := store.NewClient("zone")
 		var w watcher
@@ -97,11 +97,11 @@
 
 func TestFollowerCutOffGetsRevisionFromPeers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store := platformtest.NewStore(platformtest.StoreOptions{})
+		store := refplatformtest.NewStore(refplatformtest.StoreOptions{})
 		publishBase(t, store.Client)
 		near := steering.NewFollower(steering.FollowerOptions{Store: store.NewClient("near")})
 		cut := store.NewClient("cut")
-		cut.SetFaults(platformtest.Faults{Down: true})
+		cut.SetFaults(refplatformtest.Faults{Down: true})
 		far := steering.NewFollower(steering.FollowerOptions{Store: cut, FetchFromPeers: peersOf(near)})
 		defer run(t, near, far)()
 		time.Sleep(takeUpLimit)
@@ -117,7 +117,7 @@
 
 func TestFollowerStartsFromPeersWhileStoreIsDown(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store := platformtest.NewStore(platformtest.StoreOptions{})
+		store := refplatformtest.NewStore(refplatformtest.StoreOptions{})
 		publishBase(t, store.Client)
 		low := steering.NewFollower(steering.FollowerOptions{Store: store.NewClient("low")})
 		stopLow := run(t, low)
@@ -127,7 +127,7 @@
 		high := steering.NewFollower(steering.FollowerOptions{Store: store.NewClient("high")})
 		defer run(t, high)()
 		synctest.Wait()
-		store.SetStoreFaults(platformtest.Faults{Down: true})
+		store.SetStoreFaults(refplatformtest.Faults{Down: true})
 		started := steering.NewFollower(steering.FollowerOptions{Store: store, FetchFromPeers: peersOf(low, high)})
 		defer run(t, started)()
 		synctest.Wait()
@@ -140,7 +140,7 @@
 func TestOlderHeadNeverTakesAVMBack(t *testing.T) {
 	for _, restored := range []bool{false, true} {
 		synctest.Test(t, func(t *testing.T) {
-			store := platformtest.NewStore(platformtest.StoreOptions{})
+			store := refplatformtest.NewStore(refplatformtest.StoreOptions{})
 			publishBase(t, store.Client)
 			old := store.Snapshot()
 			var w watcher
@@ -152,7 +152,7 @@
 			if restored {
 				store.Restore(old)
 			} else {
-				store.SetStoreFaults(platformtest.Faults{Stale: old})
+				store.SetStoreFaults(refplatformtest.Faults{Stale: old})
 			}
 			time.Sleep(takeUpLimit)
 			if f.Revision() != 3 || f.Status().StoreBehind == nil || f.Status().StoreBehind.Head != 1 {
@@ -184,7 +184,7 @@
 
 func TestUnreadableRevisionLeavesTheEarlierInForce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store := platformtest.NewStore(platformtest.StoreOptions{})
+		store := refplatformtest.NewStore(refplatformtest.StoreOptions{})
 		publishBase(t, store.Client)
 		var w watcher
 		f := steering.NewFollower(w.options(store.NewClient("zone")))
@@ -215,10 +215,10 @@
 
 func TestSilentWatchIsCoveredByTheGuard(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store := platformtest.NewStore(platformtest.StoreOptions{})
+		store := refplatformtest.NewStore(refplatformtest.StoreOptions{})
 		publishBase(t, store.Client)
 		zone := store.NewClient("zone")
-		zone.SetFaults(platformtest.Faults{WatchSilent: true})
+		zone.SetFaults(refplatformtest.Faults{WatchSilent: true})
 		f := steering.NewFollower(steering.FollowerOptions{Store: zone})
 		defer run(t, f)()
 		synctest.Wait()
@@ -235,7 +235,7 @@
 func TestStoreCallsStayWithinBudget(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const perMin, minutes = 60, 10
-		store := platformtest.NewStore(platformtest.StoreOptions{})
+		store := refplatformtest.NewStore(refplatformtest.StoreOptions{})
 		publishBase(t, store.Client)
 		zone := store.NewClient("zone")
 		f := steering.NewFollower(steering.FollowerOptions{Store: zone, StoreCallsPerMin: perMin})
@@ -243,7 +243,7 @@
 		for range minutes * 60 {
 			time.Sleep(time.Second)
 			down := time.Now().Second()%20 < 5
-			zone.SetFaults(platformtest.Faults{Down: down})
+			zone.SetFaults(refplatformtest.Faults{Down: down})
 			if !down && time.Now().Second()%3 == 0 {
 				mustPublish(t, newPublisher(store.Client), alpha(t, time.Now().Second()%50+1))
 			}
@@ -256,7 +256,7 @@
 }
 
 func TestOfferNeverLowers(t *testing.T) {
-	store := platformtest.NewStore(platformtest.StoreOptions{})
+	store := refplatformtest.NewStore(refplatformtest.StoreOptions{})
 	publishBase(t, store.Client)
 	var offers [][]byte
 	for north := 2; north <= 4; north++ {
@@ -290,7 +290,7 @@
 
 func TestLaggingReplicaRaisesOneAlarmAMinute(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store := platformtest.NewStore(platformtest.StoreOptions{})
+		store := refplatformtest.NewStore(refplatformtest.StoreOptions{})
 		publishBase(t, store.Client)
 		old := store.Snapshot()
 		mustPublish(t, newPublisher(store.Client), alpha(t, 2))
@@ -302,9 +302,9 @@
 		const minutes = 5
 		for i := range minutes * 12 {
 			if i%2 == 0 {
-				zone.SetFaults(platformtest.Faults{Stale: old})
+				zone.SetFaults(refplatformtest.Faults{Stale: old})
 			} else {
-				zone.SetFaults(platformtest.Faults{})
+				zone.SetFaults(refplatformtest.Faults{})
 			}
 			time.Sleep(5 * time.Second)
 		}
--- a/internal/steering/follower.go
+++ b/internal/steering/follower.go
@@ -12,7 +12,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/azureflow/azureflow/internal/clock"
-	"github.com/azureflow/azureflow/internal/platform/kv"
+	"github.com/azureflow/azureflow/internal/kv"
 )
 
 // Defaults of FollowerOptions.
--- a/internal/steering/followstore.go
+++ b/internal/steering/followstore.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"github.com/azureflow/azureflow/internal/platform/kv"
+	"github.com/azureflow/azureflow/internal/kv"
 )
 
 // followStore watches the head while this VM follows the store itself.
--- a/internal/steering/large_test.go
+++ b/internal/steering/large_test.go
@@ -5,7 +5,7 @@
 	"math/rand/v2"
 	"testing"
 
-	"github.com/azureflow/azureflow/internal/platform/kv"
+	"github.com/azureflow/azureflow/internal/kv"
 	"github.com/azureflow/azureflow/internal/standin/memkv"
 )
 
--- a/internal/steering/linearizable_test.go
+++ b/internal/steering/linearizable_test.go
@@ -13,7 +13,7 @@
 
 	"github.com/anishathalye/porcupine"
 
-	"github.com/azureflow/azureflow/internal/platform/platformtest"
+	"github.com/azureflow/azureflow/internal/refplatform/refplatformtest"
 	"github.com/azureflow/azureflow/internal/standin/memkv"
 	"github.com/azureflow/azureflow/internal/steering"
 )
@@ -66,7 +66,7 @@
 // trial runs publishers and readers against a store with faults and records their history.
 type trial struct {
 	t      *testing.T
-	store  *platformtest.Store
+	store  *refplatformtest.Store
 	mu     sync.Mutex
 	random *rand.Rand
 	clock  atomic.Int64
@@ -99,7 +99,7 @@
 	return time.Duration(r.random.Int64N(int64(d)))
 }
 
-func (r *trial) hook(c platformtest.Call) platformtest.Verdict {
+func (r *trial) hook(c refplatformtest.Call) refplatformtest.Verdict {
 	if c.Client == "" {
 		return memkv.VerdictPass
 	}
@@ -135,7 +135,7 @@
 	store := r.store.NewClient(fmt.Sprint(client))
 	r.setCut(fmt.Sprint(client), false)
 	if r.chance(0.3) {
-		store.SetFaults(platformtest.Faults{Delay: r.below(3 * time.Second)})
+		store.SetFaults(refplatformtest.Faults{Delay: r.below(3 * time.Second)})
 	}
 	p := steering.NewPublisher(steering.PublisherOptions{Store: store, Timeout: 4 * time.Second})
 	in := publishInput{service, float64(weight)}
@@ -187,7 +187,7 @@
 	counts := make(map[string]int)
 	for seed := range uint64(seeds) {
 		synctest.Test(t, func(t *testing.T) {
-			store := platformtest.NewStore(platformtest.StoreOptions{})
+			store := refplatformtest.NewStore(refplatformtest.StoreOptions{})
 			publishBase(t, store.Client)
 			r := &trial{t: t, store: store, random: rand.New(rand.NewPCG(seed, 1)), counts: counts, cut: make(map[string]bool)}
 			store.SetHook(r.hook)
--- a/internal/steering/load.go
+++ b/internal/steering/load.go
@@ -6,7 +6,7 @@
 	"errors"
 	"time"
 
-	"github.com/azureflow/azureflow/internal/platform/kv"
+	"github.com/azureflow/azureflow/internal/kv"
 )
 
 // maxSingleReads is the number of deltas that are read one by one.
--- a/internal/steering/overhttp_test.go
+++ b/internal/steering/overhttp_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"github.com/azureflow/azureflow/internal/platform"
+	"github.com/azureflow/azureflow/internal/refplatform"
 	"github.com/azureflow/azureflow/internal/standin"
 	"github.com/azureflow/azureflow/internal/steering"
 )
@@ -16,8 +16,8 @@
 	stand := standin.NewPlatform(standin.PlatformOptions{})
 	server := httptest.NewServer(stand.Handler())
 	defer server.Close()
-	client := func(name string) *platform.Client {
-		return platform.NewClient(platform.ClientOptions{StoreURL: server.URL, VMListURL: server.URL, Name: name, Timeout: time.Minute})
+	client := func(name string) *refplatform.Client {
+		return refplatform.NewClient(refplatform.ClientOptions{StoreURL: server.URL, VMListURL: server.URL, Name: name, Timeout: time.Minute})
 	}
 	taken := make(chan steering.Revision, 100)
 	f := steering.NewFollower(steering.FollowerOptions{
--- a/internal/steering/peerhighest_test.go
+++ b/internal/steering/peerhighest_test.go
@@ -6,7 +6,7 @@
 	"testing"
 
 	"github.com/azureflow/azureflow/internal/peer"
-	"github.com/azureflow/azureflow/internal/platform/platformtest"
+	"github.com/azureflow/azureflow/internal/refplatform/refplatformtest"
 	"github.com/azureflow/azureflow/internal/steering"
 )
 
@@ -22,7 +22,7 @@
 }
 
 // servePeer serves a follower that has the revision now in the store and returns its address.
-func servePeer(t *testing.T, store *platformtest.Store) string {
+func servePeer(t *testing.T, store *refplatformtest.Store) string {
 	t.Helper()
 	c, err := newPublisher(store.Client).InForce(t.Context())
 	if err != nil {
@@ -45,7 +45,7 @@
 }
 
 func TestPeersHighestMendsARestoredStore(t *testing.T) {
-	store := platformtest.NewStore(platformtest.StoreOptions{})
+	store := refplatformtest.NewStore(refplatformtest.StoreOptions{})
 	publishBase(t, store.Client)
 	old := store.Snapshot()
 	low := servePeer(t, store)
--- a/internal/steering/publication.go
+++ b/internal/steering/publication.go
@@ -5,7 +5,7 @@
 	"strconv"
 	"strings"
 
-	"github.com/azureflow/azureflow/internal/platform/kv"
+	"github.com/azureflow/azureflow/internal/kv"
 )
 
 // PublicationID names one attempt to publish a revision: REVISION.VERSION.RANDOM, where VERSION is
--- a/internal/steering/publish_test.go
+++ b/internal/steering/publish_test.go
@@ -11,7 +11,7 @@
 	"time"
 
 	"github.com/azureflow/azureflow/internal/peer"
-	"github.com/azureflow/azureflow/internal/platform/platformtest"
+	"github.com/azureflow/azureflow/internal/refplatform/refplatformtest"
 	"github.com/azureflow/azureflow/internal/steering"
 )
 
@@ -52,7 +52,7 @@
 
 func beta(t testing.TB, north int) *steering.Tree { return oneService(t, "beta", "blue", north) }
 
-func newPublisher(store *platformtest.Client) *steering.Publisher {
+func newPublisher(store *refplatformtest.Client) *steering.Publisher {
 	return steering.NewPublisher(steering.PublisherOptions{Store: store})
 }
 
@@ -66,7 +66,7 @@
 }
 
 // publishBase publishes the platform and both services, revision 1.
-func publishBase(t testing.TB, store *platformtest.Client) {
+func publishBase(t testing.TB, store *refplatformtest.Client) {
 	t.Helper()
 	mustPublish(t, newPublisher(store), mustLoad(t, "platform.jsonc", testPlatform,
 		"alpha.steering.jsonc", serviceFile("alpha", "red", 1),
@@ -78,7 +78,7 @@
 }
 
 func TestPublishRaisesRevision(t *testing.T) {
-	store := platformtest.NewStore(platformtest.StoreOptions{})
+	store := refplatformtest.NewStore(refplatformtest.StoreOptions{})
 	publishBase(t, store.Client)
 	p := newPublisher(store.Client)
 	const last = 80 // beyond two snapshots
@@ -101,11 +101,11 @@
 }
 
 // publishBoth publishes two trees at the same moment over the base and joins what their publishers are told.
-func publishBoth(t *testing.T, one, other *steering.Tree) (*platformtest.Store, error) {
+func publishBoth(t *testing.T, one, other *steering.Tree) (*refplatformtest.Store, error) {
 	t.Helper()
-	store := platformtest.NewStore(platformtest.StoreOptions{})
+	store := refplatformtest.NewStore(refplatformtest.StoreOptions{})
 	publishBase(t, store.Client)
-	store.SetStoreFaults(platformtest.Faults{Delay: 10 * time.Millisecond})
+	store.SetStoreFaults(refplatformtest.Faults{Delay: 10 * time.Millisecond})
 	done := make(chan error, 2)
 	for i, tree := range []*steering.Tree{one, other} {
 		client := store.NewClient(fmt.Sprint(i))
@@ -141,7 +141,7 @@
 }
 
 func TestStaleFilesAreRefusedByBase(t *testing.T) {
-	store := platformtest.NewStore(platformtest.StoreOptions{})
+	store := refplatformtest.NewStore(refplatformtest.StoreOptions{})
 	publishBase(t, store.Client)
 	p := newPublisher(store.Client)
 	mustPublish(t, p, alpha(t, 5))
@@ -156,7 +156,7 @@
 }
 
 func TestTeamCannotChangeAnothersService(t *testing.T) {
-	store := platformtest.NewStore(platformtest.StoreOptions{})
+	store := refplatformtest.NewStore(refplatformtest.StoreOptions{})
 	publishBase(t, store.Client)
 	tree := mustLoad(t, "alpha.steering.jsonc", serviceFile("alpha", "blue", 3))
 	_, err := newPublisher(store.Client).Publish(t.Context(), tree, steering.PublishOptions{})
@@ -167,7 +167,7 @@
 }
 
 func TestPlatformCannotTakeARegionInUse(t *testing.T) {
-	store := platformtest.NewStore(platformtest.StoreOptions{})
+	store := refplatformtest.NewStore(refplatformtest.StoreOptions{})
 	publishBase(t, store.Client)
 	tree := mustLoad(t, "platform.jsonc", strings.ReplaceAll(testPlatform, `"south"`, `"east"`))
 	_, err := newPublisher(store.Client).Publish(t.Context(), tree, steering.PublishOptions{})
@@ -178,7 +178,7 @@
 }
 
 func TestDryRunWritesNothing(t *testing.T) {
-	store := platformtest.NewStore(platformtest.StoreOptions{})
+	store := refplatformtest.NewStore(refplatformtest.StoreOptions{})
 	publishBase(t, store.Client)
 	before := store.StoreCounts().Writes()
 	result, err := newPublisher(store.Client).Publish(t.Context(), alpha(t, 3), steering.PublishOptions{DryRun: true})
@@ -198,7 +198,7 @@
 
 func TestPublishAfterRestoreGoesOnAboveTheVMs(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store := platformtest.NewStore(platformtest.StoreOptions{})
+		store := refplatformtest.NewStore(refplatformtest.StoreOptions{})
 		publishBase(t, store.Client)
 		old := store.Snapshot()
 		mustPublish(t, newPublisher(store.Client), beta(t, 4))
--- a/internal/steering/publisher.go
+++ b/internal/steering/publisher.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/azureflow/azureflow/internal/clock"
-	"github.com/azureflow/azureflow/internal/platform/kv"
+	"github.com/azureflow/azureflow/internal/kv"
 )
 
 const (
--- a/internal/steering/publishfault_test.go
+++ b/internal/steering/publishfault_test.go
@@ -7,14 +7,14 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/azureflow/azureflow/internal/platform/platformtest"
+	"github.com/azureflow/azureflow/internal/refplatform/refplatformtest"
 	"github.com/azureflow/azureflow/internal/standin/memkv"
 	"github.com/azureflow/azureflow/internal/steering"
 )
 
 // storeBefore returns a store in which revision next-1 is in force.
-func storeBefore(t *testing.T, next int) *platformtest.Snapshot {
-	store := platformtest.NewStore(platformtest.StoreOptions{})
+func storeBefore(t *testing.T, next int) *refplatformtest.Snapshot {
+	store := refplatformtest.NewStore(refplatformtest.StoreOptions{})
 	publishBase(t, store.Client)
 	for north := 2; north < next; north++ {
 		mustPublish(t, newPublisher(store.Client), alpha(t, north))
@@ -23,9 +23,9 @@
 }
 
 // failAt makes the n-th write of a client meet a verdict.
-func failAt(store *platformtest.Store, n int, v platformtest.Verdict) {
+func failAt(store *refplatformtest.Store, n int, v refplatformtest.Verdict) {
 	writes := 0
-	store.SetHook(func(c platformtest.Call) platformtest.Verdict {
+	store.SetHook(func(c refplatformtest.Call) refplatformtest.Verdict {
 		if c.Client != "publisher" || (c.Op != memkv.OpSwap && c.Op != memkv.OpDelete) {
 			return memkv.VerdictPass
 		}
@@ -37,12 +37,12 @@
 }
 
 func TestLostAnswerAtEachWriteIsSettled(t *testing.T) {
-	for _, verdict := range []platformtest.Verdict{memkv.VerdictLoseAnswer, memkv.VerdictLoseRequest, memkv.VerdictRefuse} {
+	for _, verdict := range []refplatformtest.Verdict{memkv.VerdictLoseAnswer, memkv.VerdictLoseRequest, memkv.VerdictRefuse} {
 		for _, next := range []int{2, 34} {
 			before := storeBefore(t, next)
 			for n := 1; n <= 6; n++ {
 				synctest.Test(t, func(t *testing.T) {
-					store := platformtest.NewStore(platformtest.StoreOptions{})
+					store := refplatformtest.NewStore(refplatformtest.StoreOptions{})
 					store.Restore(before)
 					failAt(store, n, verdict)
 					result := mustPublish(t, newPublisher(store.NewClient("publisher")), alpha(t, 99))
@@ -65,13 +65,13 @@
 	}
 }
 
-func publishAndKill(t *testing.T, before *platformtest.Snapshot, next, calls int) {
-	store := platformtest.NewStore(platformtest.StoreOptions{})
+func publishAndKill(t *testing.T, before *refplatformtest.Snapshot, next, calls int) {
+	store := refplatformtest.NewStore(refplatformtest.StoreOptions{})
 	store.Restore(before)
 	ctx, kill := context.WithCancel(t.Context())
 	defer kill()
 	made := 0
-	store.SetHook(func(c platformtest.Call) platformtest.Verdict {
+	store.SetHook(func(c refplatformtest.Call) refplatformtest.Verdict {
 		if c.Client == "publisher" {
 			if made++; made > calls {
 				kill()
@@ -96,12 +96,12 @@
 }
 
 func TestUnknownIsSaidAndSettled(t *testing.T) {
-	for _, verdict := range []platformtest.Verdict{memkv.VerdictLoseAnswer, memkv.VerdictLoseRequest} {
+	for _, verdict := range []refplatformtest.Verdict{memkv.VerdictLoseAnswer, memkv.VerdictLoseRequest} {
 		synctest.Test(t, func(t *testing.T) {
-			store := platformtest.NewStore(platformtest.StoreOptions{})
+			store := refplatformtest.NewStore(refplatformtest.StoreOptions{})
 			publishBase(t, store.Client)
 			down := false
-			store.SetHook(func(c platformtest.Call) platformtest.Verdict {
+			store.SetHook(func(c refplatformtest.Call) refplatformtest.Verdict {
 				if c.Client == "publisher" && down {
 					return memkv.VerdictRefuse
 				}
@@ -137,13 +137,13 @@
 
 func TestSettleStopsAWriteThatIsOnItsWay(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store := platformtest.NewStore(platformtest.StoreOptions{})
+		store := refplatformtest.NewStore(refplatformtest.StoreOptions{})
 		publishBase(t, store.Client)
 		slow := store.NewClient("slow")
 		held := make(chan struct{})
-		store.SetHook(func(c platformtest.Call) platformtest.Verdict {
+		store.SetHook(func(c refplatformtest.Call) refplatformtest.Verdict {
 			if c.Client == "slow" && c.Key == steering.HeadKey && c.Op == memkv.OpSwap {
-				slow.SetFaults(platformtest.Faults{Delay: time.Minute})
+				slow.SetFaults(refplatformtest.Faults{Delay: time.Minute})
 				close(held)
 			}
 			return memkv.VerdictPass
@@ -172,9 +172,9 @@
 
 func TestStoreDownIsNotAccepted(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store := platformtest.NewStore(platformtest.StoreOptions{})
+		store := refplatformtest.NewStore(refplatformtest.StoreOptions{})
 		publishBase(t, store.Client)
-		store.SetStoreFaults(platformtest.Faults{Down: true})
+		store.SetStoreFaults(refplatformtest.Faults{Down: true})
 		_, err := newPublisher(store.Client).Publish(t.Context(), alpha(t, 5), steering.PublishOptions{})
 		var refused *steering.NotAcceptedError
 		if !errors.As(err, &refused) {
@@ -186,14 +186,14 @@
 func TestUnchangedIsNotSaidFromThePast(t *testing.T) {
 	for _, ends := range []bool{false, true} {
 		synctest.Test(t, func(t *testing.T) {
-			store := platformtest.NewStore(platformtest.StoreOptions{})
+			store := refplatformtest.NewStore(refplatformtest.StoreOptions{})
 			publishBase(t, store.Client)
 			old := store.Snapshot()
 			mustPublish(t, newPublisher(store.Client), alpha(t, 5))
 			stale := store.NewClient("stale")
-			stale.SetFaults(platformtest.Faults{Stale: old})
+			stale.SetFaults(refplatformtest.Faults{Stale: old})
 			if ends {
-				time.AfterFunc(time.Second, func() { stale.SetFaults(platformtest.Faults{}) })
+				time.AfterFunc(time.Second, func() { stale.SetFaults(refplatformtest.Faults{}) })
 			}
 			result, err := newPublisher(stale).Publish(t.Context(), alpha(t, 1), steering.PublishOptions{})
 			var refused *steering.NotAcceptedError
--- a/internal/steering/settle.go
+++ b/internal/steering/settle.go
@@ -6,7 +6,7 @@
 	"fmt"
 	"slices"
 
-	"github.com/azureflow/azureflow/internal/platform/kv"
+	"github.com/azureflow/azureflow/internal/kv"
 )
 
 // verdict is what the store says of a publication.
--- a/internal/steering/takeup_test.go
+++ b/internal/steering/takeup_test.go
@@ -12,9 +12,9 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"github.com/azureflow/azureflow/internal/kv"
 	"github.com/azureflow/azureflow/internal/peer"
-	"github.com/azureflow/azureflow/internal/platform/kv"
-	"github.com/azureflow/azureflow/internal/platform/platformtest"
+	"github.com/azureflow/azureflow/internal/refplatform/refplatformtest"
 	"github.com/azureflow/azureflow/internal/steering"
 )
 
@@ -58,8 +58,8 @@
 
 // fleet is entry VMs in zones; the first of each zone follows the store.
 type fleet struct {
-	store     *platformtest.Store
-	leaders   []*platformtest.Client
+	store     *refplatformtest.Store
+	leaders   []*refplatformtest.Client
 	metered   []*meteredStore
 	followers []*steering.Follower
 	peerBytes atomic.Int64
@@ -70,7 +70,7 @@
 }
 
 // newFleet returns VMs that ask the leader of their zone and one of the next zone.
-func newFleet(store *platformtest.Store) *fleet {
+func newFleet(store *refplatformtest.Store) *fleet {
 	fl := &fleet{store: store, takeUp: hdrhistogram.New(1, 3_600_000, 3), taken: make(map[steering.Revision]int)}
 	for i := range takeUpZones * takeUpPerZone {
 		o := steering.FollowerOptions{
@@ -140,11 +140,11 @@
 		faults func(*fleet)
 	}{
 		{"no fault", func(*fleet) {}},
-		{"store slow by 300 ms", func(fl *fleet) { fl.store.SetStoreFaults(platformtest.Faults{Delay: 300 * time.Millisecond}) }},
-		{"watches silent", func(fl *fleet) { fl.store.SetStoreFaults(platformtest.Faults{WatchSilent: true}) }},
+		{"store slow by 300 ms", func(fl *fleet) { fl.store.SetStoreFaults(refplatformtest.Faults{Delay: 300 * time.Millisecond}) }},
+		{"watches silent", func(fl *fleet) { fl.store.SetStoreFaults(refplatformtest.Faults{WatchSilent: true}) }},
 		{"zones 0 and 1 cut off from the store", func(fl *fleet) {
-			fl.leaders[0].SetFaults(platformtest.Faults{Down: true})
-			fl.leaders[1].SetFaults(platformtest.Faults{Down: true})
+			fl.leaders[0].SetFaults(refplatformtest.Faults{Down: true})
+			fl.leaders[1].SetFaults(refplatformtest.Faults{Down: true})
 		}},
 	}
 	for _, c := range cases {
@@ -156,7 +156,7 @@
 }
 
 func takeUp(t *testing.T, faults func(*fleet), trees []*steering.Tree, changes int) {
-	store := platformtest.NewStore(platformtest.StoreOptions{})
+	store := refplatformtest.NewStore(refplatformtest.StoreOptions{})
 	publishBase(t, store.Client)
 	fl := newFleet(store)
 	ctx, cancel := context.WithCancel(t.Context())
--- a/internal/zone/elector.go
+++ b/internal/zone/elector.go
@@ -8,7 +8,7 @@
 
 	"github.com/azureflow/azureflow/internal/contract"
 	"github.com/azureflow/azureflow/internal/peer"
-	"github.com/azureflow/azureflow/internal/platform"
+	"github.com/azureflow/azureflow/internal/refplatform"
 	"github.com/azureflow/azureflow/internal/steering"
 	"github.com/azureflow/azureflow/internal/vm"
 )
@@ -18,7 +18,7 @@
 
 // ElectorOptions configure an Elector; Store, Zone and Self are needed.
 type ElectorOptions struct {
-	Store       platform.Store
+	Store       refplatform.Store
 	Zone        steering.ZoneName
 	Self        vm.Name
 	Incarnation vm.Incarnation
@@ -138,22 +138,22 @@
 
 	mu         sync.Mutex
 	state      State
-	lease      platform.Lease
+	lease      refplatform.Lease
 	leaseTo    time.Time // the store lease is good until then
 	promisedTo time.Time // all successors keep off until then
 	record     Record
-	version    platform.Version // of record; 0: not read or absent
-	hasRead    bool             // record is known as the store holds it
-	everRead   bool             // record was known once
-	answered   bool             // the store answered this life once
-	keepOff    time.Time        // this VM keeps off until then
-	trying     bool             // a candidacy is under way
-	seen       uint64           // highest epoch of a leadership that was or may have been
-	keptFor    pledge           // whom this VM last promised to, if it did not run since
-	running    time.Time        // a candidacy that ended may still succeed until then
-	resign     time.Time        // this VM does not run or renew until then
-	absent     time.Time        // since when the leader's key was seen absent; zero: it is held
-	looked     time.Time        // last look at the leader's key; zero: never
+	version    refplatform.Version // of record; 0: not read or absent
+	hasRead    bool                // record is known as the store holds it
+	everRead   bool                // record was known once
+	answered   bool                // the store answered this life once
+	keepOff    time.Time           // this VM keeps off until then
+	trying     bool                // a candidacy is under way
+	seen       uint64              // highest epoch of a leadership that was or may have been
+	keptFor    pledge              // whom this VM last promised to, if it did not run since
+	running    time.Time           // a candidacy that ended may still succeed until then
+	resign     time.Time           // this VM does not run or renew until then
+	absent     time.Time           // since when the leader's key was seen absent; zero: it is held
+	looked     time.Time           // last look at the leader's key; zero: never
 	unlisted   map[vm.Name]time.Time
 	part       float64 // of the floor, this VM's
 	stats      Stats
--- a/internal/zone/faults_test.go
+++ b/internal/zone/faults_test.go
@@ -10,7 +10,7 @@
 
 	"pgregory.net/rapid"
 
-	"github.com/azureflow/azureflow/internal/platform/platformtest"
+	"github.com/azureflow/azureflow/internal/refplatform/refplatformtest"
 	"github.com/azureflow/azureflow/internal/steering"
 	"github.com/azureflow/azureflow/internal/vm"
 )
@@ -35,7 +35,7 @@
 	n.dead = true
 	n.mu.Unlock()
 	w.mu.Unlock()
-	n.client.SetFaults(platformtest.Faults{Down: true})
+	n.client.SetFaults(refplatformtest.Faults{Down: true})
 	n.setPaused(false, false)
 	n.stop()
 }
@@ -100,7 +100,7 @@
 	w.healed[there], w.healed[back] = since, since
 }
 
-func (w *world) cutStoreOf(zone steering.ZoneName, f platformtest.Faults) {
+func (w *world) cutStoreOf(zone steering.ZoneName, f refplatformtest.Faults) {
 	for _, p := range w.places {
 		w.mu.Lock()
 		n := w.nodes[p.name]
@@ -161,20 +161,20 @@
 	case "kill":
 		on(func() { w.kill(p.name) }, func() { w.restart(p) })
 	case "store-down":
-		on(func() { w.store.SetStoreFaults(platformtest.Faults{Down: true}) }, func() { w.store.SetStoreFaults(platformtest.Faults{}) })
+		on(func() { w.store.SetStoreFaults(refplatformtest.Faults{Down: true}) }, func() { w.store.SetStoreFaults(refplatformtest.Faults{}) })
 	case "store-slow":
 		delay := time.Duration(500+100*f.Other) * 8 * time.Millisecond
-		on(func() { w.store.SetStoreFaults(platformtest.Faults{Delay: delay}) }, func() { w.store.SetStoreFaults(platformtest.Faults{}) })
+		on(func() { w.store.SetStoreFaults(refplatformtest.Faults{Delay: delay}) }, func() { w.store.SetStoreFaults(refplatformtest.Faults{}) })
 	case "lose-answers":
-		on(func() { w.cutStoreOf(p.zone, platformtest.Faults{LoseAnswers: 3}) }, func() { w.cutStoreOf(p.zone, platformtest.Faults{}) })
+		on(func() { w.cutStoreOf(p.zone, refplatformtest.Faults{LoseAnswers: 3}) }, func() { w.cutStoreOf(p.zone, refplatformtest.Faults{}) })
 	case "lose-requests":
-		on(func() { w.cutStoreOf(p.zone, platformtest.Faults{LoseRequests: 3}) }, func() { w.cutStoreOf(p.zone, platformtest.Faults{}) })
+		on(func() { w.cutStoreOf(p.zone, refplatformtest.Faults{LoseRequests: 3}) }, func() { w.cutStoreOf(p.zone, refplatformtest.Faults{}) })
 	case "cut-store", "cut-both":
 		on(func() {
-			w.cutStoreOf(p.zone, platformtest.Faults{Down: true})
+			w.cutStoreOf(p.zone, refplatformtest.Faults{Down: true})
 			w.cutZone(p.zone, true, true, f.Kind == "cut-both")
 		}, func() {
-			w.cutStoreOf(p.zone, platformtest.Faults{})
+			w.cutStoreOf(p.zone, refplatformtest.Faults{})
 			w.cutZone(p.zone, true, true, false)
 		})
 	case "cut-peers", "cut-out", "cut-in":
@@ -192,11 +192,11 @@
 			func() { w.node(p.name).setPaused(false, false); w.setListed(p.name, true) })
 	case "cut-unlisted":
 		on(func() {
-			w.cutStoreOf(p.zone, platformtest.Faults{Down: true})
+			w.cutStoreOf(p.zone, refplatformtest.Faults{Down: true})
 			w.cutZone(p.zone, true, true, true)
 			w.setListed(p.name, false)
 		}, func() {
-			w.cutStoreOf(p.zone, platformtest.Faults{})
+			w.cutStoreOf(p.zone, refplatformtest.Faults{})
 			w.cutZone(p.zone, true, true, false)
 			w.setListed(p.name, true)
 		})
--- a/internal/zone/floor.go
+++ b/internal/zone/floor.go
@@ -9,7 +9,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/azureflow/azureflow/internal/platform/kv"
+	"github.com/azureflow/azureflow/internal/kv"
 	"github.com/azureflow/azureflow/internal/vm"
 )
 
--- a/internal/zone/lease.go
+++ b/internal/zone/lease.go
@@ -7,7 +7,7 @@
 	"slices"
 	"time"
 
-	"github.com/azureflow/azureflow/internal/platform/kv"
+	"github.com/azureflow/azureflow/internal/kv"
 	"github.com/azureflow/azureflow/internal/vm"
 )
 
--- a/internal/zone/measure_test.go
+++ b/internal/zone/measure_test.go
@@ -6,7 +6,7 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/azureflow/azureflow/internal/platform/platformtest"
+	"github.com/azureflow/azureflow/internal/refplatform/refplatformtest"
 	"github.com/azureflow/azureflow/internal/steering"
 	"github.com/azureflow/azureflow/internal/vm"
 )
@@ -127,12 +127,12 @@
 		run(t, share, even(25), func(w *world) {
 			zone := steering.ZoneName("muscat-a")
 			before := w.used(zone)
-			w.cutStoreOf(zone, platformtest.Faults{Down: true})
+			w.cutStoreOf(zone, refplatformtest.Faults{Down: true})
 			w.cutZone(zone, true, true, true)
 			time.Sleep(40 * time.Second)
 			floor := float64(int(share * float64(w.slots)))
 			own := float64(w.node("e4").book.Demand(service, zone).InUse)
-			w.cutStoreOf(zone, platformtest.Faults{})
+			w.cutStoreOf(zone, refplatformtest.Faults{})
 			w.cutZone(zone, true, true, false)
 			took, after := w.until(10*time.Second, 0.95*before, zone)
 			t.Logf("floor %.2f: %.1f slots in use before, %.0f at the cut-off VM (floor %.0f), %.1f %v after the cut healed", share, before, own, floor, after, took)
@@ -152,7 +152,7 @@
 		for _, p := range w.places[:3] {
 			w.kill(p.name)
 		}
-		w.store.SetStoreFaults(platformtest.Faults{Down: true})
+		w.store.SetStoreFaults(refplatformtest.Faults{Down: true})
 		survivors := w.zones()[2:]
 		capacity := float64(w.slots * len(survivors))
 		time.Sleep(10 * time.Second)
@@ -172,7 +172,7 @@
 func TestTenMinutesWithoutStore(t *testing.T) {
 	run(t, 0.25, even(25), func(w *world) {
 		capacity := float64(w.slots * len(w.zones()))
-		w.store.SetStoreFaults(platformtest.Faults{Down: true})
+		w.store.SetStoreFaults(refplatformtest.Faults{Down: true})
 		for i, z := range w.zones() {
 			w.cutZone(z, i%2 == 0, i%3 != 0, true)
 			w.used(w.zones()...)
@@ -190,7 +190,7 @@
 			time.Sleep(50 * time.Second)
 		}
 		afterStarts := w.used(w.zones()...)
-		w.store.SetStoreFaults(platformtest.Faults{})
+		w.store.SetStoreFaults(refplatformtest.Faults{})
 		took, used := w.until(30*time.Second, 0.95*capacity, w.zones()...)
 		t.Logf("%.1f of %.0f slots in use after the cuts, %.1f after the starts, %.1f %v after the store was back", afterCuts, capacity, afterStarts, used, took)
 	})
--- a/internal/zone/world_test.go
+++ b/internal/zone/world_test.go
@@ -14,8 +14,8 @@
 
 	"github.com/azureflow/azureflow/internal/contract"
 	"github.com/azureflow/azureflow/internal/peer"
-	"github.com/azureflow/azureflow/internal/platform/platformtest"
 	"github.com/azureflow/azureflow/internal/proptest"
+	"github.com/azureflow/azureflow/internal/refplatform/refplatformtest"
 	"github.com/azureflow/azureflow/internal/steering"
 	"github.com/azureflow/azureflow/internal/vm"
 )
@@ -51,7 +51,7 @@
 	ttl      time.Duration
 	defect   func(*ElectorOptions)
 	start    time.Time
-	store    *platformtest.Store
+	store    *refplatformtest.Store
 	mu       sync.Mutex
 	seed     uint64
 	streams  map[stream]*rand.Rand // of delays
@@ -78,7 +78,7 @@
 	w        *world
 	place    place
 	rate     float64 // of its clock
-	client   *platformtest.Client
+	client   *refplatformtest.Client
 	book     *contract.Book
 	borrower *contract.Borrower
 	grantors map[steering.ZoneName]*contract.Grantor
@@ -100,7 +100,7 @@
 func newWorld(seed uint64, share float64) *world {
 	return &world{
 		places: sohar, slots: 20, share: share,
-		start: time.Now(), store: platformtest.NewStore(platformtest.StoreOptions{}),
+		start: time.Now(), store: refplatformtest.NewStore(refplatformtest.StoreOptions{}),
 		seed: seed, streams: make(map[stream]*rand.Rand), nodes: make(map[vm.Name]*node),
 		cut: make(map[[2]vm.Name]bool), cutStore: make(map[vm.Name]bool),
 		cutZones: make(map[[2]steering.ZoneName]bool), healed: make(map[[2]steering.ZoneName]time.Time),
@@ -145,7 +145,7 @@
 	}
 	life, down := w.lives, w.cutStore[p.name]
 	w.mu.Unlock()
-	n.client.SetFaults(platformtest.Faults{Down: down})
+	n.client.SetFaults(refplatformtest.Faults{Down: down})
 	n.ctx, n.stop = context.WithCancel(context.Background())
 	n.book = contract.NewBook(contract.BookOptions{Self: p.name, Incarnation: life, Zone: p.zone, Start: n.clock()})
 	for _, q := range w.places {
