gateway: a zone with one wide link left is served by its region

Found by reading: where one of a zone's two wide entry VMs is away, as in a restart of all in turn, the answer named the other and a narrow one, which then got half of the zone's callers. Now such a zone's callers are told of the region's wide VMs. TestZoneWithOneWideLinkIsServedByItsRegion fails before. A zone's only VM is named alone, as before.

--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -7,7 +7,8 @@
 )
 
 // Lookup returns the entry VMs for callers in a zone: those of the zone, else of its region, else all. Of these
-// it leaves out the ones whose links are too narrow for an even share.
+// it leaves out the ones whose links are too narrow for an even share. A zone in which that leaves too few is
+// served by its region.
 func (p *presence) Lookup(region steering.RegionName, zone steering.ZoneName) Found {
 	var inZone, inRegion, all []*presenceRecord
 	add := func(r *presenceRecord) {
@@ -25,14 +26,13 @@
 	for _, r := range *p.live.Load() {
 		add(&r)
 	}
-	found := all
-	switch {
-	case len(inZone) > 0:
-		found = inZone
-	case len(inRegion) > 0:
-		found = inRegion
+	found := widest(inZone, 1)
+	if len(found) == 0 || len(found) < min(leastNamed, len(inZone)) {
+		found = widest(inRegion, leastNamed)
+	}
+	if len(found) == 0 {
+		found = widest(all, leastNamed)
 	}
-	found = widest(found)
 	addresses := make([]string, 0, maxAddresses)
 	for _, r := range found[:min(len(found), maxAddresses)] {
 		addresses = append(addresses, r.Requests)
@@ -41,15 +41,16 @@
 	return Found{Addresses: addresses, TTL: p.ttl}
 }
 
-// leastNamed is the number of entry VMs that an answer names if there are so many: one may have died unnoticed.
+// leastNamed is the number of entry VMs that an answer names if there are so many near: one may have died unnoticed.
 const leastNamed = 2
 
-// widest returns the records that carry most together. Callers choose evenly among those named, so that n of them
-// carry n times what the narrowest one does: a VM with a narrow link would hold up its share of the callers.
-func widest(records []*presenceRecord) []*presenceRecord {
+// widest returns the records that carry most together, at least so many if there are. Callers choose evenly among those
+// named, so that n of them carry n times what the narrowest one does: a VM with a narrow link would hold up its share
+// of the callers.
+func widest(records []*presenceRecord, least int) []*presenceRecord {
 	sort.SliceStable(records, func(i, j int) bool { return records[i].widerThan(records[j]) })
 	best, most := len(records), 0.0
-	for n := leastNamed; n <= len(records); n++ {
+	for n := least; n <= len(records); n++ {
 		if mbit := float64(n) * records[n-1].LinkMbit; mbit >= most {
 			best, most = n, mbit
 		}
--- a/internal/gateway/presence_test.go
+++ b/internal/gateway/presence_test.go
@@ -85,7 +85,7 @@
 		{"two wide, one narrow", map[string]float64{"a": 12, "b": 200, "c": 200}, []string{"b", "c"}},
 		{"equal", map[string]float64{"a": 200, "b": 200, "c": 200}, []string{"a", "b", "c"}},
 		{"unknown", map[string]float64{"a": 0, "b": 0, "c": 0}, []string{"a", "b", "c"}},
-		{"one wide, one narrow: both, as one may die", map[string]float64{"a": 12, "b": 200}, []string{"a", "b"}},
+		{"one wide, one narrow, no other zone: both, as one may die", map[string]float64{"a": 12, "b": 200}, []string{"a", "b"}},
 		{"half as wide, as much together", map[string]float64{"a": 100, "b": 200, "c": 100, "d": 100}, []string{"a", "b", "c", "d"}},
 		{"many narrow carry more", map[string]float64{"a": 50, "b": 50, "c": 50, "d": 50, "e": 90, "f": 90}, []string{"a", "b", "c", "d", "e", "f"}},
 		{"alone", map[string]float64{"a": 12}, []string{"a"}},
@@ -111,6 +111,27 @@
 	}
 }
 
+// One of a zone's two wide entry VMs is gone: the narrow one beside the other would get half of the callers.
+func TestZoneWithOneWideLinkIsServedByItsRegion(t *testing.T) {
+	p := testPresence(t, map[string]presenceRecord{
+		"wide":   {Zone: "south-a", Region: "south", Requests: "1", Peer: "1", LinkMbit: 200},
+		"narrow": {Zone: "south-a", Region: "south", Requests: "2", Peer: "2", LinkMbit: 12},
+		"next-1": {Zone: "south-b", Region: "south", Requests: "3", Peer: "3", LinkMbit: 200},
+		"next-2": {Zone: "south-b", Region: "south", Requests: "4", Peer: "4", LinkMbit: 200},
+		"alone":  {Zone: "south-c", Region: "south", Requests: "5", Peer: "5", LinkMbit: 200},
+		"far":    {Zone: "west-a", Region: "west", Requests: "6", Peer: "6", LinkMbit: 200},
+	})
+	for zone, want := range map[steering.ZoneName][]string{
+		"south-a": {"1", "3", "4", "5"},
+		"south-b": {"3", "4"},
+		"south-c": {"5"}, // all that the zone has
+	} {
+		if found := p.Lookup("south", zone); !slices.Equal(found.Addresses, want) {
+			t.Errorf("%s: %v, want %v", zone, found.Addresses, want)
+		}
+	}
+}
+
 // Only the entry VMs that callers are told of count as sharing the region's load.
 func TestServingCountsThoseThatAreNamed(t *testing.T) {
 	p := testPresence(t, map[string]presenceRecord{
