forward: what is open at the end of a planned stop is answered

Now the requests still open 0.3 s before the kill are broken off and get 504, which promises nothing, and have 0.2 s to be written. TestEndOfTheProcessIsAnswered: without it the answer comes at the route's time-out, 1 s too late.

--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -59,6 +59,7 @@
 	x.body = body
 	ctx, cancel := context.WithDeadline(x.r.Context(), x.end)
 	defer cancel()
+	defer context.AfterFunc(x.h.ending, cancel)()
 	x.ctx = ctx
 	for {
 		query := x.query()
@@ -149,6 +150,8 @@
 		return x.deliver(s.answer)
 	case !x.ran:
 		x.fail(http.StatusServiceUnavailable, s.result.Outcome.String(), x.h.retryAfter(0))
+	case x.h.ending.Err() != nil:
+		x.fail(http.StatusGatewayTimeout, reasonStopping, 0)
 	case x.ctx.Err() != nil:
 		x.fail(http.StatusGatewayTimeout, "timeout", 0)
 	default:
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -62,13 +63,18 @@
 	opts      Options
 	leaving   atomic.Bool
 	refusing  atomic.Bool
+	ending    context.Context // ends with the process
+	breakOff  context.CancelFunc
 	inFlight  atomic.Int64
 	deadlines deadlines
 }
 
 // NewHandler returns a Handler.
 func NewHandler(opts Options) *Handler {
-	return &Handler{opts: opts, deadlines: deadlines{longest: make(map[string]time.Duration)}}
+	ending, breakOff := context.WithCancel(context.Background())
+	return &Handler{
+		opts: opts, ending: ending, breakOff: breakOff, deadlines: deadlines{longest: make(map[string]time.Duration)},
+	}
 }
 
 // Leave makes every further answer tell its caller to close the connection.
@@ -77,6 +83,12 @@
 // Refuse makes every further request get the promise that it did not run: the process ends too soon for it.
 func (h *Handler) Refuse() { h.refusing.Store(true) }
 
+// reasonStopping is told of requests that the end of the process kept from being served.
+const reasonStopping = "stopping"
+
+// BreakOff ends the requests that are being handled: their callers are told at once that they may have run.
+func (h *Handler) BreakOff() { h.breakOff() }
+
 // InFlight returns the number of requests that are being handled.
 func (h *Handler) InFlight() int64 { return h.inFlight.Load() }
 
@@ -86,7 +98,7 @@
 	defer h.inFlight.Add(-1)
 	x := &exchange{h: h, w: w, r: r, start: time.Now(), id: r.Header.Get(h.opts.Headers.RequestID)}
 	if h.refusing.Load() {
-		x.fail(http.StatusServiceUnavailable, "stopping", h.retryAfter(0))
+		x.fail(http.StatusServiceUnavailable, reasonStopping, h.retryAfter(0))
 		return
 	}
 	table := h.opts.Table()
--- a/internal/forward/handler_test.go
+++ b/internal/forward/handler_test.go
@@ -306,3 +306,24 @@
 		}
 	})
 }
+
+// Replays zollbrugg-gate-grown trouble-2, seed 236313630912 (LOST): requests at servers that never answered were still
+// open at the end of a planned stop, and their connections were closed without a word.
+func TestEndOfTheProcessIsAnswered(t *testing.T) {
+	stuck := func(*fakeServer, *http.Request, io.Writer) { time.Sleep(time.Hour) }
+	for _, path := range []string{"/safe/x", "/unsafe/x"} {
+		inWorld(t, []script{stuck, ok}, func(t *testing.T, w *world) {
+			const end = time.Second
+			time.AfterFunc(end, w.handler.BreakOff)
+			begun := time.Now()
+			answer, aborted := w.ask(request(http.MethodGet, path, ""))
+			if took := time.Since(begun); answer.Code != http.StatusGatewayTimeout || aborted || took != end {
+				t.Errorf("%s: status %d, cut off %v, after %v; want 504 as the process ends", path, answer.Code, aborted, took)
+			}
+			if w.done[0].Reason != reasonStopping {
+				t.Errorf("%s: told as %s", path, w.done[0].Reason)
+			}
+			time.Sleep(time.Hour)
+		})
+	}
+}
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -25,6 +25,7 @@
 	stopAccept = 2500 * time.Millisecond // callers with older directory answers are served until then
 	stopSettle = 300 * time.Millisecond  // in which requests that are unread when the refusals begin are read and refused
 	stopMargin = 300 * time.Millisecond  // before the kill
+	stopFlush  = 200 * time.Millisecond  // of that, for the answers to requests that are broken off
 	stopPoll   = 20 * time.Millisecond
 )
 
@@ -196,12 +197,13 @@
 	// on it, or has not come to read it yet on a machine that is held up.
 	d.handler.Refuse()
 	time.Sleep(stopSettle)
-	ctx, cancel := context.WithDeadline(context.Background(), begun.Add(d.settings.Bounds.Grace-stopMargin))
-	defer cancel()
-	for _, s := range d.servers {
-		if err := s.Shutdown(ctx); err != nil {
+	kill := begun.Add(d.settings.Bounds.Grace)
+	if err := d.shutdown(kill.Add(-stopMargin)); err != nil {
+		d.log.WithFields(logrus.Fields{"in_flight": d.handler.InFlight(), "error": err.Error()}).Warn("requests broken off by the stop")
+		// A connection that is closed without a word leaves its caller in doubt.
+		d.handler.BreakOff()
+		if err := d.shutdown(kill.Add(stopFlush - stopMargin)); err != nil {
 			d.log.WithFields(logrus.Fields{"in_flight": d.handler.InFlight(), "error": err.Error()}).Warn("requests cut off by the stop")
-			break
 		}
 	}
 	d.stop()
@@ -209,6 +211,18 @@
 	return nil
 }
 
+// shutdown closes listeners and unused connections and waits until a time for what is in flight.
+func (d *daemon) shutdown(until time.Time) error {
+	ctx, cancel := context.WithDeadline(context.Background(), until)
+	defer cancel()
+	for _, s := range d.servers {
+		if err := s.Shutdown(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // StopTimeout returns how long a planned stop may take.
 func (s *Settings) StopTimeout() time.Duration { return s.Bounds.Grace + time.Second }
 
