--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -16,6 +16,7 @@
 	idleMargin      = 500 * time.Millisecond // kept from the server's own idle timeout
 	idleDefault     = 4 * time.Second        // where the server names no timeout
 	idleNonRepeat   = time.Second            // for a request that may run only once: an older one may be dead
+	idleRepeat      = 40 * time.Second       // for others, where the server names no shorter timeout
 )
 
 // conn is a connection to a server. It carries one request at a time.
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -36,7 +36,7 @@
 
 	sendings int
 	ran      bool // may have run at a server
-	refused  int  // sendings that did not bring an answer
+	tries    int  // sendings, also those that could not reach a server
 	tried    []placement.ServerID
 	last     *sending
 	refusal  *placement.Refusal
@@ -50,10 +50,10 @@
 	var large *BodyTooLargeError
 	switch {
 	case errors.As(err, &large):
-		x.fail(http.StatusRequestEntityTooLarge, "body-too-large", 0)
+		x.fail(http.StatusRequestEntityTooLarge, ReasonBodyTooLarge, 0)
 		return true
 	case err != nil:
-		x.note("caller-gone", 0)
+		x.note(ReasonCallerGone, 0)
 		return false
 	}
 	x.body = body
@@ -89,7 +89,7 @@
 // finishSending gives back what the sending held and notes what it showed.
 func (x *exchange) finishSending(s *sending) {
 	x.last = s
-	x.refused++
+	x.tries++
 	if !s.result.Passing() {
 		x.tried = append(x.tried, s.to.Server)
 	}
@@ -113,12 +113,12 @@
 	return s.answer.response.StatusCode
 }
 
-// maxRefused bounds the sendings of one request that bring no answer.
-const maxRefused = 3
+// maxTries is the number of sendings after which a request is sent once more at most.
+const maxTries = 3
 
 // again reports whether the request may and should be sent to another server.
 func (x *exchange) again(s *sending) bool {
-	if x.ctx.Err() != nil || !x.body.repeatable() || x.refused > maxRefused {
+	if x.ctx.Err() != nil || !x.body.repeatable() || x.tries > maxTries {
 		return false
 	}
 	switch s.result.Outcome {
@@ -136,7 +136,7 @@
 	if x.ran {
 		return x.conclude(x.last)
 	}
-	x.fail(http.StatusServiceUnavailable, string(r.Reason), x.h.retryAfter(r.RetryAfter))
+	x.fail(http.StatusServiceUnavailable, Reason(r.Reason), x.h.retryAfter(r.RetryAfter))
 	return true
 }
 
@@ -144,18 +144,18 @@
 func (x *exchange) conclude(s *sending) bool {
 	switch {
 	case x.r.Context().Err() != nil:
-		x.note("caller-gone", 0)
+		x.note(ReasonCallerGone, 0)
 		return false
 	case s.answer != nil && !s.notRun && (!refusal(s.status()) || x.route.Kind.Idempotent()):
 		return x.deliver(s.answer)
 	case !x.ran:
-		x.fail(http.StatusServiceUnavailable, s.result.Outcome.String(), x.h.retryAfter(0))
+		x.fail(http.StatusServiceUnavailable, Reason(s.result.Outcome.String()), x.h.retryAfter(0))
 	case x.h.ending.Err() != nil:
-		x.fail(http.StatusGatewayTimeout, reasonStopping, 0)
+		x.fail(http.StatusGatewayTimeout, ReasonStopping, 0)
 	case x.ctx.Err() != nil:
-		x.fail(http.StatusGatewayTimeout, "timeout", 0)
+		x.fail(http.StatusGatewayTimeout, ReasonTimeout, 0)
 	default:
-		x.fail(http.StatusBadGateway, s.result.Outcome.String(), 0)
+		x.fail(http.StatusBadGateway, Reason(s.result.Outcome.String()), 0)
 	}
 	return true
 }
@@ -182,15 +182,15 @@
 		_ = a.conn.raw.Close()
 	}
 	if err != nil {
-		x.note("cut-off", a.response.StatusCode)
+		x.note(ReasonCutOff, a.response.StatusCode)
 		return false
 	}
-	x.note("answered", a.response.StatusCode)
+	x.note(ReasonAnswered, a.response.StatusCode)
 	return true
 }
 
 // fail answers with a status of this entry VM's own.
-func (x *exchange) fail(status int, reason string, retryAfter time.Duration) {
+func (x *exchange) fail(status int, reason Reason, retryAfter time.Duration) {
 	header := x.w.Header()
 	if x.id != "" {
 		header[http.CanonicalHeaderKey(x.h.opts.Headers.RequestID)] = []string{x.id}
@@ -205,7 +205,7 @@
 }
 
 // note tells the journal how the request ended.
-func (x *exchange) note(reason string, status int) {
+func (x *exchange) note(reason Reason, status int) {
 	done := &Done{
 		RequestID: x.id, Reason: reason, Status: status, Took: time.Since(x.start), Sendings: x.sendings,
 		Version: x.version, Service: x.service, Refusal: x.refusal, Late: !x.onTime.IsZero() && time.Now().After(x.onTime),
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -26,6 +26,22 @@
 	Ejected   bool  // the server gets nothing for a while
 }
 
+// Reason says how a request ended: with a server's answer, or why without one. Beside those here it is the outcome of
+// the last sending or the reason of a refusal, as package placement names them.
+type Reason string
+
+// Reasons that come of this package.
+const (
+	ReasonAnswered        Reason = "answered"
+	ReasonCutOff          Reason = "cut-off"     // part of the answer was passed on
+	ReasonCallerGone      Reason = "caller-gone" // before the answer
+	ReasonBodyTooLarge    Reason = "body-too-large"
+	ReasonNoConfiguration Reason = "no-configuration"
+	ReasonNoRoute         Reason = "no-route"
+	ReasonTimeout         Reason = "timeout"
+	ReasonStopping        Reason = "stopping" // the end of the process kept it from being served
+)
+
 // Done describes a finished request for the journal.
 type Done struct {
 	RequestID string
@@ -33,7 +49,7 @@
 	Kind      routing.Kind
 	Service   steering.ServiceName
 	Version   routing.Version
-	Reason    string // "answered", or why there was no answer of a server
+	Reason    Reason
 	Status    int
 	Took      time.Duration
 	Late      bool
@@ -83,9 +99,6 @@
 // Refuse makes every further request get the promise that it did not run: the process ends too soon for it.
 func (h *Handler) Refuse() { h.refusing.Store(true) }
 
-// reasonStopping is told of requests that the end of the process kept from being served.
-const reasonStopping = "stopping"
-
 // BreakOff ends the requests that are being handled: their callers are told at once that they may have run.
 func (h *Handler) BreakOff() { h.breakOff() }
 
@@ -98,19 +111,19 @@
 	defer h.inFlight.Add(-1)
 	x := &exchange{h: h, w: w, r: r, start: time.Now(), id: r.Header.Get(h.opts.Headers.RequestID)}
 	if h.refusing.Load() {
-		x.fail(http.StatusServiceUnavailable, reasonStopping, h.retryAfter(0))
+		x.fail(http.StatusServiceUnavailable, ReasonStopping, h.retryAfter(0))
 		return
 	}
 	table := h.opts.Table()
 	if table == nil {
-		x.fail(http.StatusServiceUnavailable, "no-configuration", h.retryAfter(0))
+		x.fail(http.StatusServiceUnavailable, ReasonNoConfiguration, h.retryAfter(0))
 		return
 	}
 	x.version = table.Version()
 	path, _, _ := cutQuery(r.RequestURI)
 	x.route = table.Route(r.Host, path)
 	if x.route == nil {
-		x.fail(http.StatusNotFound, "no-route", 0)
+		x.fail(http.StatusNotFound, ReasonNoRoute, 0)
 		return
 	}
 	x.service = x.route.Pick(rand.Float64())
--- a/internal/forward/handler_test.go
+++ b/internal/forward/handler_test.go
@@ -320,7 +320,7 @@
 			if took := time.Since(begun); answer.Code != http.StatusGatewayTimeout || aborted || took != end {
 				t.Errorf("%s: status %d, cut off %v, after %v; want 504 as the process ends", path, answer.Code, aborted, took)
 			}
-			if w.done[0].Reason != reasonStopping {
+			if w.done[0].Reason != ReasonStopping {
 				t.Errorf("%s: told as %s", path, w.done[0].Reason)
 			}
 			time.Sleep(time.Hour)
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -75,7 +75,7 @@
 }
 
 func (x *exchange) connect(p *placement.Placement, s *sending) (*conn, error) {
-	limit := idleDefault * 10
+	limit := idleRepeat
 	if !x.route.Kind.Idempotent() {
 		limit = idleNonRepeat
 	}
--- a/internal/gateway/calls.go
+++ b/internal/gateway/calls.go
@@ -27,8 +27,8 @@
 
 // Outcomes of a store call or a call of a peer.
 const (
-	callDone    = "done"
-	callTimeout = "timeout" // also a watch without a change
+	callDone    = "done" // also a watch in whose time nothing changed
+	callTimeout = "timeout"
 	callFailed  = "failed"
 )
 
@@ -69,9 +69,9 @@
 	s.log.WithFields(fields).Info("store calls")
 }
 
-// note counts a call begun at start.
-func (s *countedStore) note(call string, start time.Time, err error) {
-	s.metrics.storeCall(call, callOutcome(err), time.Since(start))
+// note counts a call begun at start that ended with err.
+func (s *countedStore) note(call string, start time.Time, err *error) {
+	s.metrics.storeCall(call, callOutcome(*err), time.Since(start))
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.since[call]++
@@ -89,75 +89,59 @@
 }
 
 // Get implements kv.Store.
-func (s *countedStore) Get(ctx context.Context, key string) (kv.Entry, error) {
-	start := time.Now()
-	e, err := s.store.Get(ctx, key)
-	s.note(callGet, start, err)
-	return e, err
+func (s *countedStore) Get(ctx context.Context, key string) (e kv.Entry, err error) {
+	defer s.note(callGet, time.Now(), &err)
+	return s.store.Get(ctx, key)
 }
 
 // List implements kv.Store.
-func (s *countedStore) List(ctx context.Context, prefix string) ([]kv.Entry, kv.Version, error) {
-	start := time.Now()
-	entries, version, err := s.store.List(ctx, prefix)
-	s.note(callList, start, err)
-	return entries, version, err
+func (s *countedStore) List(ctx context.Context, prefix string) (entries []kv.Entry, version kv.Version, err error) {
+	defer s.note(callList, time.Now(), &err)
+	return s.store.List(ctx, prefix)
 }
 
 // ListStale implements kv.StaleReader.
-func (s *countedStore) ListStale(ctx context.Context, prefix string) ([]kv.Entry, kv.Version, error) {
-	start := time.Now()
-	entries, version, err := s.store.ListStale(ctx, prefix)
-	s.note(callStale, start, err)
-	return entries, version, err
+func (s *countedStore) ListStale(ctx context.Context, prefix string) (entries []kv.Entry, version kv.Version, err error) {
+	defer s.note(callStale, time.Now(), &err)
+	return s.store.ListStale(ctx, prefix)
 }
 
 // Watch implements kv.Store.
-func (s *countedStore) Watch(ctx context.Context, prefix string, after kv.Version) ([]kv.Entry, kv.Version, error) {
-	start := time.Now()
-	entries, version, err := s.store.Watch(ctx, prefix, after)
-	s.note(callWatch, start, err)
-	return entries, version, err
+func (s *countedStore) Watch(
+	ctx context.Context, prefix string, after kv.Version,
+) (entries []kv.Entry, version kv.Version, err error) {
+	defer s.note(callWatch, time.Now(), &err)
+	return s.store.Watch(ctx, prefix, after)
 }
 
 // CompareAndSwap implements kv.Store.
 func (s *countedStore) CompareAndSwap(
 	ctx context.Context, key string, expect kv.Version, value []byte, lease kv.LeaseID,
-) (kv.Version, error) {
-	start := time.Now()
-	version, err := s.store.CompareAndSwap(ctx, key, expect, value, lease)
-	s.note(callSwap, start, err)
-	return version, err
+) (version kv.Version, err error) {
+	defer s.note(callSwap, time.Now(), &err)
+	return s.store.CompareAndSwap(ctx, key, expect, value, lease)
 }
 
 // Delete implements kv.Store.
-func (s *countedStore) Delete(ctx context.Context, key string, expect kv.Version) error {
-	start := time.Now()
-	err := s.store.Delete(ctx, key, expect)
-	s.note(callDelete, start, err)
-	return err
+func (s *countedStore) Delete(ctx context.Context, key string, expect kv.Version) (err error) {
+	defer s.note(callDelete, time.Now(), &err)
+	return s.store.Delete(ctx, key, expect)
 }
 
 // Grant implements kv.Store.
-func (s *countedStore) Grant(ctx context.Context, ttl time.Duration) (kv.Lease, error) {
-	start := time.Now()
-	lease, err := s.store.Grant(ctx, ttl)
-	s.note(callGrant, start, err)
-	return lease, err
+func (s *countedStore) Grant(ctx context.Context, ttl time.Duration) (lease kv.Lease, err error) {
+	defer s.note(callGrant, time.Now(), &err)
+	return s.store.Grant(ctx, ttl)
 }
 
 // KeepAlive implements kv.Store.
-func (s *countedStore) KeepAlive(ctx context.Context, id kv.LeaseID) error {
-	start := time.Now()
-	err := s.store.KeepAlive(ctx, id)
-	s.note(callKeepAlive, start, err)
-	return err
+func (s *countedStore) KeepAlive(ctx context.Context, id kv.LeaseID) (err error) {
+	defer s.note(callKeepAlive, time.Now(), &err)
+	return s.store.KeepAlive(ctx, id)
 }
 
 // Revoke implements kv.Store.
-func (s *countedStore) Revoke(ctx context.Context, id kv.LeaseID) error {
-	start := time.Now()
-	err := s.store.Revoke(ctx, id)
-	s.note(callRevoke, start, err)
-	return err
+func (s *countedStore) Revoke(ctx context.Context, id kv.LeaseID) (err error) {
+	defer s.note(callRevoke, time.Now(), &err)
+	return s.store.Revoke(ctx, id)
 }
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -9,12 +9,11 @@
 	"sync"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/sirupsen/logrus"
 	"go.uber.org/fx"
 
-	"github.com/prometheus/client_golang/prometheus"
-
 	"github.com/azureflow/azureflow/internal/clock"
 	"github.com/azureflow/azureflow/internal/forward"
 	"github.com/azureflow/azureflow/internal/request"
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -125,14 +125,11 @@
 func (f *follower) watchOperator(ctx context.Context) {
 	waits := newRetryWaits()
 	for ctx.Err() == nil {
-		asked := time.Now()
-		entries, version, err := f.store.List(ctx, f.catalog.OperatorPrefix)
-		f.told("operator-list", err)
+		version, _, err := f.list(ctx, readOperatorList, f.catalog.OperatorPrefix, f.takeOperator)
 		if err != nil {
 			_ = clock.Sleep(ctx, waits.NextBackOff())
 			continue
 		}
-		f.takeOperator(func(c *storeCopy) bool { return c.takeAll(entries, version, asked) })
 		f.watchOperatorFrom(ctx, version, waits)
 	}
 }
@@ -151,7 +148,7 @@
 // watchOperatorFrom takes changes until the watch fails, after a wait, or its history is gone.
 func (f *follower) watchOperatorFrom(ctx context.Context, version kv.Version, waits *backoff.ExponentialBackOff) {
 	for ctx.Err() == nil {
-		entries, next, err := f.watch(ctx, "operator-watch", f.catalog.OperatorPrefix, version, f.operatorWait())
+		entries, next, err := f.watch(ctx, readOperatorChanges, f.catalog.OperatorPrefix, version, f.operatorWait())
 		var compacted *kv.CompactedError
 		if errors.As(err, &compacted) {
 			return
@@ -166,6 +163,20 @@
 	}
 }
 
+// list takes all keys with prefix and logs how the read called name went. It returns the store's version and when the list
+// was asked for.
+func (f *follower) list(
+	ctx context.Context, name, prefix string, take func(func(*storeCopy) bool),
+) (kv.Version, time.Time, error) {
+	asked := time.Now()
+	entries, version, err := f.store.List(ctx, prefix)
+	f.told(name, err)
+	if err == nil {
+		take(func(c *storeCopy) bool { return c.takeAll(entries, version, asked) })
+	}
+	return version, asked, err
+}
+
 // watch waits up to wait for changes of the keys with prefix after version, and logs how the read called name went.
 // A history that is gone is no failure of the store.
 func (f *follower) watch(
@@ -187,7 +198,7 @@
 func (f *follower) pollOperator(ctx context.Context) {
 	for clock.Sleep(ctx, f.pace.Load().configReads) == nil {
 		entries, version, err := f.store.ListStale(ctx, f.catalog.OperatorPrefix)
-		f.told("operator-read", err)
+		f.told(readOperatorStale, err)
 		if err == nil {
 			f.takeOperator(func(c *storeCopy) bool { return c.takeAll(entries, version, time.Time{}) })
 		}
@@ -198,14 +209,11 @@
 func (f *follower) pollServers(ctx context.Context) {
 	waits := newRetryWaits()
 	for f.awaitTurn(ctx) {
-		asked := time.Now()
-		entries, version, err := f.store.List(ctx, f.catalog.ServerPrefix)
-		f.told(readServerList, err)
+		version, asked, err := f.list(ctx, readServerList, f.catalog.ServerPrefix, f.takeServers)
 		if err != nil {
 			_ = clock.Sleep(ctx, waits.NextBackOff())
 			continue
 		}
-		f.takeServers(func(c *storeCopy) bool { return c.takeAll(entries, version, asked) })
 		f.pollServersFrom(ctx, version, asked, waits)
 	}
 }
@@ -265,10 +273,13 @@
 	return waits
 }
 
-// Reads of the servers' entries, as told in logs.
+// Reads of the store, as told in logs.
 const (
-	readServerList    = "servers-list"
-	readServerChanges = "servers-changes"
+	readOperatorList    = "operator-list"
+	readOperatorChanges = "operator-watch"
+	readOperatorStale   = "operator-read"
+	readServerList      = "servers-list"
+	readServerChanges   = "servers-changes"
 )
 
 // told logs when a kind of read begins to fail and when it works again.
--- a/internal/gateway/journal.go
+++ b/internal/gateway/journal.go
@@ -60,7 +60,7 @@
 func (j *journal) Done(d *forward.Done) {
 	j.metrics.done(d)
 	limiter := j.failed
-	if d.Reason == "answered" && d.Status < 500 {
+	if d.Reason == forward.ReasonAnswered && d.Status < 500 {
 		limiter = j.answered
 	}
 	if !j.admit(limiter) {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -57,7 +57,7 @@
 func (m *Metrics) peerCall(outcome string) { m.peerCalls.WithLabelValues(outcome).Inc() }
 
 func (m *Metrics) done(d *forward.Done) {
-	m.requests.WithLabelValues(string(d.Service), d.Kind.String(), d.Reason).Inc()
+	m.requests.WithLabelValues(string(d.Service), d.Kind.String(), string(d.Reason)).Inc()
 	if d.Status >= 200 && d.Status < 300 {
 		m.seconds.WithLabelValues(string(d.Service), d.Kind.String()).Observe(d.Took.Seconds())
 	}
--- a/internal/placement/chooser.go
+++ b/internal/placement/chooser.go
@@ -197,23 +197,27 @@
 	}
 	times := c.routeTimes(q.Route)
 	best, candidates := c.best(q, times, now)
-	refusal := &Refusal{RetryAfter: noServerRetry, Left: q.Left, OnTime: q.OnTime, Candidates: candidates}
-	if best.server == nil {
-		refusal.Reason = ReasonNoServer
-		return nil, refusal
-	}
-	refusal.Server, refusal.Best, refusal.Wait = best.server.member.ID, seconds(best.total()), seconds(best.wait)
-	if tooLate(q, &best) {
-		refusal.Reason, refusal.RetryAfter = ReasonNoRoom, max(refusal.Wait/2, leastRetry)
-		return nil, refusal
-	}
-	if q.Repeat && !budget.Take() {
-		refusal.Reason, refusal.RetryAfter = ReasonBudget, leastRetry
-		return nil, refusal
+	switch {
+	case best.server == nil:
+		return nil, &Refusal{
+			Reason: ReasonNoServer, RetryAfter: noServerRetry, Left: q.Left, OnTime: q.OnTime, Candidates: candidates,
+		}
+	case tooLate(q, &best):
+		return nil, best.refusal(q, ReasonNoRoom, max(seconds(best.wait)/2, leastRetry), candidates)
+	case q.Repeat && !budget.Take():
+		return nil, best.refusal(q, ReasonBudget, leastRetry, candidates)
 	}
 	return c.commit(q, times, &best, candidates, now), nil
 }
 
+// refusal says why a request is not sent even to the best server.
+func (e *estimate) refusal(q *Query, reason Reason, retryAfter time.Duration, candidates int) *Refusal {
+	return &Refusal{
+		Reason: reason, RetryAfter: retryAfter, Left: q.Left, OnTime: q.OnTime, Candidates: candidates,
+		Server: e.server.member.ID, Best: seconds(e.total()), Wait: seconds(e.wait),
+	}
+}
+
 // Times to wait before coming back.
 const (
 	noServerRetry = 500 * time.Millisecond
@@ -246,7 +250,6 @@
 	if s.cold(now) {
 		s.coldRate.take()
 	}
-	s.inFlight++
 	s.running[p] = struct{}{}
 	s.health.sent()
 	if q.Object != 0 {
@@ -267,7 +270,6 @@
 	if r.Load != nil {
 		s.report(*r.Load, now)
 	}
-	s.inFlight--
 	delete(s.running, p)
 	if r.ColdFor > 0 {
 		s.coldUntil = now.Add(r.ColdFor)
--- a/internal/placement/cost.go
+++ b/internal/placement/cost.go
@@ -141,7 +141,7 @@
 	inFlight, servers := 0, 0
 	for _, s := range c.services[service] {
 		if s.member.Region == c.opts.Region {
-			inFlight += s.inFlight
+			inFlight += len(s.running)
 			servers++
 		}
 	}
--- a/internal/placement/server.go
+++ b/internal/placement/server.go
@@ -26,8 +26,7 @@
 // Server is what this entry VM knows of one server.
 type Server struct {
 	member    Member
-	inFlight  int // requests of this entry VM
-	running   map[*Placement]struct{}
+	running   map[*Placement]struct{} // requests of this entry VM
 	warm      *warmObjects
 	coldUntil time.Time
 	coldRate  tokenBucket
@@ -75,7 +74,7 @@
 
 // load returns how many requests the server is taken to have at now, from all entry VMs.
 func (s *Server) load(now time.Time) float64 {
-	return float64(s.inFlight) + s.othersAt(now)
+	return float64(len(s.running)) + s.othersAt(now)
 }
 
 // othersAt returns the requests of other entry VMs at the server. A report counts in full while it is fresh,
@@ -128,7 +127,7 @@
 
 // report takes the server's own report of its load, which counts the requests of this entry VM too.
 func (s *Server) report(l Load, now time.Time) {
-	s.others = max(0, float64(l.Running+l.Waiting-s.inFlight))
+	s.others = max(0, float64(l.Running+l.Waiting-len(s.running)))
 	s.othersMean += (s.others - s.othersMean) * othersWeight
 	s.slowness = min(max(l.Slowness, slownessMin), slownessMax)
 	s.reported = now
--- a/internal/placement/state.go
+++ b/internal/placement/state.go
@@ -35,7 +35,7 @@
 }
 
 func (c *Chooser) count(state *ServiceState, s *Server, now time.Time) {
-	state.InFlight += s.inFlight
+	state.InFlight += len(s.running)
 	switch {
 	case s.member.Draining || c.away[s.member.Zone]:
 		state.Leaving++
