placement, gateway: a refusal says what it rests on

Change: basis, samples and their age on the line, a counter of refusals by basis, a gauge of routes never answered, the differences that a configuration brings, and a line for one that is ignored. Decisions are unchanged.

--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -35,14 +35,15 @@
 	pace    atomic.Pointer[pace]
 	table   atomic.Pointer[routing.Table]
 
-	mu       sync.Mutex // guards what follows
-	registry *registry
-	operator *storeCopy
-	servers  *storeCopy
-	badKeys  map[string]bool // entries that could not be read, logged once
-	lost     map[string]bool // reads that fail at the moment
-	failed   bool            // a read of the servers failed since the last good one
-	covered  time.Time       // until then a peer covers the reads
+	mu         sync.Mutex // guards what follows
+	registry   *registry
+	operator   *storeCopy
+	servers    *storeCopy
+	configRead kv.Version      // of the store at the last configuration that was read
+	badKeys    map[string]bool // entries that could not be read, logged once
+	lost       map[string]bool // reads that fail at the moment
+	failed     bool            // a read of the servers failed since the last good one
+	covered    time.Time       // until then a peer covers the reads
 
 	ready atomic.Bool // servers were read once
 }
@@ -321,19 +322,28 @@
 
 // takeConfig puts a configuration in force if it is newer than the one in force.
 func (f *follower) takeConfig(e *kv.Entry) {
+	if e.Version == f.configRead {
+		return
+	}
+	f.configRead = e.Version
+	log := f.log.WithFields(logrus.Fields{"store_version": e.Version})
 	config, err := f.catalog.DecodeConfig(e.Value)
 	if err != nil {
-		f.bad(e, err)
+		log.WithFields(logrus.Fields{"error": err.Error()}).Warn("configuration ignored")
 		return
 	}
-	if old := f.table.Load(); old != nil && config.Version <= old.Version() {
+	old := f.table.Load()
+	if old != nil && config.Version <= old.Version() {
+		log.WithFields(logrus.Fields{"version": config.Version, "in_force": old.Version()}).Warn("configuration ignored")
 		return
 	}
 	table := routing.NewTable(config)
 	f.table.Store(table)
 	f.chooser.SetTable(table)
-	f.log.WithFields(logrus.Fields{
-		"version": config.Version, "routes": len(config.Routes), "store_version": e.Version,
+	difference := table.Since(old)
+	log.WithFields(logrus.Fields{
+		"version": config.Version, "routes": len(config.Routes), "routes_added": difference.Added,
+		"routes_changed": difference.Changed, "routes_removed": difference.Removed,
 	}).Info("configuration in force")
 }
 
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -14,6 +14,7 @@
 	requests *prometheus.CounterVec
 	seconds  *prometheus.HistogramVec
 	sendings *prometheus.CounterVec
+	refusals *prometheus.CounterVec
 
 	storeCalls   *prometheus.CounterVec
 	storeSeconds *prometheus.HistogramVec
@@ -35,6 +36,10 @@
 		sendings: auto.NewCounterVec(prometheus.CounterOpts{
 			Namespace: "azureflow", Name: "gateway_sendings_total", Help: "Sendings to servers by how they ended.",
 		}, []string{"service", "region", "outcome"}),
+		refusals: auto.NewCounterVec(prometheus.CounterOpts{
+			Namespace: "azureflow", Name: "gateway_refusals_total",
+			Help: "Requests refused before any sending, by reason; for want of room also by what that rests on.",
+		}, []string{"service", "reason", "basis"}),
 		storeCalls: auto.NewCounterVec(prometheus.CounterOpts{
 			Namespace: "azureflow", Name: "gateway_store_calls_total", Help: "Calls of the platform's store.",
 		}, []string{"call", "outcome"}),
@@ -58,6 +63,9 @@
 
 func (m *Metrics) done(d *forward.Done) {
 	m.requests.WithLabelValues(string(d.Service), d.Kind.String(), string(d.Reason)).Inc()
+	if r := d.Refusal; r != nil && d.Sendings == 0 {
+		m.refusals.WithLabelValues(string(d.Service), string(r.Reason), string(r.Basis())).Inc()
+	}
 	if d.Status >= 200 && d.Status < 300 {
 		m.seconds.WithLabelValues(string(d.Service), d.Kind.String()).Observe(d.Took.Seconds())
 	}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -21,6 +21,7 @@
 	peers    *prometheus.Desc
 	age      *prometheus.Desc
 	version  *prometheus.Desc
+	routes   *prometheus.Desc
 }
 
 var _ prometheus.Collector = (*stateCollector)(nil)
@@ -38,12 +39,13 @@
 		peers:    desc("entry_vms", "Other entry VMs that are listed."),
 		age:      desc("store_copy_age_seconds", "Time since the read that a copy of the store reflects.", "copy"),
 		version:  desc("configuration_version", "Version of the configuration in force, 0 if none is."),
+		routes:   desc("routes", "Routes that requests came for, by whether any was answered.", "state"),
 	}
 }
 
 // Describe implements prometheus.Collector.
 func (s *stateCollector) Describe(to chan<- *prometheus.Desc) {
-	for _, d := range []*prometheus.Desc{s.servers, s.inFlight, s.pressure, s.budget, s.peers, s.age, s.version} {
+	for _, d := range []*prometheus.Desc{s.servers, s.inFlight, s.pressure, s.budget, s.peers, s.age, s.version, s.routes} {
 		to <- d
 	}
 }
@@ -64,6 +66,9 @@
 		gauge(s.pressure, state.Pressure, service)
 		gauge(s.budget, state.RetryBudget, service)
 	}
+	routes := s.chooser.Routes()
+	gauge(s.routes, float64(routes.Answered), "answered")
+	gauge(s.routes, float64(routes.Unanswered), "unanswered")
 	gauge(s.peers, float64(len(*s.presence.live.Load())))
 	servers, operator := s.follower.readTimes()
 	for copied, readAt := range map[string]time.Time{"servers": servers, "operator": operator} {
--- a/internal/gateway/state_test.go
+++ b/internal/gateway/state_test.go
@@ -28,6 +28,8 @@
 			`azureflow_gateway_store_copy_age_seconds{copy="servers"}`,
 			`azureflow_gateway_configuration_version 3`,
 			`azureflow_gateway_entry_vms 0`,
+			`azureflow_gateway_routes{state="answered"} 0`,
+			`azureflow_gateway_routes{state="unanswered"} 0`,
 		} {
 			if !strings.Contains(page.Body.String(), want) {
 				t.Errorf("the metrics lack %s", want)
--- a/internal/placement/chooser.go
+++ b/internal/placement/chooser.go
@@ -74,12 +74,39 @@
 	RetryAfter time.Duration // when room is expected
 	Best       time.Duration // expected time of the best server, 0 if there was none
 	Wait       time.Duration // part of Best that the request would wait for a slot
+	Run        time.Duration // part of Best that it would run
+	RunBasis   Evidence      // of Run
 	Server     ServerID      // the best server
 	Left       time.Duration // that the request had
 	OnTime     time.Duration // until its answer would be late
 	Candidates int
 }
 
+// Basis says what a refusal for want of room rests on.
+type Basis string
+
+// The bases of a refusal for want of room.
+const (
+	BasisWait  Basis = "wait"  // with a free slot the request would be sent
+	BasisRun   Basis = "run"   // the measured service time does not fit
+	BasisGuess Basis = "guess" // a service time that was never measured does not fit
+	BasisNone  Basis = ""      // the refusal has another reason
+)
+
+// Basis returns what the refusal rests on.
+func (r *Refusal) Basis() Basis {
+	switch {
+	case r.Reason != ReasonNoRoom:
+		return BasisNone
+	case r.Best-r.Wait <= r.Left:
+		return BasisWait
+	case r.RunBasis.Samples == 0:
+		return BasisGuess
+	default:
+		return BasisRun
+	}
+}
+
 // Result is what a sending showed.
 type Result struct {
 	Outcome Outcome
@@ -203,18 +230,19 @@
 			Reason: ReasonNoServer, RetryAfter: noServerRetry, Left: q.Left, OnTime: q.OnTime, Candidates: candidates,
 		}
 	case tooLate(q, &best):
-		return nil, best.refusal(q, ReasonNoRoom, max(seconds(best.wait)/2, leastRetry), candidates)
+		return nil, best.refusal(q, ReasonNoRoom, max(seconds(best.wait)/2, leastRetry), candidates, now)
 	case q.Repeat && !budget.Take():
-		return nil, best.refusal(q, ReasonBudget, leastRetry, candidates)
+		return nil, best.refusal(q, ReasonBudget, leastRetry, candidates, now)
 	}
 	return c.commit(q, times, &best, candidates, now), nil
 }
 
 // refusal says why a request is not sent even to the best server.
-func (e *estimate) refusal(q *Query, reason Reason, retryAfter time.Duration, candidates int) *Refusal {
+func (e *estimate) refusal(q *Query, reason Reason, retryAfter time.Duration, candidates int, now time.Time) *Refusal {
 	return &Refusal{
 		Reason: reason, RetryAfter: retryAfter, Left: q.Left, OnTime: q.OnTime, Candidates: candidates,
 		Server: e.server.member.ID, Best: seconds(e.total()), Wait: seconds(e.wait),
+		Run: seconds(e.service * e.slow), RunBasis: e.times.evidence(now),
 	}
 }
 
@@ -292,6 +320,7 @@
 // was expected, and the server reports no queue.
 func (c *Chooser) learn(p *Placement, r *Result, now time.Time) {
 	s := p.server
+	p.times.answered = true
 	s.busy += (p.service - s.busy) * timeWeight
 	if p.Wait > 0 || (r.Load != nil && r.Load.Waiting > 0) {
 		return
@@ -300,10 +329,10 @@
 	p.times.learnBytes(r.Bytes)
 	s.learn(took, p.service*p.slow, now)
 	if p.atHome && !p.Warm {
-		p.times.learnHome(took / p.slow)
+		p.times.learnHome(took/p.slow, now)
 		return
 	}
-	p.times.learn(took/p.slow, p.Warm)
+	p.times.at(p.Warm).learn(took/p.slow, now)
 }
 
 // RoundTrip takes a measured round trip to a server.
--- a/internal/placement/cost.go
+++ b/internal/placement/cost.go
@@ -37,6 +37,7 @@
 	service float64 // seconds, at a server of usual speed
 	slow    float64
 	rtt     float64
+	times   *serviceTime // that service rests on
 	cost    float64
 	refused bool // it would answer too late to be sent the request
 	roomy   bool // its region has room for cold work
@@ -128,7 +129,7 @@
 	if s == homes[c.opts.Region] {
 		return 0
 	}
-	cost := (duplicateIdle + duplicateBusy*pressure*pressure) * (times.cold - times.warm)
+	cost := (duplicateIdle + duplicateBusy*pressure*pressure) * (times.cold.mean - times.warm.mean)
 	if s == homes[s.member.Region] {
 		cost *= awayPart
 	}
@@ -233,7 +234,8 @@
 
 func (c *Chooser) estimate(s, home *Server, q *Query, times *RouteTimes, now time.Time) estimate {
 	e := estimate{server: s, warm: q.Object != 0 && s.warm.has(q.Object), slow: s.slownessAt(now)}
-	e.service, e.home = times.service(e.warm), s == home
+	e.times, e.home = times.at(e.warm), s == home
+	e.service = e.times.mean
 	if e.home && !e.warm {
 		e.service = times.home()
 	}
--- a/internal/placement/state.go
+++ b/internal/placement/state.go
@@ -17,6 +17,27 @@
 	RetryBudget float64 // sendings beyond the first that are allowed now
 }
 
+// RouteCounts counts the routes that requests came for.
+type RouteCounts struct {
+	Answered   int // a request was answered
+	Unanswered int // none was
+}
+
+// Routes returns how many of the routes that requests came for were ever served by this entry VM.
+func (c *Chooser) Routes() RouteCounts {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var counts RouteCounts
+	for _, t := range c.times {
+		if t.answered {
+			counts.Answered++
+		} else {
+			counts.Unanswered++
+		}
+	}
+	return counts
+}
+
 // State returns what is believed of each service at now.
 func (c *Chooser) State(now time.Time) map[steering.ServiceName]ServiceState {
 	c.mu.Lock()
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"reflect"
 	"sort"
 	"strings"
 
@@ -57,6 +58,44 @@
 	return nil
 }
 
+// Difference counts the routes that differ between two configurations, by name.
+type Difference struct{ Added, Changed, Removed int }
+
+// Since returns what t changed of the routes of old, which may be nil.
+func (t *Table) Since(old *Table) Difference {
+	var before map[string]*Route
+	if old != nil {
+		before = old.byName()
+	}
+	var d Difference
+	now := t.byName()
+	for name, route := range now {
+		was, ok := before[name]
+		switch {
+		case !ok:
+			d.Added++
+		case !reflect.DeepEqual(was, route):
+			d.Changed++
+		}
+	}
+	for name := range before {
+		if now[name] == nil {
+			d.Removed++
+		}
+	}
+	return d
+}
+
+func (t *Table) byName() map[string]*Route {
+	byName := make(map[string]*Route)
+	for _, routes := range t.hosts {
+		for _, r := range routes {
+			byName[r.Name] = r
+		}
+	}
+	return byName
+}
+
 func hostName(host string) string {
 	if name, _, err := net.SplitHostPort(host); err == nil {
 		host = name
--- a/internal/routing/table_test.go
+++ b/internal/routing/table_test.go
@@ -40,3 +40,15 @@
 		}
 	}
 }
+
+func TestDifferenceCountsRoutesByName(t *testing.T) {
+	table := func(routes ...Route) *Table { return NewTable(&Config{Routes: routes}) }
+	old := table(Route{Name: "kept"}, Route{Name: "moved", Host: "a"}, Route{Name: "dropped"})
+	got := table(Route{Name: "kept"}, Route{Name: "moved", Host: "b"}, Route{Name: "new"}, Route{Name: "newer"}).Since(old)
+	if want := (Difference{Added: 2, Changed: 1, Removed: 1}); got != want {
+		t.Errorf("difference %+v, want %+v", got, want)
+	}
+	if got := old.Since(nil); got != (Difference{Added: 3}) {
+		t.Errorf("difference from nothing %+v", got)
+	}
+}
