placement: a guess alone refuses no request, nor does old evidence

Cause: the service time of a route that was never measured is its target latency, 1 s; these requests had 0.85 to 1 s left and were refused as if no server could serve them. Nothing was sent, so nothing was measured. A first sample of 2 ms moved the estimate by a twentieth, and the next request was refused again (basis=run). Class: an estimate that only its own acceptance can correct. The same held for a time that was measured while servers were slow, and for a route that moves to another service, since times were kept by route.

Change: only measured times refuse, and only for 2 s after the last answer. A request that the estimate speaks against is sent on trial: any while nothing at all is known and a slot is free, else one at a time; the time doubles to 16 s with each trial in a row that ends unanswered, so that work which fits no caller's time is still refused. The guess counts as five samples. A request that waited bounds the service time from above, a run that did not end bounds it from below; neither moves the mean that choices are made by. Times are kept by route and service. Routes that the configuration no longer has are forgotten. A route without a target latency is on time until its timeout.

Why it works: no refusal outlives its evidence, and each refusal for old evidence lets the next request bring new evidence.

--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -153,7 +153,11 @@
 		due = min(due, x.route.Timeout)
 	}
 	x.end = x.start.Add(due)
-	x.onTime = x.start.Add(x.route.TargetLatency - used)
+	objective := x.route.Objective()
+	if objective <= 0 {
+		objective = due
+	}
+	x.onTime = x.start.Add(objective - used)
 }
 
 // markLeaving asks the caller to use another connection once this entry VM is leaving.
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -173,6 +173,7 @@
 		s.result.Outcome = placement.OutcomeNoAnswer
 		if x.ctx.Err() != nil {
 			s.result.Outcome = x.endOutcome()
+			s.result.Unfinished = s.result.Outcome == placement.OutcomeNoAnswer
 		}
 		return
 	}
@@ -193,6 +194,7 @@
 		s.result.Outcome = placement.OutcomeShed
 	case s.answer.response.StatusCode >= http.StatusInternalServerError:
 		s.result.Outcome = placement.OutcomeError
+		s.result.Unfinished = s.answer.response.StatusCode == http.StatusGatewayTimeout
 	}
 }
 
--- a/internal/gateway/journal.go
+++ b/internal/gateway/journal.go
@@ -88,6 +88,7 @@
 	return logrus.Fields{
 		"server": p.Server, "server_zone": p.Zone, "warm": p.Warm, "expected_ms": p.Expected.Milliseconds(),
 		"wait_ms": p.Wait.Milliseconds(), "report_age_ms": p.ReportAge.Milliseconds(), "candidates": p.Candidates,
+		"trial": p.Trial,
 	}
 }
 
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -15,6 +15,7 @@
 	seconds  *prometheus.HistogramVec
 	sendings *prometheus.CounterVec
 	refusals *prometheus.CounterVec
+	trials   *prometheus.CounterVec
 
 	storeCalls   *prometheus.CounterVec
 	storeSeconds *prometheus.HistogramVec
@@ -40,6 +41,10 @@
 			Namespace: "azureflow", Name: "gateway_refusals_total",
 			Help: "Requests refused before any sending, by reason; for want of room also by what that rests on.",
 		}, []string{"service", "reason", "basis"}),
+		trials: auto.NewCounterVec(prometheus.CounterOpts{
+			Namespace: "azureflow", Name: "gateway_trials_total",
+			Help: "Sendings against an estimate for which there is no recent evidence, by how they ended.",
+		}, []string{"service", "outcome"}),
 		storeCalls: auto.NewCounterVec(prometheus.CounterOpts{
 			Namespace: "azureflow", Name: "gateway_store_calls_total", Help: "Calls of the platform's store.",
 		}, []string{"call", "outcome"}),
@@ -73,4 +78,7 @@
 
 func (m *Metrics) sent(s *forward.Sending) {
 	m.sendings.WithLabelValues(string(s.Service), string(s.To.Region), s.Outcome.String()).Inc()
+	if s.To.Trial {
+		m.trials.WithLabelValues(string(s.Service), s.Outcome.String()).Inc()
+	}
 }
--- a/internal/placement/chooser.go
+++ b/internal/placement/chooser.go
@@ -48,13 +48,15 @@
 	Wait       time.Duration // part of Expected that the request waits for a slot
 	ReportAge  time.Duration // of the server's report that decided; negative: there was none
 	Candidates int           // servers that were weighed
+	Trial      bool          // sent against an estimate for which there is no recent evidence
 
 	server  *Server
 	times   *RouteTimes
 	object  uint64
-	atHome  bool    // the server is the object's home
-	service float64 // expected service time without slowness, in seconds
-	slow    float64 // slowness that Expected contains
+	trial   *serviceTime // that the request is tried against, nil if it is expected to be answered in time
+	atHome  bool         // the server is the object's home
+	service float64      // expected service time without slowness, in seconds
+	slow    float64      // slowness that Expected contains
 	sent    time.Time
 }
 
@@ -114,6 +116,8 @@
 	Load    *Load         // the server's report, if any
 	ColdFor time.Duration // the server says that it is cold for so long
 	Bytes   int           // both ways
+	// Unfinished says that the time of the request ended before the run did.
+	Unfinished bool
 }
 
 // full reports whether the server refused because it had no room.
@@ -133,8 +137,8 @@
 	mu       sync.Mutex
 	services map[steering.ServiceName][]*Server
 	servers  map[ServerID]*Server
-	away     map[steering.ZoneName]bool // evacuated
-	times    map[string]*RouteTimes     // by route
+	away     map[steering.ZoneName]bool                      // evacuated
+	times    map[string]map[steering.ServiceName]*RouteTimes // by route and the service that it leads to
 	budgets  map[steering.ServiceName]*RetryBudget
 	shift    shiftLimiter
 	peers    Peers
@@ -154,7 +158,7 @@
 		opts:     opts,
 		services: make(map[steering.ServiceName][]*Server),
 		servers:  make(map[ServerID]*Server),
-		times:    make(map[string]*RouteTimes),
+		times:    make(map[string]map[steering.ServiceName]*RouteTimes),
 		budgets:  make(map[steering.ServiceName]*RetryBudget),
 		shift:    shiftLimiter{bound: opts.MaxShift},
 		peers:    Peers{Fleet: 1, Region: 1},
@@ -203,7 +207,7 @@
 	c.shift.bound = opts.MaxShift
 }
 
-// SetTable takes what a newer configuration says of the services.
+// SetTable takes what a newer configuration says of the services, and forgets the routes that it lacks.
 func (c *Chooser) SetTable(t *routing.Table) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -212,6 +216,11 @@
 			c.cold[name] = s.ColdPerSecond
 		}
 	}
+	for name := range c.times {
+		if t.RouteNamed(name) == nil {
+			delete(c.times, name)
+		}
+	}
 }
 
 // Place returns where to send the request, or why it is refused.
@@ -222,7 +231,7 @@
 	if q.First {
 		budget.Earn()
 	}
-	times := c.routeTimes(q.Route)
+	times := c.routeTimes(q.Route, q.Service)
 	best, candidates := c.best(q, times, now)
 	switch {
 	case best.server == nil:
@@ -253,12 +262,16 @@
 )
 
 // tooLate reports whether even the best server would answer after the deadline, or so late that the wait would
-// only take room from requests that can still be on time.
+// only take room from requests that can still be on time. A guess does not count: requests are tried against it.
 func tooLate(q *Query, best *estimate) bool {
-	if best.total() > q.Left.Seconds() {
+	expected := best.supported(q)
+	switch {
+	case expected > q.Left.Seconds():
+		return true
+	case best.trial(q) && !best.times.admitsTrial(best.wait == 0):
 		return true
 	}
-	return best.total() > q.OnTime.Seconds() && best.wait > waitShare*q.Route.TargetLatency.Seconds()
+	return expected > q.OnTime.Seconds() && best.wait > waitShare*q.Route.Objective().Seconds()
 }
 
 // waitShare is the part of a route's target latency that a request which will be late may still wait.
@@ -272,6 +285,11 @@
 		Warm: best.warm, Expected: seconds(best.total()), Wait: seconds(best.wait), ReportAge: -1, Candidates: candidates,
 		server: s, times: times, object: q.Object, atHome: best.home, service: best.service, slow: best.slow, sent: now,
 	}
+	if best.trial(q) {
+		p.trial = best.times
+		p.trial.trials++
+		p.Trial = true
+	}
 	if !s.reported.IsZero() {
 		p.ReportAge = now.Sub(s.reported)
 	}
@@ -299,6 +317,12 @@
 		s.report(*r.Load, now)
 	}
 	delete(s.running, p)
+	if p.trial != nil {
+		p.trial.trials--
+	}
+	if r.Unfinished && p.Wait == 0 {
+		p.times.at(p.Warm).learnUnfinished(r.Took.Seconds()/p.slow, now)
+	}
 	if r.ColdFor > 0 {
 		s.coldUntil = now.Add(r.ColdFor)
 	}
@@ -322,17 +346,21 @@
 	s := p.server
 	p.times.answered = true
 	s.busy += (p.service - s.busy) * timeWeight
+	took := max(r.Took.Seconds()-s.rtt, minServiceTime)
 	if p.Wait > 0 || (r.Load != nil && r.Load.Waiting > 0) {
+		p.times.at(p.Warm).learnWaited(took/p.slow, now)
 		return
 	}
-	took := max(r.Took.Seconds()-s.rtt, minServiceTime)
 	p.times.learnBytes(r.Bytes)
 	s.learn(took, p.service*p.slow, now)
-	if p.atHome && !p.Warm {
+	switch {
+	case p.trial != nil:
+		p.trial.learnTrial(took/p.slow, now)
+	case p.atHome && !p.Warm:
 		p.times.learnHome(took/p.slow, now)
-		return
+	default:
+		p.times.at(p.Warm).learn(took/p.slow, now)
 	}
-	p.times.at(p.Warm).learn(took/p.slow, now)
 }
 
 // RoundTrip takes a measured round trip to a server.
@@ -344,15 +372,29 @@
 	}
 }
 
-func (c *Chooser) routeTimes(r *routing.Route) *RouteTimes {
-	t := c.times[r.Name]
+func (c *Chooser) routeTimes(r *routing.Route, service steering.ServiceName) *RouteTimes {
+	services := c.times[r.Name]
+	if services == nil {
+		services = make(map[steering.ServiceName]*RouteTimes)
+		c.times[r.Name] = services
+	}
+	t := services[service]
 	if t == nil {
-		t = newRouteTimes(r.TargetLatency)
-		c.times[r.Name] = t
+		t = firstTimes(r, services)
+		services[service] = t
 	}
 	return t
 }
 
+// firstTimes returns the times of a route at a service that it was not sent to before. Those at another service are
+// the better guess.
+func firstTimes(r *routing.Route, services map[steering.ServiceName]*RouteTimes) *RouteTimes {
+	for _, other := range services {
+		return other.guess()
+	}
+	return newRouteTimes(r.Objective())
+}
+
 func (c *Chooser) budget(service steering.ServiceName) *RetryBudget {
 	b := c.budgets[service]
 	if b == nil {
--- a/internal/placement/cost.go
+++ b/internal/placement/cost.go
@@ -39,13 +39,28 @@
 	rtt     float64
 	times   *serviceTime // that service rests on
 	cost    float64
-	refused bool // it would answer too late to be sent the request
-	roomy   bool // its region has room for cold work
+	proven  float64 // seconds of service that recent evidence supports
+	refused bool    // it would answer too late to be sent the request
+	roomy   bool    // its region has room for cold work
 }
 
 // total returns the expected seconds until the answer.
 func (e *estimate) total() float64 { return e.wait + e.service*e.slow + e.rtt }
 
+// supported returns the seconds until the answer that may refuse the request: without the service time where that is a
+// guess, or where it alone exceeds the time left and the evidence for it is old.
+func (e *estimate) supported(q *Query) float64 {
+	if e.times.samples == 0 || e.total()-e.wait > q.Left.Seconds() {
+		return e.wait + e.proven*e.slow + e.rtt
+	}
+	return e.total()
+}
+
+// trial reports whether the request is sent although it is not expected to be answered in time.
+func (e *estimate) trial(q *Query) bool {
+	return e.wait+max(e.service, e.times.floor)*e.slow+e.rtt > q.Left.Seconds()
+}
+
 // best returns the server of least cost, and how many were weighed.
 func (c *Chooser) best(q *Query, times *RouteTimes, now time.Time) (estimate, int) {
 	var best estimate
@@ -239,6 +254,7 @@
 	if e.home && !e.warm {
 		e.service = times.home()
 	}
+	e.proven = e.times.supported(e.service, now)
 	if s.cold(now) {
 		e.slow *= coldFactor
 	}
@@ -255,6 +271,6 @@
 	bytes := max(times.bytes, float64(q.Bytes))
 	e.cost = e.total() + bytes*[...]float64{0, byteBetweenZones, byteBetweenRegions}[distance]
 	e.cost += lateWeight * max(0, e.total()-q.OnTime.Seconds())
-	e.cost += errorFactor * s.health.errorRate(now) * q.Route.TargetLatency.Seconds()
+	e.cost += errorFactor * s.health.errorRate(now) * q.Route.Objective().Seconds()
 	return e
 }
--- a/internal/placement/state.go
+++ b/internal/placement/state.go
@@ -28,8 +28,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var counts RouteCounts
-	for _, t := range c.times {
-		if t.answered {
+	for _, services := range c.times {
+		if everAnswered(services) {
 			counts.Answered++
 		} else {
 			counts.Unanswered++
@@ -38,6 +38,16 @@
 	return counts
 }
 
+// everAnswered reports whether any service answered a request of the route with these times.
+func everAnswered(services map[steering.ServiceName]*RouteTimes) bool {
+	for _, t := range services {
+		if t.answered {
+			return true
+		}
+	}
+	return false
+}
+
 // State returns what is believed of each service at now.
 func (c *Chooser) State(now time.Time) map[steering.ServiceName]ServiceState {
 	c.mu.Lock()
--- a/internal/placement/times.go
+++ b/internal/placement/times.go
@@ -13,23 +13,88 @@
 	// server has the object at hand.
 	warmGuess      = 0.33
 	homeWarmGuess  = 0.5
-	homeWarmWeight = 0.1 // of a new sample
-	sampleMax      = 2   // bounds a sample beside the mean
+	homeWarmWeight = 0.1         // of a new sample
+	sampleMax      = 2           // bounds a sample beside the mean
+	objectiveGuess = time.Second // where a route names neither a target latency nor a timeout
 )
 
-// serviceTime is an estimate of a service time at a server of usual speed.
+// For how long evidence may refuse requests. Without newer evidence a request is sent on trial, as to a server that
+// was ejected; like there, the time doubles with each trial in a row that failed.
+const (
+	firstTrust   = 2 * time.Second // in which a server's factor goes half of the way back to 1
+	longestTrust = 16 * time.Second
+)
+
+// For how many samples other beliefs count beside a new one.
+const (
+	guessSamples = 5 // the guess: single samples differ by as much as fast and slow servers do
+	trialSamples = 3 // all earlier ones, beside the sample of a request that they spoke against
+)
+
+// serviceTime is an estimate of a service time at a server of usual speed. Only what was measured may refuse a
+// request, and only while it is recent: refused requests measure nothing.
 type serviceTime struct {
 	mean    float64 // seconds; a guess while there are no samples
 	samples int
-	sampled time.Time // when the last sample came
+	sampled time.Time     // when the last sample came
+	floor   float64       // seconds of the longest run that did not end in its time, while there are no samples
+	ceiling float64       // seconds of the shortest request that also waited, while there are no samples; 0: none
+	shown   time.Time     // when the last evidence came: an answer, or a run that did not end in its time
+	trust   time.Duration // of the last evidence
+	trials  int           // requests in flight that the estimate speaks against
 }
 
 // learn takes a sample in seconds. A single long request says little about the others, so a sample counts for
 // sampleMax times the mean at most.
 func (s *serviceTime) learn(seconds float64, now time.Time) {
-	s.mean += (min(seconds, sampleMax*s.mean) - s.mean) * timeWeight
+	s.take(seconds, guessSamples+s.samples, now)
+}
+
+// take moves the mean by a sample beside which earlier beliefs count for others samples.
+func (s *serviceTime) take(seconds float64, others int, now time.Time) {
+	weight := max(timeWeight, 1/float64(others+1))
+	s.mean += (min(seconds, sampleMax*s.mean) - s.mean) * weight
 	s.samples++
-	s.sampled = now
+	s.sampled, s.shown, s.trust = now, now, firstTrust
+}
+
+// learnTrial takes a sample of a request that the estimate spoke against.
+func (s *serviceTime) learnTrial(seconds float64, now time.Time) {
+	s.take(seconds, trialSamples, now)
+}
+
+// learnWaited takes the time of a request that also waited, which its service time is at most.
+func (s *serviceTime) learnWaited(seconds float64, now time.Time) {
+	if s.samples == 0 && (s.ceiling == 0 || seconds < s.ceiling) {
+		s.ceiling = seconds
+	}
+	s.shown, s.trust = now, firstTrust
+}
+
+// learnUnfinished takes the time of a run that did not end in it.
+func (s *serviceTime) learnUnfinished(seconds float64, now time.Time) {
+	if s.samples == 0 {
+		s.floor = max(s.floor, seconds)
+	}
+	s.shown, s.trust = now, min(max(2*s.trust, firstTrust), longestTrust)
+}
+
+// supported returns how many of the expected seconds recent evidence supports.
+func (s *serviceTime) supported(expected float64, now time.Time) float64 {
+	switch {
+	case s.shown.IsZero() || now.Sub(s.shown) > s.trust:
+		return 0
+	case s.samples == 0:
+		return max(s.floor, min(s.ceiling, expected))
+	default:
+		return expected
+	}
+}
+
+// admitsTrial reports whether a request may be sent that the estimate speaks against but no recent evidence does: one
+// at a time, but any on a mere guess that takes a free slot, or that answers which also waited speak against.
+func (s *serviceTime) admitsTrial(freeSlot bool) bool {
+	return s.trials == 0 || s.samples == 0 && (s.ceiling > 0 || freeSlot && s.shown.IsZero())
 }
 
 // evidence returns what the estimate rests on at now.
@@ -55,14 +120,24 @@
 	answered   bool // a request of the route was answered
 }
 
-// newRouteTimes returns times for a route whose answers are wanted within target.
-func newRouteTimes(target time.Duration) *RouteTimes {
-	seconds := max(target.Seconds(), minServiceTime)
+// newRouteTimes returns times for a route whose answers are wanted within objective.
+func newRouteTimes(objective time.Duration) *RouteTimes {
+	if objective <= 0 {
+		objective = objectiveGuess
+	}
+	seconds := max(objective.Seconds(), minServiceTime)
 	return &RouteTimes{
 		warm: serviceTime{mean: warmGuess * seconds}, cold: serviceTime{mean: seconds}, homeWarm: homeWarmGuess,
 	}
 }
 
+// guess returns times that expect the same and rest on nothing.
+func (t *RouteTimes) guess() *RouteTimes {
+	return &RouteTimes{
+		warm: serviceTime{mean: t.warm.mean}, cold: serviceTime{mean: t.cold.mean}, homeWarm: t.homeWarm, bytes: t.bytes,
+	}
+}
+
 // at returns the estimate for a server that has the object at hand, or has not.
 func (t *RouteTimes) at(warm bool) *serviceTime {
 	if warm {
--- a/internal/routing/config.go
+++ b/internal/routing/config.go
@@ -58,6 +58,15 @@
 	Destinations   []Destination // at least one
 }
 
+// Objective returns the time within which an answer is on time: the target latency, or the timeout where no target
+// is set; 0 if neither is.
+func (r *Route) Objective() time.Duration {
+	if r.TargetLatency > 0 {
+		return r.TargetLatency
+	}
+	return r.Timeout
+}
+
 // Allows reports whether requests of the route may be handled in region.
 func (r *Route) Allows(region steering.RegionName) bool {
 	if len(r.AllowedRegions) == 0 {
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -14,6 +14,7 @@
 	version  Version
 	limits   Limits
 	hosts    map[string][]*Route // longest prefix first
+	names    map[string]*Route
 	services map[steering.ServiceName]*Service
 }
 
@@ -23,11 +24,13 @@
 		version:  c.Version,
 		limits:   c.Limits,
 		hosts:    make(map[string][]*Route),
+		names:    make(map[string]*Route, len(c.Routes)),
 		services: make(map[steering.ServiceName]*Service, len(c.Services)),
 	}
 	for i := range c.Routes {
 		r := &c.Routes[i]
 		host := strings.ToLower(r.Host)
+		t.names[r.Name] = r
 		t.hosts[host] = append(t.hosts[host], r)
 	}
 	for _, routes := range t.hosts {
@@ -48,6 +51,9 @@
 // Service returns the service called name, or nil.
 func (t *Table) Service(name steering.ServiceName) *Service { return t.services[name] }
 
+// RouteNamed returns the route called name, or nil.
+func (t *Table) RouteNamed(name string) *Route { return t.names[name] }
+
 // Route returns the route with the longest prefix of path at host, or nil. The host may carry a port.
 func (t *Table) Route(host, path string) *Route {
 	for _, r := range t.hosts[hostName(host)] {
@@ -65,11 +71,10 @@
 func (t *Table) Since(old *Table) Difference {
 	var before map[string]*Route
 	if old != nil {
-		before = old.byName()
+		before = old.names
 	}
 	var d Difference
-	now := t.byName()
-	for name, route := range now {
+	for name, route := range t.names {
 		was, ok := before[name]
 		switch {
 		case !ok:
@@ -79,23 +84,13 @@
 		}
 	}
 	for name := range before {
-		if now[name] == nil {
+		if t.names[name] == nil {
 			d.Removed++
 		}
 	}
 	return d
 }
 
-func (t *Table) byName() map[string]*Route {
-	byName := make(map[string]*Route)
-	for _, routes := range t.hosts {
-		for _, r := range routes {
-			byName[r.Name] = r
-		}
-	}
-	return byName
-}
-
 func hostName(host string) string {
 	if name, _, err := net.SplitHostPort(host); err == nil {
 		host = name
