placement: a server that is full when it is tried again is not left out for good

An ejected server gets one request on trial and nothing else until that one tells something. Where the server refused it for want of room, Done returned before the trial was ended, and this entry VM never used the server again, until it restarted or its entry vanished.

Class: a belief that only a request can correct, while it keeps every request away. Change: the refusal of a full server ends the trial; it shows that the server is alive. Test: TestServerThatIsFullWhenTriedIsTriedAgain, failed before (no-server a minute later).

--- a/internal/placement/chooser.go
+++ b/internal/placement/chooser.go
@@ -335,7 +335,8 @@
 		}
 	}
 	if r.full() {
-		return false // its report tells that; it is no failure
+		s.health.alive()
+		return false // its report tells that it is full; it is no failure
 	}
 	return s.health.note(r.Outcome, now)
 }
--- a/internal/placement/health.go
+++ b/internal/placement/health.go
@@ -96,6 +96,9 @@
 	return false
 }
 
+// alive ends a trial, if one is under way, without a sample: the server answered, but did not run the request.
+func (h *health) alive() { h.failures, h.trial, h.trying = 0, false, false }
+
 // eject keeps the server out for at least d; the time doubles with each ejection in a row.
 func (h *health) eject(d time.Duration, now time.Time) {
 	h.next = min(max(2*h.next, ejectFirst), ejectMax)
