placement: a guess teaches nothing about servers

Cause: requests of an added route took 2 ms where 1 s was guessed, so their servers were taken to be faster than others (factor down by a seventh with each) and the mean time that a slot is held moved to the guess. Change: servers are compared by estimates of ten samples or more. Test: TestGuessSaysNothingOfServers, failed before.

--- a/internal/placement/chooser.go
+++ b/internal/placement/chooser.go
@@ -53,6 +53,7 @@
 	server  *Server
 	times   *RouteTimes
 	object  uint64
+	settled bool         // service rests on samples enough to compare servers by
 	trial   *serviceTime // that the request is tried against, nil if it is expected to be answered in time
 	atHome  bool         // the server is the object's home
 	service float64      // expected service time without slowness, in seconds
@@ -284,6 +285,7 @@
 		Server: s.member.ID, Address: s.member.Address, Zone: s.member.Zone, Region: s.member.Region,
 		Warm: best.warm, Expected: seconds(best.total()), Wait: seconds(best.wait), ReportAge: -1, Candidates: candidates,
 		server: s, times: times, object: q.Object, atHome: best.home, service: best.service, slow: best.slow, sent: now,
+		settled: best.times.settled(),
 	}
 	if best.trial(q) {
 		p.trial = best.times
@@ -346,14 +348,18 @@
 func (c *Chooser) learn(p *Placement, r *Result, now time.Time) {
 	s := p.server
 	p.times.answered = true
-	s.busy += (p.service - s.busy) * timeWeight
+	if p.settled {
+		s.busy += (p.service - s.busy) * timeWeight
+	}
 	took := max(r.Took.Seconds()-s.rtt, minServiceTime)
 	if p.Wait > 0 || (r.Load != nil && r.Load.Waiting > 0) {
 		p.times.at(p.Warm).learnWaited(took/p.slow, now)
 		return
 	}
 	p.times.learnBytes(r.Bytes)
-	s.learn(took, p.service*p.slow, now)
+	if p.settled {
+		s.learn(took, p.service*p.slow, now)
+	}
 	switch {
 	case p.trial != nil:
 		p.trial.learnTrial(took/p.slow, now)
--- a/internal/placement/times.go
+++ b/internal/placement/times.go
@@ -29,6 +29,9 @@
 const (
 	guessSamples = 5 // the guess: single samples differ by as much as fast and slow servers do
 	trialSamples = 3 // all earlier ones, beside the sample of a request that they spoke against
+
+	// From so many samples on an estimate tells which servers are slower than others; before, mostly how good the guess was.
+	settledSamples = 2 * guessSamples
 )
 
 // serviceTime is an estimate of a service time at a server of usual speed. Only what was measured may refuse a
@@ -97,6 +100,9 @@
 	return s.trials == 0 || s.samples == 0 && (s.ceiling > 0 || freeSlot && s.shown.IsZero())
 }
 
+// settled reports whether the estimate rests on samples enough to compare servers by.
+func (s *serviceTime) settled() bool { return s.samples >= settledSamples }
+
 // evidence returns what the estimate rests on at now.
 func (s *serviceTime) evidence(now time.Time) Evidence {
 	if s.samples == 0 {
--- a/internal/placement/times_test.go
+++ b/internal/placement/times_test.go
@@ -165,3 +165,14 @@
 		t.Errorf("refused by an idle service that was never asked: %+v", refusal)
 	}
 }
+
+// Requests of an added route that take 2 ms where 1 s was guessed made their servers look twice as fast to all others.
+func TestGuessSaysNothingOfServers(t *testing.T) {
+	r := newTimedRoute(time.Second, 3*time.Second, 2*time.Millisecond)
+	r.ask(settledSamples*100*time.Millisecond, 100*time.Millisecond)
+	for id, s := range r.chooser.servers {
+		if got := s.factorAt(r.now); got < 0.99 || got > 1.01 {
+			t.Errorf("server %s is taken to need %.2f of the usual time", id, got)
+		}
+	}
+}
