placement: slowness and round trips fade without new measurements

A machine that reported a slowness of 20 kept 7.3 of it until its next report, which only a request brings, and a connection that took long to open made its server look far away until another one was opened. Neither got requests while others were free, and where all servers of a service were so, requests with less time were refused.

Change: what is left of a reported slowness halves every 2 s, like a server's own factor; a round trip over the usual one halves every 5 s and is replaced by the next measured after that.

--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -91,7 +91,7 @@
 	}
 	s.reused = c.used
 	if dialed > 0 {
-		x.h.opts.Chooser.RoundTrip(p, dialed)
+		x.h.opts.Chooser.RoundTrip(p, dialed, time.Now())
 	}
 	return c, nil
 }
--- a/internal/placement/chooser.go
+++ b/internal/placement/chooser.go
@@ -58,6 +58,7 @@
 	atHome  bool         // the server is the object's home
 	service float64      // expected service time without slowness, in seconds
 	slow    float64      // slowness that Expected contains
+	rtt     float64      // seconds of Expected that the way takes
 	sent    time.Time
 }
 
@@ -284,7 +285,7 @@
 	p := &Placement{
 		Server: s.member.ID, Address: s.member.Address, Zone: s.member.Zone, Region: s.member.Region,
 		Warm: best.warm, Expected: seconds(best.total()), Wait: seconds(best.wait), ReportAge: -1, Candidates: candidates,
-		server: s, times: times, object: q.Object, atHome: best.home, service: best.service, slow: best.slow, sent: now,
+		server: s, times: times, object: q.Object, atHome: best.home, service: best.service, slow: best.slow, rtt: best.rtt, sent: now,
 		settled: best.times.settled(),
 	}
 	if best.trial(q) {
@@ -351,7 +352,7 @@
 	if p.settled {
 		s.busy += (p.service - s.busy) * timeWeight
 	}
-	took := max(r.Took.Seconds()-s.rtt, minServiceTime)
+	took := max(r.Took.Seconds()-p.rtt, minServiceTime)
 	if p.Wait > 0 || (r.Load != nil && r.Load.Waiting > 0) {
 		p.times.at(p.Warm).learnWaited(took/p.slow, now)
 		return
@@ -370,12 +371,12 @@
 	}
 }
 
-// RoundTrip takes a measured round trip to a server.
-func (c *Chooser) RoundTrip(p *Placement, d time.Duration) {
+// RoundTrip takes a round trip to a server that was measured at now.
+func (c *Chooser) RoundTrip(p *Placement, d time.Duration, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if s := p.server; s.rtt == 0 || d.Seconds() < s.rtt {
-		s.rtt = d.Seconds()
+	if s := p.server; s.rtt == 0 || d.Seconds() < s.rtt || now.Sub(s.dialed) > rttHalf {
+		s.rtt, s.dialed = d.Seconds(), now
 	}
 }
 
--- a/internal/placement/cost.go
+++ b/internal/placement/cost.go
@@ -264,10 +264,7 @@
 	slots := float64(s.member.Slots)
 	e.wait = max(0, s.load(now)+1-slots) / slots * s.busy * e.slow
 	distance := c.distance(s.member.Zone, s.member.Region)
-	e.rtt = s.rtt
-	if e.rtt == 0 {
-		e.rtt = [...]float64{rttZone, rttRegion, rttRemote}[distance]
-	}
+	e.rtt = s.roundTrip([...]float64{rttZone, rttRegion, rttRemote}[distance], now)
 	bytes := max(times.bytes, float64(q.Bytes))
 	e.cost = e.total() + bytes*[...]float64{0, byteBetweenZones, byteBetweenRegions}[distance]
 	e.cost += lateWeight * max(0, e.total()-q.OnTime.Seconds())
--- a/internal/placement/server.go
+++ b/internal/placement/server.go
@@ -20,6 +20,8 @@
 	factorHalf     = 2 * time.Second        // in which a server's factor goes half of the way back to 1
 	ratioMax       = 4.0                    // of one sample: a single long request says little
 	slownessKeep   = 600 * time.Millisecond // the machine's slowness changes about this often
+	slownessHalf   = 2 * time.Second        // in which what is left of it then halves, as a server's factor does
+	rttHalf        = 5 * time.Second        // in which a measured round trip goes half of the way back to the usual one
 	stragglerRatio = 2.5                    // in flight for this many times the expected time
 )
 
@@ -40,7 +42,8 @@
 	factor     float64 // service time beside that of other servers, what reports do not tell, at learned
 	learned    time.Time
 	busy       float64 // mean time that a request holds a slot at usual speed, in seconds
-	rtt        float64 // seconds; 0: not measured
+	rtt        float64 // seconds, of the connection that was opened fastest lately; 0: not measured
+	dialed     time.Time
 }
 
 func newServer(m Member) *Server {
@@ -99,12 +102,24 @@
 // changes within slownessKeep, so an old report says little.
 func (s *Server) slownessAt(now time.Time) float64 {
 	machine := s.slowness
-	if now.Sub(s.reported) > slownessKeep {
-		machine = 1 + (machine-1)/3
+	if old := now.Sub(s.reported) - slownessKeep; old > 0 {
+		machine = 1 + (machine-1)/3*math.Exp2(-old.Seconds()/slownessHalf.Seconds())
 	}
 	return machine * s.factorAt(now) * s.straggling(now)
 }
 
+// roundTrip returns the expected round trip to the server at now, in seconds like the usual one. A connection that took
+// long to open says less and less of others.
+func (s *Server) roundTrip(usual float64, now time.Time) float64 {
+	switch {
+	case s.rtt == 0:
+		return usual
+	case s.rtt <= usual:
+		return s.rtt
+	}
+	return usual + (s.rtt-usual)*math.Exp2(-now.Sub(s.dialed).Seconds()/rttHalf.Seconds())
+}
+
 // straggling returns how far the requests in flight have outlived their expected time, 1 if they have not.
 // One long request is no sign: at least two, and half of those in flight, must be overdue.
 func (s *Server) straggling(now time.Time) float64 {
