forward: one patient caller does not make all others late for good

The longest deadline ever seen on a route tells which callers come back. One caller that names ten minutes made every later one of that route look late, and late requests are refused as soon as they would have to wait. No later request could correct that.

--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -5,7 +5,6 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -82,15 +81,13 @@
 	ending    context.Context // ends with the process
 	breakOff  context.CancelFunc
 	inFlight  atomic.Int64
-	deadlines deadlines
+	deadlines *deadlines
 }
 
 // NewHandler returns a Handler.
 func NewHandler(opts Options) *Handler {
 	ending, breakOff := context.WithCancel(context.Background())
-	return &Handler{
-		opts: opts, ending: ending, breakOff: breakOff, deadlines: deadlines{longest: make(map[string]time.Duration)},
-	}
+	return &Handler{opts: opts, ending: ending, breakOff: breakOff, deadlines: newDeadlines()}
 }
 
 // Leave makes every further answer tell its caller to close the connection.
@@ -147,7 +144,7 @@
 	if ms, err := strconv.ParseFloat(x.r.Header.Get(h.opts.Headers.Deadline), 64); err == nil && ms > 0 {
 		deadline = time.Duration(ms * float64(time.Millisecond))
 	}
-	used := h.deadlines.used(x.route.Name, deadline)
+	used := h.deadlines.used(x.route.Name, deadline, x.start)
 	due := deadline
 	if x.route.Timeout > 0 {
 		due = min(due, x.route.Timeout)
@@ -177,22 +174,3 @@
 	}
 	return d/2 + rand.N(d)
 }
-
-// deadlines remembers the longest deadline of callers on each route.
-type deadlines struct {
-	mu      sync.Mutex
-	longest map[string]time.Duration
-}
-
-// shortestFirst is the shortest deadline of a first request beside the longest: callers differ in patience.
-const shortestFirst = 0.85
-
-// used returns the least time that a caller with this deadline has waited already, 0 if it may be new.
-func (d *deadlines) used(route string, deadline time.Duration) time.Duration {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if deadline > d.longest[route] {
-		d.longest[route] = deadline
-	}
-	return max(0, time.Duration(shortestFirst*float64(d.longest[route]))-deadline)
-}
