forward: bytes without end that are no answer take bounded memory

Cause: net/http bounds neither the head of an answer nor the interim answers before it on a connection of our own, so endless bytes were kept until the request's timeout, as fast as the server sent them. And where a failure with a long body was followed by another sending, the first connection was never closed: the server went on sending into it.

Change: a head, interim answers included, may have 64 KiB; more is an answer that is spoilt: the connection is closed at once, the caller gets 502, or another server's answer where the request may run twice. The connection of an answer that is not passed on is closed before the next sending and at the end of the request.

A signed answer that never ends is passed on and cut off at the timeout, as before.

--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"math"
 	"net/http"
 )
 
@@ -10,6 +11,9 @@
 // can still be replaced. A larger one is passed on as it comes.
 const heldAnswerBytes = 256 << 10
 
+// maxHeadBytes bounds the head of an answer, interim answers before it included; as much as callers may send.
+const maxHeadBytes = 64 << 10
+
 // maxStrayAnswers bounds the answers to other requests that are skipped before the one expected.
 const maxStrayAnswers = 3
 
@@ -48,8 +52,10 @@
 	return nil, &SpoiltError{Address: address, Problem: "only answers to other requests came"}
 }
 
-// readFinal reads the next answer that is not an interim one.
+// readFinal reads the head of the next answer that is not an interim one. Errors: *HeadTooLargeError, those of reading.
 func readFinal(c *conn, req *http.Request) (*http.Response, error) {
+	c.bounded.left = maxHeadBytes
+	defer func() { c.bounded.left = math.MaxInt64 }()
 	for {
 		response, err := http.ReadResponse(c.reader, req)
 		if err != nil {
@@ -102,6 +108,13 @@
 	return ""
 }
 
+// discard closes the connection if the answer still needs it.
+func (a *answer) discard() {
+	if !a.whole {
+		_ = a.conn.raw.Close()
+	}
+}
+
 // reusable reports whether the connection can carry another request.
 func (a *answer) reusable() bool {
 	r := a.response
--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -3,6 +3,8 @@
 import (
 	"bufio"
 	"context"
+	"io"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -22,14 +24,34 @@
 // conn is a connection to a server. It carries one request at a time.
 type conn struct {
 	raw       net.Conn
-	reader    *bufio.Reader
+	bounded   *boundedReader
+	reader    *bufio.Reader // of bounded
 	idleSince time.Time
 	idleLimit time.Duration
 	used      bool
 }
 
 func newConn(raw net.Conn) *conn {
-	return &conn{raw: raw, reader: bufio.NewReaderSize(raw, readBufferBytes), idleLimit: idleDefault}
+	bounded := &boundedReader{source: raw, left: math.MaxInt64}
+	return &conn{
+		raw: raw, bounded: bounded, reader: bufio.NewReaderSize(bounded, readBufferBytes), idleLimit: idleDefault,
+	}
+}
+
+// boundedReader fails with *HeadTooLargeError once more than left bytes are read from source.
+type boundedReader struct {
+	source io.Reader
+	left   int64
+}
+
+// Read implements io.Reader.
+func (r *boundedReader) Read(p []byte) (int, error) {
+	if r.left <= 0 {
+		return 0, &HeadTooLargeError{Limit: maxHeadBytes}
+	}
+	n, err := r.source.Read(p)
+	r.left -= int64(n)
+	return n, err
 }
 
 // noteKeepAlive takes the server's idle timeout from its answer.
--- a/internal/forward/errors.go
+++ b/internal/forward/errors.go
@@ -31,6 +31,14 @@
 // Unwrap returns the cause.
 func (e *BrokenError) Unwrap() error { return e.Cause }
 
+// HeadTooLargeError reports a server that sent more than an answer's head may have, before its end.
+type HeadTooLargeError struct{ Limit int64 }
+
+// Error implements error.
+func (e *HeadTooLargeError) Error() string {
+	return fmt.Sprintf("head of the answer is larger than the %d bytes allowed", e.Limit)
+}
+
 // SpoiltError reports an answer that cannot be the server's own.
 type SpoiltError struct {
 	Address string
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -61,6 +61,7 @@
 	defer cancel()
 	defer context.AfterFunc(x.h.ending, cancel)()
 	x.ctx = ctx
+	defer x.discardLast()
 	for {
 		query := x.query()
 		to, refusal := x.h.opts.Chooser.Place(query, time.Now())
@@ -68,6 +69,7 @@
 			x.refusal = refusal
 			return x.refuse(refusal)
 		}
+		x.discardLast()
 		s := x.send(to)
 		x.finishSending(s)
 		if !x.again(s) {
@@ -76,6 +78,13 @@
 	}
 }
 
+// discardLast gives up the connection that the last answer still needs, if any.
+func (x *exchange) discardLast() {
+	if x.last != nil && x.last.answer != nil {
+		x.last.answer.discard()
+	}
+}
+
 // query asks for the next server.
 func (x *exchange) query() *placement.Query {
 	now := time.Now()
