--- a/internal/socket/unread.go
+++ b/internal/socket/unread.go
@@ -17,7 +17,7 @@
 	Unknown              // the connection is no socket
 )
 
-// Peek returns what waits to be read on c, without reading it.
+// Peek returns what waits to be read on c, without reading it. Another goroutine may be blocked reading c.
 func Peek(c net.Conn) State {
 	sys, ok := c.(syscall.Conn)
 	if !ok {
@@ -28,7 +28,8 @@
 		return Ended
 	}
 	state := Ended
-	err = raw.Read(func(fd uintptr) bool {
+	// Control, unlike Read, does not wait for a reader that is blocked on the connection.
+	err = raw.Control(func(fd uintptr) {
 		var b [1]byte
 		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		switch {
@@ -37,7 +38,6 @@
 		case err == nil && n > 0:
 			state = Unread
 		}
-		return true
 	})
 	if err != nil {
 		return Ended
--- a/internal/socket/unread_test.go
+++ b/internal/socket/unread_test.go
@@ -33,6 +33,7 @@
 	}
 	there.Close()
 	await(t, here, Ended)
+	testPeekBesideReader(t, listener)
 	pipe, other := net.Pipe()
 	defer other.Close()
 	if got := Peek(pipe); got != Unknown {
@@ -40,6 +41,33 @@
 	}
 }
 
+// A stop hung where it looked at a connection on which the HTTP server waited for the next request.
+func testPeekBesideReader(t *testing.T, listener net.Listener) {
+	t.Helper()
+	there, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer there.Close()
+	here, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer here.Close()
+	reading := make(chan struct{})
+	go func() {
+		close(reading)
+		_, _ = here.Read(make([]byte, 1))
+	}()
+	<-reading
+	for range 20 {
+		if got := Peek(here); got != Quiet {
+			t.Errorf("%d beside a reader, want quiet", got)
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // await waits for what the other end did to arrive.
 func await(t *testing.T, c net.Conn, want State) {
 	t.Helper()
