drain: both daemons stop by one server that loses no request

Cause: the daemon of the reference platform had the same window as the gateway: SetKeepAlivesEnabled(false) and Shutdown both close a connection on which a request has just been read.

Change: what the gateway's stop does with connections is internal/drain, and entry uses it instead of counting connections. An answer of a server that stopped accepting asks to close the connection. The other windows of the issue: a connection closed for idleness lives for a minute, callers reuse one for four fifths of the configured limit, 15 s, at most; a reload closes none; there is no limit of connections.

--- a/internal/drain/server.go
+++ b/internal/drain/server.go
@@ -1,4 +1,6 @@
-package gateway
+// Package drain stops an HTTP server without losing a request that it has read. http.Server.Shutdown does not: once it
+// has begun, a connection on which a request is read is closed without an answer.
+package drain
 
 import (
 	"context"
@@ -13,68 +15,83 @@
 	"github.com/azureflow/azureflow/internal/socket"
 )
 
-// door is one HTTP server of an entry VM with its open connections. It stops without http.Server.Shutdown, which closes
-// a connection without an answer if it reads a request there after the stop has begun.
-type door struct {
+// poll is the time between two looks at the connections of a server that drains.
+const poll = 20 * time.Millisecond
+
+// Server is an HTTP server with its open connections. It is safe for concurrent use.
+type Server struct {
 	listener net.Listener
 	server   *http.Server
+	leaving  atomic.Bool
 	heard    atomic.Int64 // when bytes came last, Unix nanoseconds
 
 	mu    sync.Mutex
-	conns map[*doorConn]struct{}
+	conns map[*conn]struct{}
 }
 
-// doorConn is a connection of a door.
-type doorConn struct {
+// conn is a connection of a Server.
+type conn struct {
 	net.Conn
-	door   *door
+	owner  *Server
 	active atomic.Bool // a request is being handled
 	begun  atomic.Bool // bytes of the next request were read
 }
 
-// newDoor returns a door for the connections of listener.
-func newDoor(listener net.Listener, server *http.Server) *door {
-	d := &door{listener: listener, server: server, conns: make(map[*doorConn]struct{})}
-	server.ConnState = d.noteState
-	return d
+// New returns a Server for the connections of listener, which server handles. Its handler and its ConnState are
+// replaced.
+func New(l net.Listener, server *http.Server) *Server {
+	s := &Server{listener: l, server: server, conns: make(map[*conn]struct{})}
+	server.ConnState = s.noteState
+	server.Handler = s.askToClose(server.Handler)
+	return s
+}
+
+// askToClose lets every answer of a server that leaves ask its caller to close the connection.
+func (s *Server) askToClose(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.leaving.Load() {
+			w.Header()["Connection"] = []string{"close"}
+		}
+		next.ServeHTTP(w, r)
+	})
 }
 
-// serve handles connections until the door stops accepting. Errors: those of accepting.
-func (d *door) serve() error {
-	err := d.server.Serve(doorListener{d.listener, d})
+// Serve handles connections until the server stops accepting. Errors: those of accepting.
+func (s *Server) Serve() error {
+	err := s.server.Serve(listener{s.listener, s})
 	if errors.Is(err, net.ErrClosed) || errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
 	return err
 }
 
-// doorListener wraps what it accepts.
-type doorListener struct {
+// listener wraps what it accepts.
+type listener struct {
 	net.Listener
-	door *door
+	owner *Server
 }
 
 // Accept implements net.Listener.
-func (l doorListener) Accept() (net.Conn, error) {
+func (l listener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
-	return &doorConn{Conn: c, door: l.door}, nil
+	return &conn{Conn: c, owner: l.owner}, nil
 }
 
 // Read implements net.Conn.
-func (c *doorConn) Read(p []byte) (int, error) {
+func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n > 0 {
 		c.begun.Store(true)
-		c.door.heard.Store(time.Now().UnixNano())
+		c.owner.heard.Store(time.Now().UnixNano())
 	}
 	return n, err
 }
 
 // CloseWrite ends the sending side, so that the caller gets an answer whole whose request was not read whole.
-func (c *doorConn) CloseWrite() error {
+func (c *conn) CloseWrite() error {
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		return half.CloseWrite()
 	}
@@ -82,57 +99,63 @@
 }
 
 // noteState follows the connections of the server.
-func (d *door) noteState(raw net.Conn, state http.ConnState) {
-	c, ok := raw.(*doorConn)
+func (s *Server) noteState(raw net.Conn, state http.ConnState) {
+	c, ok := raw.(*conn)
 	if !ok {
 		return
 	}
 	switch state {
 	case http.StateNew:
-		d.mu.Lock()
-		d.conns[c] = struct{}{}
-		d.mu.Unlock()
+		s.mu.Lock()
+		s.conns[c] = struct{}{}
+		s.mu.Unlock()
 	case http.StateActive:
 		c.active.Store(true)
 	case http.StateIdle:
 		c.begun.Store(false)
 		c.active.Store(false)
 	case http.StateClosed, http.StateHijacked:
-		d.mu.Lock()
-		delete(d.conns, c)
-		d.mu.Unlock()
+		s.mu.Lock()
+		delete(s.conns, c)
+		s.mu.Unlock()
 	}
 }
 
-// stopAccepting refuses new connections.
-func (d *door) stopAccepting() { _ = d.listener.Close() }
+// Leave makes every answer from now on ask its caller to close the connection.
+func (s *Server) Leave() { s.leaving.Store(true) }
+
+// StopAccepting refuses new connections.
+func (s *Server) StopAccepting() {
+	s.Leave()
+	_ = s.listener.Close()
+}
 
-// drain waits until no connection is open or ctx ends. Connections on which no request waits or was begun are closed
+// Drain waits until no connection is open or ctx ends. Connections on which no request waits or was begun are closed
 // once no bytes came on any for quiet. It reports whether none is left.
-func (d *door) drain(ctx context.Context, quiet time.Duration) bool {
+func (s *Server) Drain(ctx context.Context, quiet time.Duration) bool {
 	begun := time.Now()
-	for d.open() > 0 {
+	for s.open() > 0 {
 		now := time.Now()
-		heard := time.Unix(0, d.heard.Load())
+		heard := time.Unix(0, s.heard.Load())
 		if now.Sub(begun) >= quiet && now.Sub(heard) >= quiet {
-			d.closeUnused()
+			s.closeUnused()
 		}
-		if clock.Sleep(ctx, stopPoll) != nil {
-			return d.open() == 0
+		if clock.Sleep(ctx, poll) != nil {
+			return s.open() == 0
 		}
 	}
 	return true
 }
 
-func (d *door) open() int {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return len(d.conns)
+func (s *Server) open() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
 }
 
 // closeUnused ends the connections on which no request waits or was begun.
-func (d *door) closeUnused() {
-	for _, c := range d.unused() {
+func (s *Server) closeUnused() {
+	for _, c := range s.unused() {
 		if socket.Peek(c.Conn) != socket.Unread {
 			// Unlike closing, this lets a request that was just read have its answer.
 			_ = c.SetReadDeadline(time.Unix(1, 0))
@@ -140,11 +163,11 @@
 	}
 }
 
-func (d *door) unused() []*doorConn {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	var unused []*doorConn
-	for c := range d.conns {
+func (s *Server) unused() []*conn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var unused []*conn
+	for c := range s.conns {
 		if !c.active.Load() && !c.begun.Load() {
 			unused = append(unused, c)
 		}
@@ -152,5 +175,5 @@
 	return unused
 }
 
-// close cuts off what is left.
-func (d *door) close() { _ = d.server.Close() }
+// Close cuts off what is left.
+func (s *Server) Close() { _ = s.server.Close() }
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -157,7 +157,7 @@
 	case <-p.Handler.Drained():
 	case <-ctx.Done():
 	}
-	p.Servers.quiesce(ctx, p.Handler.InFlight)
+	p.Servers.quiesce(ctx)
 	d.cut.Store(int64(p.Handler.InFlight()))
 	p.Recorder.Record(&review.Record{
 		Kind: review.KindStop, Constraint: review.ConstraintDrain, Result: "drained", Took: time.Since(began),
@@ -171,12 +171,12 @@
 	const limit = 3 * time.Second
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), limit)
 	defer cancel()
-	err := d.parts.Servers.requests.Shutdown(ctx)
+	d.parts.Servers.requests.Drain(ctx, 0)
+	d.parts.Servers.requests.Close()
 	d.stop()
 	d.loops.Wait()
 	_ = d.parts.Servers.admin.Shutdown(ctx)
-	_ = d.parts.PeerPool.Close()
-	return err
+	return d.parts.PeerPool.Close()
 }
 
 // discardLog drops net/http's own lines: each failure of a connection is counted and recorded
--- a/internal/entry/servers.go
+++ b/internal/entry/servers.go
@@ -5,12 +5,12 @@
 	"errors"
 	"net"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"github.com/gorilla/mux"
 	"github.com/sirupsen/logrus"
 
+	"github.com/azureflow/azureflow/internal/drain"
 	"github.com/azureflow/azureflow/internal/lookup"
 	"github.com/azureflow/azureflow/internal/peer"
 	"github.com/azureflow/azureflow/internal/request"
@@ -65,11 +65,10 @@
 // servers are the three servers of a daemon.
 type servers struct {
 	listeners *Listeners
-	requests  *http.Server
+	requests  *drain.Server
 	admin     *http.Server
 	peers     peer.DRPCPeerServer
 	log       logrus.FieldLogger
-	open      atomic.Int64 // connections of callers
 }
 
 func newServers(
@@ -86,46 +85,25 @@
 	})
 	s := &servers{
 		listeners: l,
-		requests:  &http.Server{Handler: callerRoutes(lookups, h), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout},
-		admin:     &http.Server{Handler: admin, ReadHeaderTimeout: readHeaderTimeout},
+		requests: drain.New(l.Requests, &http.Server{
+			Handler: callerRoutes(lookups, h), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout, ErrorLog: discardLog(),
+		}),
+		admin: &http.Server{Handler: admin, ReadHeaderTimeout: readHeaderTimeout},
 		peers: peerService{
 			exchange: exchange{x}, Follower: f, zoneList: list, domains: d, Journal: j, Log: records,
 			rateLender: &rateLender{links}, planServer: plans,
 		},
 		log: log,
 	}
-	s.requests.ConnState = s.countOpen
 	return s
 }
 
-// countOpen keeps the number of callers' connections.
-func (s *servers) countOpen(_ net.Conn, state http.ConnState) {
-	switch state {
-	case http.StateNew:
-		s.open.Add(1)
-	case http.StateClosed, http.StateHijacked:
-		s.open.Add(-1)
-	}
-}
-
 // quiesce refuses new connections of callers and serves what still arrives on those that are open, until none
-// is left, or until those left were not used for a while. http.Server.Shutdown would read a request on a
-// connection that had none before and close it without an answer.
-func (s *servers) quiesce(ctx context.Context, inFlight func() int) {
-	const (
-		unused = 3 * time.Second
-		poll   = 10 * time.Millisecond
-	)
-	_ = s.listeners.Requests.Close()
-	s.requests.SetKeepAlivesEnabled(false)
-	end := time.Now().Add(unused)
-	for s.open.Load() > 0 && (time.Now().Before(end) || inFlight() > 0) {
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(poll):
-		}
-	}
+// is left or ctx ends. It reports whether none is left.
+func (s *servers) quiesce(ctx context.Context) bool {
+	const quiet = time.Second // without a byte, callers use the connections no more; several times the delay between regions
+	s.requests.StopAccepting()
+	return s.requests.Drain(ctx, quiet)
 }
 
 // callerRoutes sends lookups to their handler and everything else to the path of a request.
@@ -139,8 +117,9 @@
 
 // start serves until ctx ends (peers) or the HTTP servers are shut down.
 func (s *servers) start(ctx context.Context) {
-	s.serveHTTP("requests", s.requests, s.listeners.Requests)
-	s.serveHTTP("admin", s.admin, s.listeners.Admin)
+	go func() { s.ended("requests", s.requests.Serve()) }()
+	s.admin.ErrorLog = discardLog()
+	go func() { s.ended("admin", s.admin.Serve(s.listeners.Admin)) }()
 	go func() {
 		err := peer.Serve(ctx, s.listeners.Peer, s.peers)
 		if err != nil && ctx.Err() == nil {
@@ -149,11 +128,10 @@
 	}()
 }
 
-func (s *servers) serveHTTP(name string, server *http.Server, l net.Listener) {
-	server.ErrorLog = discardLog()
-	go func() {
-		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
-			s.log.WithFields(logrus.Fields{"server": name, "reason": err.Error()}).Error("server_failed")
-		}
-	}()
+// ended logs why a server ended, unless it was stopped.
+func (s *servers) ended(name string, err error) {
+	if err == nil || errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
+		return
+	}
+	s.log.WithFields(logrus.Fields{"server": name, "reason": err.Error()}).Error("server_failed")
 }
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -14,6 +14,7 @@
 	"go.uber.org/fx"
 
 	"github.com/azureflow/azureflow/internal/clock"
+	"github.com/azureflow/azureflow/internal/drain"
 	"github.com/azureflow/azureflow/internal/forward"
 	"github.com/azureflow/azureflow/internal/request"
 )
@@ -52,8 +53,8 @@
 	stop     context.CancelFunc
 	absent   context.CancelFunc // ends the announcement in the directory
 	loops    sync.WaitGroup
-	requests *door   // of callers; nil if none are served
-	others   []*door // readiness, directory, metrics
+	requests *drain.Server   // of callers; nil if none are served
+	others   []*drain.Server // readiness, directory, metrics
 }
 
 func (d *daemon) start(context.Context) error {
@@ -153,14 +154,14 @@
 		if l.address == "" {
 			continue
 		}
-		door, err := d.serve(ctx, l.address, l.handler)
+		server, err := d.serve(ctx, l.address, l.handler)
 		if err != nil {
 			return err
 		}
 		if l.address == listen.Requests {
-			d.requests = door
+			d.requests = server
 		} else {
-			d.others = append(d.others, door)
+			d.others = append(d.others, server)
 		}
 	}
 	return nil
@@ -169,20 +170,20 @@
 // metricsPort is where the metrics are served, at /metrics.
 const metricsPort = "9464"
 
-func (d *daemon) serve(ctx context.Context, address string, handler http.Handler) (*door, error) {
+func (d *daemon) serve(ctx context.Context, address string, handler http.Handler) (*drain.Server, error) {
 	listener, err := request.ListenConfig(silentAfter).Listen(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	door := newDoor(listener, &http.Server{
+	server := drain.New(listener, &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: serverIdle, MaxHeaderBytes: maxHeaderBytes,
 	})
 	d.loops.Go(func() {
-		if err := door.serve(); err != nil {
+		if err := server.Serve(); err != nil {
 			d.log.WithFields(logrus.Fields{"address": address, "error": err.Error()}).Error("listener ended")
 		}
 	})
-	return door, nil
+	return server, nil
 }
 
 func (d *daemon) ready() bool { return !d.presence.leaves.Load() && d.follower.Ready() }
@@ -203,9 +204,9 @@
 		d.endRequests(kill)
 	}
 	for _, other := range d.others {
-		other.stopAccepting()
+		other.StopAccepting()
 		drainUntil(other, kill.Add(stopFlush-stopMargin), 0)
-		other.close()
+		other.Close()
 	}
 	d.stop()
 	d.log.WithFields(logrus.Fields{"took_ms": time.Since(begun).Milliseconds()}).Info("stopped")
@@ -214,8 +215,8 @@
 
 // endRequests answers what callers still send and closes their connections before kill.
 func (d *daemon) endRequests(kill time.Time) {
-	defer d.requests.close()
-	d.requests.stopAccepting()
+	defer d.requests.Close()
+	d.requests.StopAccepting()
 	if drainUntil(d.requests, kill.Add(-stopMargin), stopQuiet) {
 		return
 	}
@@ -227,10 +228,10 @@
 	}
 }
 
-func drainUntil(d *door, until time.Time, quiet time.Duration) bool {
+func drainUntil(s *drain.Server, until time.Time, quiet time.Duration) bool {
 	ctx, cancel := context.WithDeadline(context.Background(), until)
 	defer cancel()
-	return d.drain(ctx, quiet)
+	return s.Drain(ctx, quiet)
 }
 
 // StopTimeout returns how long a planned stop may take.
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -11,6 +11,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/azureflow/azureflow/internal/drain"
 	"github.com/azureflow/azureflow/internal/forward"
 	"github.com/azureflow/azureflow/internal/placement"
 	"github.com/azureflow/azureflow/internal/routing"
@@ -80,9 +81,9 @@
 	d := &daemon{
 		settings: settings, handler: handler, log: silentLog(), absent: absent, stop: stop,
 		presence: newPresence(newFakeStore(), settings, chooser, silentLog()),
-		requests: newDoor(vm.listener, &http.Server{Handler: handler, IdleTimeout: time.Minute, ReadHeaderTimeout: 10 * time.Second}),
+		requests: drain.New(vm.listener, &http.Server{Handler: handler, IdleTimeout: time.Minute, ReadHeaderTimeout: 10 * time.Second}),
 	}
-	go func() { _ = d.requests.serve() }()
+	go func() { _ = d.requests.Serve() }()
 	vm.began = time.Now()
 	go func() {
 		_ = d.end(context.Background())
