placement: the first sample of a route ends what bounded the guess

Cause: the time of a run that did not end, kept while a route has no samples, still counted after the first sample, so that a route which was served well could have one request at a time. Test: TestFirstSampleOutweighsARunThatDidNotEnd, failed before.

--- a/internal/placement/times.go
+++ b/internal/placement/times.go
@@ -3,6 +3,9 @@
 import (
 	"math"
 	"time"
+
+	"github.com/azureflow/azureflow/internal/routing"
+	"github.com/azureflow/azureflow/internal/steering"
 )
 
 const (
@@ -58,6 +61,7 @@
 	weight := max(timeWeight, 1/float64(others+1))
 	s.mean += (min(seconds, sampleMax*s.mean) - s.mean) * weight
 	s.samples++
+	s.floor, s.ceiling = 0, 0
 	s.sampled, s.shown, s.trust = now, now, firstTrust
 }
 
@@ -169,3 +173,27 @@
 }
 
 func (t *RouteTimes) learnBytes(n int) { t.bytes += (float64(n) - t.bytes) * bytesWeight }
+
+// routeTimes returns the times of a route at a service.
+func (c *Chooser) routeTimes(r *routing.Route, service steering.ServiceName) *RouteTimes {
+	services := c.times[r.Name]
+	if services == nil {
+		services = make(map[steering.ServiceName]*RouteTimes)
+		c.times[r.Name] = services
+	}
+	t := services[service]
+	if t == nil {
+		t = firstTimes(r, services)
+		services[service] = t
+	}
+	return t
+}
+
+// firstTimes returns the times of a route at a service that it was not sent to before. Those at another service are
+// the better guess.
+func firstTimes(r *routing.Route, services map[steering.ServiceName]*RouteTimes) *RouteTimes {
+	for _, other := range services {
+		return other.guess()
+	}
+	return newRouteTimes(r.Objective())
+}
--- a/internal/placement/times_test.go
+++ b/internal/placement/times_test.go
@@ -151,6 +151,17 @@
 	}
 }
 
+// What was learned of a route before its first sample binds no longer after it.
+func TestFirstSampleOutweighsARunThatDidNotEnd(t *testing.T) {
+	var s serviceTime
+	s.learnUnfinished(3, start)
+	s.learnTrial(0.1, start)
+	e := estimate{times: &s, service: s.mean, slow: 1}
+	if q := (&Query{Left: time.Second}); e.trial(q) {
+		t.Errorf("a request with %v left is tried against a service time of %.1f s", q.Left, s.mean)
+	}
+}
+
 // A route that moves to another service is measured anew there.
 func TestRouteThatMovedIsNotRefusedForTheTimesOfItsOldService(t *testing.T) {
 	r := newTimedRoute(400*time.Millisecond, 10*time.Second, 4*time.Second)
