placement: old evidence refuses not even together with a wait

Cause: a route whose times were measured while servers were slow was served again only where slots are free. Where each answer also waited, a successful trial measured nothing, answers that waited kept the estimate trusted, and an old estimate that fits alone refused together with a short wait.

Change: without recent evidence the service time does not count against the time left, with or without a wait; a trial that was shorter than the estimate although it waited is a sample; an answer that took less than half of the estimate although it waited does not confirm it. How late an answer may be where the wait is long is judged by old measurements as before: the wait fades by itself.

Test: TestRouteIsServedAgainByFullServersThatWereSlow, failed before (95 of 100 refused 15 s after the servers recovered).

--- a/internal/placement/chooser.go
+++ b/internal/placement/chooser.go
@@ -274,7 +274,7 @@
 	}
 	took := max(r.Took.Seconds()-p.rtt, minServiceTime)
 	if p.Wait > 0 || (r.Load != nil && r.Load.Waiting > 0) {
-		p.times.at(p.Warm).learnWaited(took/p.slow, now)
+		c.learnWaited(p, took/p.slow, now)
 		return
 	}
 	p.times.learnBytes(r.Bytes)
@@ -291,6 +291,15 @@
 	}
 }
 
+// learnWaited takes the time of an answered request that also waited for a slot.
+func (c *Chooser) learnWaited(p *Placement, seconds float64, now time.Time) {
+	if p.trial != nil && p.trial.samples > 0 && seconds < p.trial.mean {
+		p.trial.learnTrial(seconds, now)
+		return
+	}
+	p.times.at(p.Warm).learnWaited(seconds, now)
+}
+
 // RoundTrip takes a round trip to a server that was measured at now.
 func (c *Chooser) RoundTrip(p *Placement, d time.Duration, now time.Time) {
 	c.mu.Lock()
--- a/internal/placement/cost.go
+++ b/internal/placement/cost.go
@@ -47,11 +47,14 @@
 // total returns the expected seconds until the answer.
 func (e *estimate) total() float64 { return e.wait + e.service*e.slow + e.rtt }
 
-// supported returns the seconds until the answer that may refuse the request: without the service time where that is a
-// guess, or where it alone exceeds the time left and the evidence for it is old.
-func (e *estimate) supported(q *Query) float64 {
-	if e.times.samples == 0 || e.total()-e.wait > q.Left.Seconds() {
-		return e.wait + e.proven*e.slow + e.rtt
+// supported returns the seconds until the answer as far as recent evidence supports them.
+func (e *estimate) supported() float64 { return e.wait + e.proven*e.slow + e.rtt }
+
+// late returns the seconds until the answer by which a request that would be late is judged. The wait for a slot decides
+// there, which fades by itself, so that old measurements count too.
+func (e *estimate) late() float64 {
+	if e.times.samples == 0 {
+		return e.supported()
 	}
 	return e.total()
 }
--- a/internal/placement/refusal.go
+++ b/internal/placement/refusal.go
@@ -69,14 +69,13 @@
 // tooLate reports whether even the best server would answer after the deadline, or so late that the wait would
 // only take room from requests that can still be on time. A guess does not count: requests are tried against it.
 func tooLate(q *Query, best *estimate) bool {
-	expected := best.supported(q)
 	switch {
-	case expected > q.Left.Seconds():
+	case best.supported() > q.Left.Seconds():
 		return true
 	case best.trial(q) && !best.times.admitsTrial(best.wait == 0):
 		return true
 	}
-	return expected > q.OnTime.Seconds() && best.wait > waitShare*q.Route.Objective().Seconds()
+	return best.late() > q.OnTime.Seconds() && best.wait > waitShare*q.Route.Objective().Seconds()
 }
 
 // waitShare is the part of a route's target latency that a request which will be late may still wait.
--- a/internal/placement/times.go
+++ b/internal/placement/times.go
@@ -65,15 +65,20 @@
 	s.sampled, s.shown, s.trust = now, now, firstTrust
 }
 
-// learnTrial takes a sample of a request that the estimate spoke against.
+// learnTrial takes a sample of a request that the estimate spoke against, one that may include a wait if it is shorter than
+// the estimate even so.
 func (s *serviceTime) learnTrial(seconds float64, now time.Time) {
 	s.take(seconds, trialSamples, now)
 }
 
-// learnWaited takes the time of a request that also waited, which its service time is at most.
+// learnWaited takes the time of a request that also waited, which its service time is at most. It confirms the estimate
+// unless it was much shorter even so.
 func (s *serviceTime) learnWaited(seconds float64, now time.Time) {
-	if s.samples == 0 && (s.ceiling == 0 || seconds < s.ceiling) {
+	switch {
+	case s.samples == 0 && (s.ceiling == 0 || seconds < s.ceiling):
 		s.ceiling = seconds
+	case s.samples > 0 && sampleMax*seconds < s.mean:
+		return
 	}
 	s.shown, s.trust = now, firstTrust
 }
--- a/internal/placement/times_test.go
+++ b/internal/placement/times_test.go
@@ -129,6 +129,22 @@
 	}
 }
 
+// The same while all slots stay taken, so that every answer also waited.
+func TestRouteIsServedAgainByFullServersThatWereSlow(t *testing.T) {
+	r := newTimedRoute(400*time.Millisecond, 10*time.Second, 4*time.Second)
+	r.ask(40*time.Second, time.Second)
+	r.left, r.work = time.Second, 100*time.Millisecond
+	r.now = r.now.Add(20 * time.Second)
+	r.finish()
+	r.reportedRunning, r.reportedWaiting = 6, 1
+	r.ask(15*time.Second, 100*time.Millisecond) // recover_s of the users' bounds
+	sent, refused := r.sent, r.refused
+	r.ask(10*time.Second, 100*time.Millisecond)
+	if sent, refused = r.sent-sent, r.refused-refused; refused > sent/4 {
+		t.Errorf("%d of %d requests are refused 15 s after the servers recovered: %+v", refused, refused+sent, r.lastRefusal)
+	}
+}
+
 // A route whose work fits into no caller's time is tried seldom, one request at a time once that is known.
 func TestWorkThatFitsNoCallersTimeIsMostlyRefused(t *testing.T) {
 	const asked = 1200
