placement: the bound on change of region holds where traffic ends

Cause: a rise was bounded over a whole window of 2 s only. In the second before the end 0.25 of the requests ran elsewhere, in the last one 0.52 and 0.65 (two VMs); together they kept the bound, but the window that began with the last second held only that one. A fall was bounded in the latest 0.75 s too, a rise was not.

Change: each part of the window of 0.75 s or more is compared with the 2 s before it.

Ruled out: callers that move and keep their old entry VM; reuss's callers did not move.

--- a/internal/placement/shift.go
+++ b/internal/placement/shift.go
@@ -72,10 +72,10 @@
 	if before.all == 0 {
 		return shiftAnywhere // nothing ran anywhere, so nothing moves
 	}
-	share, step := before.remote/before.all, shiftPart*l.bound
-	if current.remote+1 > (share+step)*max(current.all+1, shiftLeast) {
+	if l.rises() {
 		return shiftStay
 	}
+	share, step := before.remote/before.all, shiftPart*l.bound
 	// The latest requests are looked at by themselves, too: after a burst the window is full of older ones, and
 	// once those are past it would be too late.
 	latest := l.window(0, shiftLatest-1)
@@ -88,6 +88,22 @@
 	return shiftAnywhere
 }
 
+// rises reports whether one more request elsewhere would raise the share by too much. Traffic may end at any moment, and
+// then the latest requests are a window by themselves, so each longer part of the window that ends now is compared with
+// the window before that part.
+func (l *shiftLimiter) rises() bool {
+	for n := int64(shiftLatest); n <= shiftBuckets; n++ {
+		latest, before := l.window(0, n-1), l.window(n, n+shiftBuckets-1)
+		if before.all == 0 {
+			continue
+		}
+		if limit := before.remote/before.all + shiftPart*l.bound; latest.remote+1 > limit*max(latest.all+1, shiftLeast) {
+			return true
+		}
+	}
+	return false
+}
+
 // below reports whether the share that runs in other regions would be less than share with one more request here.
 func (c shiftCount) below(share float64) bool {
 	return c.all+1 >= shiftLeast && c.remote < share*(c.all+1)
