gateway: a long watch of the operator's keys ends with the cover of a peer

Cause: an entry VM whose region's reader tells it all changes waits up to 10 s for changes of its own. When the reader died, the wait went on: where the watch had gone deaf with the history forgotten, and cheap reads were old, a configuration came into force up to 10 s late. Class: a long wait that was begun under a condition that no longer holds.

Change: the watch ends when the cover lapses, and the keys are listed. The wait for the cover's end sleeps until then instead of looking each 100 ms.

--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -16,13 +16,11 @@
 	"github.com/azureflow/azureflow/internal/kv"
 	"github.com/azureflow/azureflow/internal/placement"
 	"github.com/azureflow/azureflow/internal/routing"
-	"github.com/azureflow/azureflow/internal/steering"
 )
 
 const (
 	serverRelist = 15 * time.Second // a complete list this often, whatever the changes said
-	coveredWait  = 10 * time.Second // of a watch of the operator's keys where a peer is asked as well
-	coveredCheck = 100 * time.Millisecond
+	coveredWait  = 10 * time.Second // of a watch of the operator's keys while a peer is asked as well
 )
 
 // follower keeps configuration and membership as the store has them. It reads the servers' entries
@@ -108,16 +106,21 @@
 	return f.servers.readAt, f.operator.readAt
 }
 
+// coverLeft returns for how long a peer covers the reads, 0 or less if none does.
+func (f *follower) coverLeft() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return time.Until(f.covered)
+}
+
 // awaitTurn waits while a peer covers the reads. It returns false once ctx has ended.
 func (f *follower) awaitTurn(ctx context.Context) bool {
 	for ctx.Err() == nil {
-		f.mu.Lock()
-		covered := time.Now().Before(f.covered)
-		f.mu.Unlock()
-		if !covered {
+		left := f.coverLeft()
+		if left <= 0 {
 			return true
 		}
-		_ = clock.Sleep(ctx, coveredCheck)
+		_ = clock.Sleep(ctx, left)
 	}
 	return false
 }
@@ -135,23 +138,38 @@
 	}
 }
 
-// operatorWait returns how long one watch of the operator's keys may wait. A watch may go deaf, so a VM that reads
-// for others, or for itself alone, asks again in time for the bound on configurations; the others hear it from there.
-func (f *follower) operatorWait() time.Duration {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if time.Now().Before(f.covered) {
-		return coveredWait
+// watchOperatorOnce waits for changes of the operator's keys. A watch may go deaf, so a VM that reads for others, or for
+// itself alone, asks again in time for the bound on configurations; the others hear it from there, as long as they
+// are covered. Errors: those of watch, *coverLapsedError.
+func (f *follower) watchOperatorOnce(ctx context.Context, version kv.Version) ([]kv.Entry, kv.Version, error) {
+	wait := f.pace.Load().operatorWait
+	if f.coverLeft() > 0 {
+		wait = coveredWait
+		covered, cancel := context.WithCancelCause(ctx)
+		defer cancel(nil)
+		go func() {
+			if f.awaitTurn(covered) {
+				cancel(&coverLapsedError{})
+			}
+		}()
+		ctx = covered
 	}
-	return f.pace.Load().operatorWait
+	return f.watch(ctx, readOperatorChanges, f.catalog.OperatorPrefix, version, wait)
 }
 
+// coverLapsedError ends a long watch: no peer covers the reads any more.
+type coverLapsedError struct{}
+
+// Error implements error.
+func (*coverLapsedError) Error() string { return "no peer covers the reads any more" }
+
 // watchOperatorFrom takes changes until the watch fails, after a wait, or its history is gone.
 func (f *follower) watchOperatorFrom(ctx context.Context, version kv.Version, waits *backoff.ExponentialBackOff) {
 	for ctx.Err() == nil {
-		entries, next, err := f.watch(ctx, readOperatorChanges, f.catalog.OperatorPrefix, version, f.operatorWait())
+		entries, next, err := f.watchOperatorOnce(ctx, version)
 		var compacted *kv.CompactedError
-		if errors.As(err, &compacted) {
+		var lapsed *coverLapsedError
+		if errors.As(err, &compacted) || errors.As(err, &lapsed) {
 			return
 		}
 		if err != nil {
@@ -179,13 +197,17 @@
 }
 
 // watch waits up to wait for changes of the keys with prefix after version, and logs how the read called name went.
-// A history that is gone is no failure of the store.
+// A history that is gone and a cover that lapsed are no failures of the store.
 func (f *follower) watch(
 	ctx context.Context, name, prefix string, version kv.Version, wait time.Duration,
 ) ([]kv.Entry, kv.Version, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait)
+	call, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
-	entries, next, err := f.store.Watch(ctx, prefix, version)
+	entries, next, err := f.store.Watch(call, prefix, version)
+	var lapsed *coverLapsedError
+	if err != nil && errors.As(context.Cause(ctx), &lapsed) {
+		return nil, 0, lapsed
+	}
 	var compacted *kv.CompactedError
 	if errors.As(err, &compacted) {
 		f.log.WithFields(logrus.Fields{"prefix": prefix, "after": version}).Info("watch history gone")
@@ -297,104 +319,3 @@
 		f.log.WithFields(logrus.Fields{"read": read}).Info("store regained")
 	}
 }
-
-// takeOperator lets take change the copy of the operator's keys and puts what it says in force.
-func (f *follower) takeOperator(take func(*storeCopy) bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if !take(f.operator) {
-		return
-	}
-	zones := make(map[steering.ZoneName]bool)
-	for _, e := range f.operator.entries() {
-		if e.Key == f.catalog.ConfigKey {
-			f.takeConfig(&e)
-		}
-		if zone, ok := f.catalog.EvacuatedZone(e.Key); ok {
-			zones[zone] = true
-		}
-	}
-	if f.registry.evacuate(zones) {
-		f.log.WithFields(logrus.Fields{"zones": len(zones), "store_version": f.operator.version}).Info("evacuated zones changed")
-		f.chooser.Update(f.registry.membership())
-	}
-}
-
-// takeConfig puts a configuration in force if it is newer than the one in force.
-func (f *follower) takeConfig(e *kv.Entry) {
-	if e.Version == f.configRead {
-		return
-	}
-	f.configRead = e.Version
-	log := f.log.WithFields(logrus.Fields{"store_version": e.Version})
-	config, err := f.catalog.DecodeConfig(e.Value)
-	if err != nil {
-		log.WithFields(logrus.Fields{"error": err.Error()}).Warn("configuration ignored")
-		return
-	}
-	old := f.table.Load()
-	if old != nil && config.Version <= old.Version() {
-		log.WithFields(logrus.Fields{"version": config.Version, "in_force": old.Version()}).Warn("configuration ignored")
-		return
-	}
-	table := routing.NewTable(config)
-	f.table.Store(table)
-	f.chooser.SetTable(table)
-	difference := table.Since(old)
-	log.WithFields(logrus.Fields{
-		"version": config.Version, "routes": len(config.Routes), "routes_added": difference.Added,
-		"routes_changed": difference.Changed, "routes_removed": difference.Removed,
-	}).Info("configuration in force")
-}
-
-// takeServers lets take change the copy of the servers' entries and passes on what they say. Entries that cannot
-// be read name no server.
-func (f *follower) takeServers(take func(*storeCopy) bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	before := f.servers.readAt
-	changed := take(f.servers)
-	outage := false
-	if f.servers.readAt.After(before) {
-		outage = f.failed && f.registry.outage(before, time.Now())
-		f.failed = false
-	}
-	if !changed && !outage && f.ready.Load() && !f.registry.waiting() {
-		return
-	}
-	entries := f.servers.entries()
-	members := make([]placement.Member, 0, len(entries))
-	for i := range entries {
-		m, err := f.catalog.DecodeServer(entries[i].Key, entries[i].Value)
-		if err != nil {
-			f.bad(&entries[i], err)
-			continue
-		}
-		members = append(members, m)
-	}
-	for _, c := range f.registry.listed(members, time.Now()) {
-		f.log.WithFields(logrus.Fields{
-			"server": c.member.ID, "service": c.member.Service, "zone": c.member.Zone, "cold_ms": c.member.ColdFor.Milliseconds(),
-		}).Info(c.event)
-	}
-	f.chooser.Update(f.registry.membership())
-	if t := f.table.Load(); t != nil {
-		f.chooser.SetTable(t)
-	}
-	f.ready.Store(true)
-}
-
-// maxBadKeys bounds the memory of entries that could not be read.
-const maxBadKeys = 1000
-
-// bad logs an entry that cannot be read, once.
-func (f *follower) bad(e *kv.Entry, err error) {
-	if f.badKeys[e.Key] {
-		return
-	}
-	if len(f.badKeys) >= maxBadKeys {
-		clear(f.badKeys)
-	}
-	f.badKeys[e.Key] = true
-	f.log.WithFields(logrus.Fields{"key": e.Key, "error": err.Error()}).Warn("entry ignored")
-}
--- a/internal/gateway/sharing_test.go
+++ b/internal/gateway/sharing_test.go
@@ -169,6 +169,26 @@
 	}, "vm-1", "vm-2", "vm-3")
 }
 
+// A VM that the reader covers waits long for changes of its own. When watches go deaf and the reader dies, it must not go on waiting.
+func TestConfigurationComesInTimeWhenTheReaderDiesUnderADeafWatch(t *testing.T) {
+	const applyBound = 2500 * time.Millisecond // the users' config_apply_ms
+	const moment = 250 * time.Millisecond      // between the moments of the loss that are tried
+	for lossAt := time.Duration(0); lossAt < coveredWait; lossAt += moment {
+		sharingTest(t, func(t *testing.T, fl *fleet) {
+			fl.store.forget()
+			time.Sleep(lossAt)
+			fl.lose("vm-1")
+			fl.store.put("operator/config", fakeConfig{Version: 2})
+			time.Sleep(applyBound)
+			for _, name := range []string{"vm-2", "vm-3"} {
+				if got := fl.followers[name].Table().Version(); got != 2 {
+					t.Errorf("lost %v in: version %d is in force at %s after %v, want 2", lossAt, got, name, applyBound)
+				}
+			}
+		}, "vm-1", "vm-2", "vm-3")
+	}
+}
+
 // Deployments name their own bound on the time until a leaving server gets nothing.
 func TestNarrowerDrainBoundIsKept(t *testing.T) {
 	const bound = 600 * time.Millisecond
