forward: a body that stops coming does not hold a request for ever

Cause: nothing bounded the reading of a caller's body. A caller that stopped in the middle kept its request, its connection and a goroutine until it closed, past the route's timeout; a planned stop cut it off without an answer. The refusal of a request whose body nobody reads waited for that body, too.

Change: the body may take the request's time; then the answer is 408, which is true: a body is read before its request is sent anywhere (one over 1 MiB, passed on as it comes, ends with its request as before). The end of the process ends the reading with 503. A refusal waits one second for an unread body at most.

--- a/internal/forward/body.go
+++ b/internal/forward/body.go
@@ -2,9 +2,12 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"io"
 	"net/http"
+	"os"
+	"time"
 )
 
 // keptBodyBytes is how much of a caller's body is held, so that it can be sent again after a server refused
@@ -19,9 +22,32 @@
 	started bool      // part of rest may have been read
 }
 
+// takeBody reads the caller's body until the request's time is over or the process ends. net/http lifts the limit when the
+// body has ended. Errors: *BodyTooLargeError, *BodyStalledError, those of reading from the caller.
+func (x *exchange) takeBody(limit int64) error {
+	x.endReading(x.end)
+	stop := context.AfterFunc(x.h.ending, func() { x.endReading(x.start) })
+	defer stop()
+	body, err := readBody(x.r, limit)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return &BodyStalledError{Within: time.Since(x.start)}
+	}
+	x.body = body
+	return err
+}
+
+// endReading lets reads of the body fail from the moment at on. A connection that cannot do that, as in tests, is read for
+// as long as it takes.
+func (x *exchange) endReading(at time.Time) {
+	if noBody(x.r) {
+		return
+	}
+	_ = http.NewResponseController(x.w).SetReadDeadline(at)
+}
+
 // readBody reads a body up to keptBodyBytes. Errors: *BodyTooLargeError, those of reading from the caller.
 func readBody(r *http.Request, limit int64) (*body, error) {
-	if r.Body == nil || r.Body == http.NoBody {
+	if noBody(r) {
 		return &body{}, nil
 	}
 	if limit > 0 && r.ContentLength > limit {
@@ -49,6 +75,8 @@
 	return b, nil
 }
 
+func noBody(r *http.Request) bool { return r.Body == nil || r.Body == http.NoBody }
+
 // repeatable reports whether the whole body can be sent again.
 func (b *body) repeatable() bool { return b.rest == nil || !b.started }
 
--- a/internal/forward/errors.go
+++ b/internal/forward/errors.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 )
 
 // DialError reports a server to which no connection could be made: nothing was sent.
@@ -55,3 +56,11 @@
 func (e *BodyTooLargeError) Error() string {
 	return fmt.Sprintf("body is larger than the %d bytes allowed", e.Limit)
 }
+
+// BodyStalledError reports a caller's body that did not come whole in the time of its request.
+type BodyStalledError struct{ Within time.Duration }
+
+// Error implements error.
+func (e *BodyStalledError) Error() string {
+	return fmt.Sprintf("body did not come whole within %v", e.Within)
+}
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -45,18 +45,9 @@
 // serve handles the request. It returns false if the answer was cut off; the caller's connection must then be
 // closed, so that the answer does not look whole.
 func (x *exchange) serve(table *routing.Table) bool {
-	limits := table.Limits()
-	body, err := readBody(x.r, limits.BodyBytes)
-	var large *BodyTooLargeError
-	switch {
-	case errors.As(err, &large):
-		x.fail(http.StatusRequestEntityTooLarge, ReasonBodyTooLarge, 0)
-		return true
-	case err != nil:
-		x.note(ReasonCallerGone, 0)
-		return false
+	if err := x.takeBody(table.Limits().BodyBytes); err != nil {
+		return x.refuseBody(err)
 	}
-	x.body = body
 	ctx, cancel := context.WithDeadline(x.r.Context(), x.end)
 	defer cancel()
 	defer context.AfterFunc(x.h.ending, cancel)()
@@ -78,6 +69,24 @@
 	}
 }
 
+// refuseBody answers a request whose body was not read whole, and which no server was sent.
+func (x *exchange) refuseBody(err error) bool {
+	var large *BodyTooLargeError
+	var stalled *BodyStalledError
+	switch {
+	case errors.As(err, &large):
+		x.fail(http.StatusRequestEntityTooLarge, ReasonBodyTooLarge, 0)
+	case !errors.As(err, &stalled):
+		x.note(ReasonCallerGone, 0)
+		return false
+	case x.h.ending.Err() != nil:
+		x.fail(http.StatusServiceUnavailable, ReasonStopping, x.h.retryAfter(0))
+	default:
+		x.fail(http.StatusRequestTimeout, ReasonBodyStalled, 0)
+	}
+	return true
+}
+
 // discardLast gives up the connection that the last answer still needs, if any.
 func (x *exchange) discardLast() {
 	if x.last != nil && x.last.answer != nil {
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -35,6 +35,7 @@
 	ReasonCutOff          Reason = "cut-off"     // part of the answer was passed on
 	ReasonCallerGone      Reason = "caller-gone" // before the answer
 	ReasonBodyTooLarge    Reason = "body-too-large"
+	ReasonBodyStalled     Reason = "body-stalled" // it did not come whole in the request's time
 	ReasonNoConfiguration Reason = "no-configuration"
 	ReasonNoRoute         Reason = "no-route"
 	ReasonTimeout         Reason = "timeout"
@@ -102,11 +103,16 @@
 // InFlight returns the number of requests that are being handled.
 func (h *Handler) InFlight() int64 { return h.inFlight.Load() }
 
+// unwantedBody is how long the body of a request that is refused before it was read may hold the refusal up; several times
+// the delay between regions.
+const unwantedBody = time.Second
+
 // ServeHTTP implements http.Handler. It aborts the connection if an answer was cut off.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h.inFlight.Add(1)
 	defer h.inFlight.Add(-1)
 	x := &exchange{h: h, w: w, r: r, start: time.Now(), id: r.Header.Get(h.opts.Headers.RequestID)}
+	x.endReading(x.start.Add(unwantedBody))
 	if h.refusing.Load() {
 		x.fail(http.StatusServiceUnavailable, ReasonStopping, h.retryAfter(0))
 		return
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -61,32 +61,45 @@
 	}
 }
 
-// stoppingVM is an entry VM whose planned stop begins at once.
-type stoppingVM struct {
+// testVM is an entry VM that callers reach by pipes and that knows no server.
+type testVM struct {
+	*daemon
 	listener *memoryListener
-	began    time.Time
-	ended    chan struct{}
 }
 
-func newStoppingVM() *stoppingVM {
+func newTestVM(table *routing.Table) *testVM {
 	settings := testSettings("one")
 	chooser := placement.NewChooser(placement.Options{})
 	handler := forward.NewHandler(forward.Options{
 		Headers: forward.Headers{RequestID: "Test-Id"}, Journal: deafJournal{}, Chooser: chooser,
-		Table: func() *routing.Table { return nil },
+		Table: func() *routing.Table { return table },
 	})
 	_, absent := context.WithCancel(context.Background())
 	_, stop := context.WithCancel(context.Background())
-	vm := &stoppingVM{listener: newMemoryListener(), ended: make(chan struct{})}
-	d := &daemon{
+	vm := &testVM{listener: newMemoryListener()}
+	vm.daemon = &daemon{
 		settings: settings, handler: handler, log: silentLog(), absent: absent, stop: stop,
 		presence: newPresence(newFakeStore(), settings, chooser, silentLog()),
 		requests: drain.New(vm.listener, &http.Server{Handler: handler, IdleTimeout: time.Minute, ReadHeaderTimeout: 10 * time.Second}),
 	}
-	go func() { _ = d.requests.Serve() }()
-	vm.began = time.Now()
+	go func() { _ = vm.requests.Serve() }()
+	return vm
+}
+
+// stoppingVM is an entry VM whose planned stop begins at once.
+type stoppingVM struct {
+	*testVM
+	began time.Time
+	ended chan struct{}
+}
+
+func newStoppingVM() *stoppingVM { return newStoppingVMWith(nil) }
+
+// newStoppingVMWith returns a stopping VM with a configuration, nil for none.
+func newStoppingVMWith(table *routing.Table) *stoppingVM {
+	vm := &stoppingVM{testVM: newTestVM(table), began: time.Now(), ended: make(chan struct{})}
 	go func() {
-		_ = d.end(context.Background())
+		_ = vm.end(context.Background())
 		close(vm.ended)
 	}()
 	return vm
