--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -145,6 +145,13 @@
 	s.deaf, s.stale = true, maps.Clone(s.items)
 }
 
+// remember ends what forget began; watches that went deaf stay so.
+func (s *fakeStore) remember() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.deaf, s.stale = false, nil
+}
+
 func (s *fakeStore) Watch(ctx context.Context, prefix string, after kv.Version) ([]kv.Entry, kv.Version, error) {
 	s.mu.Lock()
 	s.calls++
--- a/internal/gateway/sharing_test.go
+++ b/internal/gateway/sharing_test.go
@@ -117,6 +117,12 @@
 	fl.stops[name]()
 }
 
+func (fl *fleet) isDown(name string) bool {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	return fl.down[name]
+}
+
 func sharingTest(t *testing.T, test func(t *testing.T, fl *fleet), names ...string) {
 	sharingTestWithin(t, 0, test, names...)
 }
