placement: a refusal names what decided it

Cause: the line of a refusal worked out its basis afterwards, from Best, Wait and Left.

Change: the rule that refuses returns the basis. New ones: unfinished, waited, trial, distance; guess is gone, since a guess refuses no more. best_ms and best_run_ms contain the run that did not end. Decisions are unchanged.

--- a/internal/gateway/journal.go
+++ b/internal/gateway/journal.go
@@ -71,7 +71,7 @@
 	fields["version"], fields["outcome"], fields["status"] = d.Version, d.Reason, d.Status
 	fields["took_ms"], fields["sendings"], fields["late"] = d.Took.Milliseconds(), d.Sendings, d.Late
 	if r := d.Refusal; r != nil {
-		fields["refusal"], fields["basis"], fields["best_server"], fields["best_ms"] = r.Reason, r.Basis(), r.Server, r.Best.Milliseconds()
+		fields["refusal"], fields["basis"], fields["best_server"], fields["best_ms"] = r.Reason, r.Basis, r.Server, r.Best.Milliseconds()
 		fields["best_wait_ms"], fields["left_ms"], fields["on_time_ms"] = r.Wait.Milliseconds(), r.Left.Milliseconds(), r.OnTime.Milliseconds()
 		fields["best_run_ms"], fields["run_samples"] = r.Run.Milliseconds(), r.RunBasis.Samples
 		fields["run_sample_age_ms"] = r.RunBasis.Age.Milliseconds()
--- a/internal/gateway/journal_test.go
+++ b/internal/gateway/journal_test.go
@@ -54,7 +54,7 @@
 	j := newJournal(logger, NewMetrics(prometheus.NewRegistry()))
 	j.Done(&forward.Done{
 		RequestID: "r1", Reason: "no-room", Status: 503, Version: 7,
-		Refusal: &placement.Refusal{Reason: placement.ReasonNoRoom, Server: "s1", Wait: 300 * time.Millisecond, Left: time.Second,
+		Refusal: &placement.Refusal{Reason: placement.ReasonNoRoom, Basis: placement.BasisWaited, Server: "s1", Wait: 300 * time.Millisecond, Left: time.Second,
 			Best: 1400 * time.Millisecond, Run: 1090 * time.Millisecond, RunBasis: placement.Evidence{Age: -1}},
 	})
 	j.Sent(&forward.Sending{
@@ -62,7 +62,7 @@
 		Outcome: placement.OutcomeNoAnswer, Err: errors.ErrUnsupported, Ejected: true,
 	})
 	for _, want := range []string{
-		"request=r1", "refusal=no-room", "best_server=s1", "best_wait_ms=300", "left_ms=1000", "version=7", "basis=guess", "best_run_ms=1090", "run_samples=0",
+		"request=r1", "refusal=no-room", "best_server=s1", "best_wait_ms=300", "left_ms=1000", "version=7", "basis=waited", "best_run_ms=1090", "run_samples=0",
 		"request=r2", "server=s2", "report_age_ms=40", "outcome=no-answer", "ejected=true", "error=",
 	} {
 		if !strings.Contains(out.String(), want) {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -69,7 +69,7 @@
 func (m *Metrics) done(d *forward.Done) {
 	m.requests.WithLabelValues(string(d.Service), d.Kind.String(), string(d.Reason)).Inc()
 	if r := d.Refusal; r != nil && d.Sendings == 0 {
-		m.refusals.WithLabelValues(string(d.Service), string(r.Reason), string(r.Basis())).Inc()
+		m.refusals.WithLabelValues(string(d.Service), string(r.Reason), string(r.Basis)).Inc()
 	}
 	if d.Status >= 200 && d.Status < 300 {
 		m.seconds.WithLabelValues(string(d.Service), d.Kind.String()).Observe(d.Took.Seconds())
--- a/internal/placement/chooser.go
+++ b/internal/placement/chooser.go
@@ -186,13 +186,15 @@
 	}
 	times := c.routeTimes(q.Route, q.Service)
 	best, candidates := c.best(q, times, now)
-	switch {
-	case best.server == nil:
+	if best.server == nil {
 		return nil, &Refusal{
 			Reason: ReasonNoServer, RetryAfter: noServerRetry, Left: q.Left, OnTime: q.OnTime, Candidates: candidates,
 		}
-	case tooLate(q, &best):
-		return nil, best.refusal(q, ReasonNoRoom, max(seconds(best.wait)/2, leastRetry), candidates, now)
+	}
+	basis := best.tooLate(q)
+	switch {
+	case basis != BasisNone:
+		return nil, best.noRoom(q, basis, candidates, now)
 	case q.Repeat && !budget.Take():
 		return nil, best.refusal(q, ReasonBudget, leastRetry, candidates, now)
 	}
--- a/internal/placement/cost.go
+++ b/internal/placement/cost.go
@@ -59,10 +59,14 @@
 	return e.total()
 }
 
+// run returns the expected seconds of service, no less than a run took that did not end.
+func (e *estimate) run() float64 { return max(e.service, e.times.floor) }
+
+// believed returns the seconds until the answer, whatever supports them.
+func (e *estimate) believed() float64 { return e.wait + e.run()*e.slow + e.rtt }
+
 // trial reports whether the request is sent although it is not expected to be answered in time.
-func (e *estimate) trial(q *Query) bool {
-	return e.wait+max(e.service, e.times.floor)*e.slow+e.rtt > q.Left.Seconds()
-}
+func (e *estimate) trial(q *Query) bool { return e.believed() > q.Left.Seconds() }
 
 // best returns the server of least cost, and how many were weighed.
 func (c *Chooser) best(q *Query, times *RouteTimes, now time.Time) (estimate, int) {
@@ -84,7 +88,7 @@
 		if q.Object != 0 && !e.warm {
 			e.cost += c.coldCost(s, homes, times, pressure[s.member.Region])
 		}
-		e.refused = tooLate(q, &e)
+		e.refused = e.tooLate(q) != BasisNone
 		e.roomy = pressure[s.member.Region] < roomyPressure
 		if best.server == nil || e.before(&best) {
 			best = e
--- a/internal/placement/refusal.go
+++ b/internal/placement/refusal.go
@@ -15,6 +15,7 @@
 // Refusal is the decision not to send a request.
 type Refusal struct {
 	Reason     Reason
+	Basis      Basis         // of ReasonNoRoom
 	RetryAfter time.Duration // when room is expected
 	Best       time.Duration // expected time of the best server, 0 if there was none
 	Wait       time.Duration // part of Best that the request would wait for a slot
@@ -31,52 +32,68 @@
 
 // The bases of a refusal for want of room.
 const (
-	BasisWait  Basis = "wait"  // with a free slot the request would be sent
-	BasisRun   Basis = "run"   // the measured service time does not fit
-	BasisGuess Basis = "guess" // a service time that was never measured does not fit
-	BasisNone  Basis = ""      // the refusal has another reason
+	BasisNone       Basis = ""           // the refusal has another reason, or there is none
+	BasisWait       Basis = "wait"       // with a free slot the request would be sent
+	BasisRun        Basis = "run"        // the measured service time does not fit
+	BasisUnfinished Basis = "unfinished" // nothing was measured; a run lately did not end in as much time
+	BasisWaited     Basis = "waited"     // nothing was measured; answers that also waited took too long
+	BasisTrial      Basis = "trial"      // the request may not fit, and another one is trying that at the moment
+	BasisDistance   Basis = "distance"   // the round trip alone takes longer than there is time
 )
 
-// Basis returns what the refusal rests on.
-func (r *Refusal) Basis() Basis {
-	switch {
-	case r.Reason != ReasonNoRoom:
-		return BasisNone
-	case r.Best-r.Wait <= r.Left:
-		return BasisWait
-	case r.RunBasis.Samples == 0:
-		return BasisGuess
-	default:
-		return BasisRun
-	}
-}
-
 // refusal says why a request is not sent even to the best server.
 func (e *estimate) refusal(q *Query, reason Reason, retryAfter time.Duration, candidates int, now time.Time) *Refusal {
 	return &Refusal{
 		Reason: reason, RetryAfter: retryAfter, Left: q.Left, OnTime: q.OnTime, Candidates: candidates,
-		Server: e.server.member.ID, Best: seconds(e.total()), Wait: seconds(e.wait),
-		Run: seconds(e.service * e.slow), RunBasis: e.times.evidence(now),
+		Server: e.server.member.ID, Best: seconds(e.believed()), Wait: seconds(e.wait),
+		Run: seconds(e.run() * e.slow), RunBasis: e.times.evidence(now),
 	}
 }
 
+// noRoom is the refusal of a request that even the best server would answer too late.
+func (e *estimate) noRoom(q *Query, basis Basis, candidates int, now time.Time) *Refusal {
+	r := e.refusal(q, ReasonNoRoom, max(seconds(e.wait)/2, leastRetry), candidates, now)
+	r.Basis = basis
+	return r
+}
+
 // Times to wait before coming back.
 const (
 	noServerRetry = 500 * time.Millisecond
 	leastRetry    = 100 * time.Millisecond
 )
 
-// tooLate reports whether even the best server would answer after the deadline, or so late that the wait would
-// only take room from requests that can still be on time. A guess does not count: requests are tried against it.
-func tooLate(q *Query, best *estimate) bool {
+// waitShare is the part of a route's target latency that a request which will be late may still wait.
+const waitShare = 0.8
+
+// tooLate returns why the server would answer after the deadline, or so late that the wait would only take room from
+// requests that can still be on time; BasisNone if the request may be sent. A guess does not count: requests are tried
+// against it.
+func (e *estimate) tooLate(q *Query) Basis {
 	switch {
-	case best.supported() > q.Left.Seconds():
-		return true
-	case best.trial(q) && !best.times.admitsTrial(best.wait == 0):
-		return true
+	case e.supported() > q.Left.Seconds():
+		return e.exceeds(q.Left.Seconds())
+	case e.trial(q) && !e.times.admitsTrial(e.wait == 0):
+		return BasisTrial
+	case e.late() > q.OnTime.Seconds() && e.wait > waitShare*q.Route.Objective().Seconds():
+		return BasisWait
+	default:
+		return BasisNone
 	}
-	return best.late() > q.OnTime.Seconds() && best.wait > waitShare*q.Route.Objective().Seconds()
 }
 
-// waitShare is the part of a route's target latency that a request which will be late may still wait.
-const waitShare = 0.8
+// exceeds returns which part of the supported time makes it longer than left, in seconds.
+func (e *estimate) exceeds(left float64) Basis {
+	switch {
+	case e.rtt > left:
+		return BasisDistance
+	case e.proven*e.slow+e.rtt <= left:
+		return BasisWait
+	case e.times.samples > 0:
+		return BasisRun
+	case e.times.floor > 0:
+		return BasisUnfinished
+	default:
+		return BasisWaited
+	}
+}
