drain: connections that wait to be accepted are served

Where an entry VM is held up while it stops, connections wait in the listener's queue, their requests sent. Closing the listener resets them.

Change: the server takes what waits and closes the listener once nothing came for 5 ms, after 0.1 s at most. A connection counts as open from Accept on, not from its first state, so that a drain cannot end in between.

--- a/internal/drain/server.go
+++ b/internal/drain/server.go
@@ -15,15 +15,21 @@
 	"github.com/azureflow/azureflow/internal/socket"
 )
 
-// poll is the time between two looks at the connections of a server that drains.
-const poll = 20 * time.Millisecond
+const (
+	poll = 20 * time.Millisecond // between two looks at the connections of a server that drains
+	// A listener that stops accepting is closed once no connection waited for acceptRest, or after acceptLimit; a new
+	// connection's request follows within milliseconds in a zone.
+	acceptRest  = 5 * time.Millisecond
+	acceptLimit = 100 * time.Millisecond
+)
 
 // Server is an HTTP server with its open connections. It is safe for concurrent use.
 type Server struct {
-	listener net.Listener
-	server   *http.Server
-	leaving  atomic.Bool
-	heard    atomic.Int64 // when bytes came last, Unix nanoseconds
+	listener  net.Listener
+	server    *http.Server
+	leaving   atomic.Bool
+	accepting atomic.Bool
+	heard     atomic.Int64 // when bytes came last, Unix nanoseconds
 
 	mu    sync.Mutex
 	conns map[*conn]struct{}
@@ -58,26 +64,22 @@
 
 // Serve handles connections until the server stops accepting. Errors: those of accepting.
 func (s *Server) Serve() error {
-	err := s.server.Serve(listener{s.listener, s})
+	s.accepting.Store(true)
+	defer s.accepting.Store(false)
+	err := s.server.Serve(&listener{Listener: s.listener, owner: s})
 	if errors.Is(err, net.ErrClosed) || errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
 	return err
 }
 
-// listener wraps what it accepts.
-type listener struct {
-	net.Listener
-	owner *Server
-}
-
-// Accept implements net.Listener.
-func (l listener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return &conn{Conn: c, owner: l.owner}, nil
+// add notes a connection that was accepted.
+func (s *Server) add(raw net.Conn) *conn {
+	c := &conn{Conn: raw, owner: s}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.conns[c] = struct{}{}
+	return c
 }
 
 // Read implements net.Conn.
@@ -105,10 +107,6 @@
 		return
 	}
 	switch state {
-	case http.StateNew:
-		s.mu.Lock()
-		s.conns[c] = struct{}{}
-		s.mu.Unlock()
 	case http.StateActive:
 		c.active.Store(true)
 	case http.StateIdle:
@@ -124,9 +122,13 @@
 // Leave makes every answer from now on ask its caller to close the connection.
 func (s *Server) Leave() { s.leaving.Store(true) }
 
-// StopAccepting refuses new connections.
+// StopAccepting refuses new connections, but for those that wait to be accepted already: closing the listener resets
+// them, and their requests may be on the way.
 func (s *Server) StopAccepting() {
 	s.Leave()
+	if l, ok := s.listener.(deadliner); ok && l.SetDeadline(time.Now()) == nil {
+		return // listener.Accept takes what waits, then closes
+	}
 	_ = s.listener.Close()
 }
 
@@ -134,19 +136,22 @@
 // once no bytes came on any for quiet. It reports whether none is left.
 func (s *Server) Drain(ctx context.Context, quiet time.Duration) bool {
 	begun := time.Now()
-	for s.open() > 0 {
+	for !s.empty() {
 		now := time.Now()
 		heard := time.Unix(0, s.heard.Load())
 		if now.Sub(begun) >= quiet && now.Sub(heard) >= quiet {
 			s.closeUnused()
 		}
 		if clock.Sleep(ctx, poll) != nil {
-			return s.open() == 0
+			return s.empty()
 		}
 	}
 	return true
 }
 
+// empty reports whether no connection is open, and none will be.
+func (s *Server) empty() bool { return !s.accepting.Load() && s.open() == 0 }
+
 func (s *Server) open() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/drain/server_test.go
+++ b/internal/drain/server_test.go
@@ -1,6 +1,7 @@
 package drain
 
 import (
+	"bufio"
 	"context"
 	"net"
 	"net/http"
@@ -97,3 +98,55 @@
 		t.Error("the request in flight was cut off")
 	}
 }
+
+// heldUpListener does not come to accept until it is released.
+type heldUpListener struct {
+	*net.TCPListener
+	released chan struct{}
+}
+
+// Accept implements net.Listener.
+func (l *heldUpListener) Accept() (net.Conn, error) {
+	<-l.released
+	return l.TCPListener.Accept()
+}
+
+// Connections whose requests were sent, and that wait to be accepted when the server stops accepting, are served.
+func TestConnectionsThatWaitToBeAcceptedAreServed(t *testing.T) {
+	l, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	held := &heldUpListener{TCPListener: l, released: make(chan struct{})}
+	s := New(held, &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusNoContent)
+	})})
+	defer s.Close()
+	go func() { _ = s.Serve() }()
+	var conns []net.Conn
+	for range 5 {
+		c, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = c.Close() }()
+		_, _ = c.Write([]byte("GET / HTTP/1.1\r\nHost: desk.example\r\n\r\n"))
+		conns = append(conns, c)
+	}
+	s.StopAccepting()
+	close(held.released)
+	for _, c := range conns {
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil {
+			t.Errorf("no answer: %v", err)
+			continue
+		}
+		_ = resp.Body.Close()
+	}
+	if !s.Drain(t.Context(), 0) {
+		t.Error("a connection is left")
+	}
+	if _, err := net.Dial("tcp", l.Addr().String()); err == nil {
+		t.Error("a new connection is accepted")
+	}
+}
