--- a/internal/zone/faults_test.go
+++ b/internal/zone/faults_test.go
@@ -218,7 +218,18 @@
 
 // runFaults runs a schedule and returns what broke the invariant: for each zone, what VMs believe
 // they may use never exceeds its slots.
-func runFaults(t *testing.T, seed uint64, faults []fault, defect func(*ElectorOptions)) (violations []string) {
+func runFaults(t *testing.T, seed uint64, faults []fault, defect func(*ElectorOptions)) []string {
+	violations, _ := runCounted(t, seed, faults, defect)
+	return violations
+}
+
+// leaderChanges counts the leaderships taken over from another VM and the parts of the floor freed.
+type leaderChanges struct{ takeovers, regained uint64 }
+
+// runCounted does what runFaults does, and counts.
+func runCounted(
+	t *testing.T, seed uint64, faults []fault, defect func(*ElectorOptions),
+) (violations []string, changes leaderChanges) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(seed, 0.25)
 		w.defect = defect
@@ -245,18 +256,14 @@
 		w.end()
 		for _, n := range w.nodes {
 			for _, e := range n.electors {
-				takeovers += e.Stats().Takeover
-				regained += e.Stats().Regained
+				changes.takeovers += e.Stats().Takeover
+				changes.regained += e.Stats().Regained
 			}
 		}
 	})
-	return violations
+	return violations, changes
 }
 
-// takeovers and regained count the leaderships taken over from another VM and the parts of the floor
-// freed, over all schedules.
-var takeovers, regained uint64
-
 func (w *world) order() []*node {
 	var out []*node
 	for _, p := range w.places {
@@ -270,16 +277,20 @@
 func TestSlotsNeverExceedCapacityWithLostVMs(t *testing.T) { checkSchedules(t, lossKinds) }
 
 func checkSchedules(t *testing.T, kinds []string) {
-	takeovers, regained = 0, 0
+	t.Parallel()
+	var all leaderChanges
 	rapid.Check(t, func(rt *rapid.T) {
 		faults := drawFaults(rt, kinds)
 		seed := rapid.Uint64().Draw(rt, "seed")
-		if v := runFaults(t, seed, faults, nil); len(v) > 0 {
-			rt.Fatalf("violations: %q", v)
+		violations, changes := runCounted(t, seed, faults, nil)
+		all.takeovers += changes.takeovers
+		all.regained += changes.regained
+		if len(violations) > 0 {
+			rt.Fatalf("violations: %q", violations)
 		}
 	})
-	t.Logf("%d leaderships were taken over from another VM, %d parts of the floor freed", takeovers, regained)
-	if takeovers == 0 || regained == 0 {
+	t.Logf("%d leaderships were taken over from another VM, %d parts of the floor freed", all.takeovers, all.regained)
+	if all.takeovers == 0 || all.regained == 0 {
 		t.Error("the schedules made no VM take over")
 	}
 }
@@ -296,6 +307,7 @@
 }
 
 func TestChecksSeeBrokenPromises(t *testing.T) {
+	t.Parallel()
 	if v := runFaults(t, 1, storeCut(), neverHeard); len(v) > 0 {
 		t.Errorf("successors that keep their promises: %q", v)
 	}
@@ -310,6 +322,7 @@
 
 // TestFloorIsTakenOnlyFromLostVMs: VMs that live are silent and missing from the VM list.
 func TestFloorIsTakenOnlyFromLostVMs(t *testing.T) {
+	t.Parallel()
 	const at, long = 20 * time.Second, 25 * time.Second
 	for _, c := range []struct {
 		name   string
@@ -331,6 +344,7 @@
 }
 
 func TestChecksSeeRevivedLeaders(t *testing.T) {
+	t.Parallel()
 	restart := []fault{{Kind: "kill", VM: 2, At: 5 * time.Second, For: 600 * time.Millisecond}}
 	if v := runFaults(t, 1, restart, nil); len(v) > 0 {
 		t.Errorf("a leader that starts again: %q", v)
--- a/internal/zone/measure_test.go
+++ b/internal/zone/measure_test.go
@@ -99,6 +99,7 @@
 
 // TestSkewedLoadUsesCapacity: 60% of the load turns up at one of 7 entry VMs.
 func TestSkewedLoadUsesCapacity(t *testing.T) {
+	t.Parallel()
 	for _, share := range floors {
 		run(t, share, even(10), func(w *world) {
 			w.calm.Store(true)
@@ -123,6 +124,7 @@
 
 // TestIsolatedZoneKeepsFloor: a zone is cut off from platform and peers for a minute.
 func TestIsolatedZoneKeepsFloor(t *testing.T) {
+	t.Parallel()
 	for _, share := range floors {
 		run(t, share, even(25), func(w *world) {
 			zone := steering.ZoneName("muscat-a")
@@ -148,6 +150,7 @@
 
 // TestStoreRegionLost: the region that holds the store is lost with it.
 func TestStoreRegionLost(t *testing.T) {
+	t.Parallel()
 	run(t, 0.25, even(25), func(w *world) {
 		for _, p := range w.places[:3] {
 			w.kill(p.name)
@@ -170,6 +173,7 @@
 // TestTenMinutesWithoutStore: the store is down for ten minutes, in which each zone is cut off from
 // its peers once and each VM starts again once.
 func TestTenMinutesWithoutStore(t *testing.T) {
+	t.Parallel()
 	run(t, 0.25, even(25), func(w *world) {
 		capacity := float64(w.slots * len(w.zones()))
 		w.store.SetStoreFaults(refplatformtest.Faults{Down: true})
@@ -198,6 +202,7 @@
 
 // TestEntryVMLost: one of 7 entry VMs is lost for good, and the VM list shows that after a lag.
 func TestEntryVMLost(t *testing.T) {
+	t.Parallel()
 	for _, share := range floors {
 		for _, lost := range []int{0, 1, 3} {
 			for _, lag := range []time.Duration{time.Second, 5 * time.Second, 10 * time.Second} {
@@ -247,6 +252,7 @@
 
 // TestStoreCallsGrowWithZones counts the store calls of a minute at rest.
 func TestStoreCallsGrowWithZones(t *testing.T) {
+	t.Parallel()
 	type size struct{ zones, vms int }
 	for _, s := range []size{{1, 1}, {1, 2}, {1, 4}, {1, 8}, {1, 16}, {1, 32}, {6, 1}, {24, 1}, {107, 1}} {
 		synctest.Test(t, func(t *testing.T) {
