--- a/internal/gateway/body_test.go
+++ b/internal/gateway/body_test.go
@@ -31,7 +31,7 @@
 // answerTo sends text on a new connection and returns the answer and when it came; the status is 0 if there was none.
 func answerTo(vm *testVM, text string) (status int, after time.Duration) {
 	begun := time.Now()
-	c := vm.listener.dial()
+	c := vm.dial()
 	defer c.Close()
 	_ = c.SetReadDeadline(begun.Add(time.Minute))
 	go func() { _, _ = c.Write([]byte(text)) }()
@@ -77,7 +77,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		vm := newTestVM(bodyTable(bodyTimeout))
 		defer vm.requests.Close()
-		c := vm.listener.dial()
+		c := vm.dial()
 		defer c.Close()
 		reader := bufio.NewReader(c)
 		for i := range 3 {
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/azureflow/azureflow/internal/drain"
 	"github.com/azureflow/azureflow/internal/forward"
+	"github.com/azureflow/azureflow/internal/pipenet"
 	"github.com/azureflow/azureflow/internal/placement"
 	"github.com/azureflow/azureflow/internal/routing"
 )
@@ -23,48 +24,19 @@
 func (deafJournal) Sent(*forward.Sending) {}
 func (deafJournal) Done(*forward.Done)    {}
 
-// memoryListener accepts connections that tests open.
-type memoryListener struct {
-	accepted chan net.Conn
-	closed   chan struct{}
-	once     sync.Once
-}
-
-func newMemoryListener() *memoryListener {
-	return &memoryListener{accepted: make(chan net.Conn), closed: make(chan struct{})}
-}
-
-func (l *memoryListener) Accept() (net.Conn, error) {
-	select {
-	case c := <-l.accepted:
-		return c, nil
-	case <-l.closed:
-		return nil, net.ErrClosed
-	}
-}
-
-func (l *memoryListener) Close() error {
-	l.once.Do(func() { close(l.closed) })
-	return nil
+// testVM is an entry VM that callers reach by pipes and that knows no server.
+type testVM struct {
+	*daemon
+	listener *pipenet.Listener
 }
 
-func (l *memoryListener) Addr() net.Addr { return &net.TCPAddr{} }
-
-// dial opens a connection, nil if the listener is closed.
-func (l *memoryListener) dial() net.Conn {
-	here, there := net.Pipe()
-	select {
-	case l.accepted <- there:
-		return here
-	case <-l.closed:
+// dial opens a connection to the VM, nil if it accepts none.
+func (vm *testVM) dial() net.Conn {
+	c, err := vm.listener.Dial(context.Background())
+	if err != nil {
 		return nil
 	}
-}
-
-// testVM is an entry VM that callers reach by pipes and that knows no server.
-type testVM struct {
-	*daemon
-	listener *memoryListener
+	return c
 }
 
 func newTestVM(table *routing.Table) *testVM {
@@ -76,7 +48,7 @@
 	})
 	_, absent := context.WithCancel(context.Background())
 	_, stop := context.WithCancel(context.Background())
-	vm := &testVM{listener: newMemoryListener()}
+	vm := &testVM{listener: pipenet.Listen("vm:80")}
 	vm.daemon = &daemon{
 		settings: settings, handler: handler, log: silentLog(), absent: absent, stop: stop,
 		presence: newPresence(newFakeStore(), settings, chooser, silentLog()),
@@ -186,13 +158,13 @@
 		if fresh > 0 {
 			callers.Go(func() {
 				time.Sleep(wait - fresh - time.Since(vm.began))
-				if c := vm.listener.dial(); c != nil {
+				if c := vm.dial(); c != nil {
 					vm.askAfter(t, &callers, c, wait, pause, parts...)
 				}
 			})
 			continue
 		}
-		vm.askAfter(t, &callers, vm.listener.dial(), wait, pause, parts...)
+		vm.askAfter(t, &callers, vm.dial(), wait, pause, parts...)
 	}
 	<-vm.ended
 	if took := time.Since(vm.began); took > grace {
@@ -206,7 +178,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		vm := newStoppingVM()
 		for range 20 {
-			c := vm.listener.dial()
+			c := vm.dial()
 			defer c.Close()
 		}
 		<-vm.ended
@@ -223,7 +195,7 @@
 		grace := testSettings("one").Bounds.Grace
 		waits := make(map[time.Duration]net.Conn)
 		for wait := stopQuiet / 2; wait < grace-2*stopMargin; wait += stopQuiet / 2 {
-			waits[wait] = vm.listener.dial()
+			waits[wait] = vm.dial()
 		}
 		for wait := stopQuiet / 2; waits[wait] != nil; wait += stopQuiet / 2 {
 			time.Sleep(wait - time.Since(vm.began))
