gateway: entry VMs die and start again in the test of configurations under faults

The test had one death at its end and no start. Now any of the four VMs may die or start anew at any step, also the reader of the region, and all run again when the bound is checked.

--- a/internal/gateway/config_test.go
+++ b/internal/gateway/config_test.go
@@ -19,6 +19,7 @@
 
 // operatorUnderFaults publishes configurations while the store, the ways to it and the entry VMs fail.
 type operatorUnderFaults struct {
+	ctx     context.Context
 	fl      *fleet
 	random  *rand.Rand
 	version int // of the newest valid configuration
@@ -32,9 +33,9 @@
 }
 
 // disturb does one thing at random: a fault, its end, or an entry that must not be taken.
-func (o *operatorUnderFaults) disturb() {
+func (o *operatorUnderFaults) disturb(t *testing.T) {
 	store, name := o.fl.store, o.anyVM()
-	switch o.random.IntN(9) {
+	switch o.random.IntN(11) {
 	case 0, 1:
 		o.fl.gates[name].cut.Store(true)
 	case 2:
@@ -51,11 +52,31 @@
 		store.put("operator/config", fakeConfig{Version: routingVersion(o.random.IntN(o.version))})
 	case 8:
 		store.write(kv.Entry{Key: "operator/config", Value: []byte("{")})
+	case 9:
+		if !o.fl.isDown(name) {
+			o.fl.lose(name)
+		}
+	case 10:
+		o.restart(t, name)
+	}
+}
+
+// restart replaces the process of an entry VM, which may have died before, by one that knows nothing.
+func (o *operatorUnderFaults) restart(t *testing.T, name string) {
+	if !o.fl.isDown(name) {
+		o.fl.lose(name)
 	}
+	o.fl.start(o.ctx, t, name)
+	o.lowest[name] = 0
 }
 
-// calm ends all faults.
-func (o *operatorUnderFaults) calm() {
+// calm ends all faults. Entry VMs that are down start again.
+func (o *operatorUnderFaults) calm(t *testing.T) {
+	for _, name := range o.fl.names {
+		if o.fl.isDown(name) {
+			o.restart(t, name)
+		}
+	}
 	o.fl.store.fail(nil)
 	o.fl.store.remember()
 	for _, gate := range o.fl.gates {
@@ -72,7 +93,11 @@
 	const look = 50 * time.Millisecond
 	for end := time.Now().Add(span); time.Now().Before(end); time.Sleep(look) {
 		for name, f := range o.fl.followers {
-			version := f.Table().Version()
+			table := f.Table()
+			if table == nil {
+				continue
+			}
+			version := table.Version()
 			if version < o.lowest[name] {
 				t.Errorf("%s went back from version %d to %d", name, o.lowest[name], version)
 			}
@@ -90,8 +115,8 @@
 		if o.fl.isDown(name) {
 			continue
 		}
-		if got := f.Table().Version(); got != routingVersion(o.version) {
-			t.Errorf("%s: %s has version %d in force, want %d", when, name, got, o.version)
+		if table := f.Table(); table == nil || table.Version() != routingVersion(o.version) {
+			t.Errorf("%s: %s has configuration %+v in force, want version %d", when, name, table, o.version)
 		}
 	}
 }
@@ -105,19 +130,20 @@
 			ctx, cancel := context.WithCancel(context.Background())
 			defer func() { cancel(); time.Sleep(time.Minute); synctest.Wait() }()
 			o := &operatorUnderFaults{
-				fl: startFleet(ctx, t, 0, "vm-1", "vm-2", "vm-3", "vm-4"), random: rand.New(rand.NewPCG(seed, 1)), version: 1,
+				ctx: ctx,
+				fl:  startFleet(ctx, t, 0, "vm-1", "vm-2", "vm-3", "vm-4"), random: rand.New(rand.NewPCG(seed, 1)), version: 1,
 				lowest: make(map[string]routing.Version),
 			}
 			time.Sleep(3 * time.Second)
 			for round := range rounds {
 				for range steps {
-					o.disturb()
+					o.disturb(t)
 					o.watch(t, time.Duration(o.random.IntN(int(3*time.Second))))
 					if o.random.IntN(2) == 0 {
 						o.publish()
 					}
 				}
-				o.calm()
+				o.calm(t)
 				o.watch(t, stableWindow)
 				o.publish()
 				if round == rounds-1 {
--- a/internal/gateway/sharing_test.go
+++ b/internal/gateway/sharing_test.go
@@ -16,64 +16,75 @@
 // fleet is some followers of one region over one store, which share its reads over pipes.
 type fleet struct {
 	store     *fakeStore
+	bounds    Bounds
+	names     []string
 	gates     map[string]*gatedStore // by entry VM
-	followers map[string]*follower
+	followers map[string]*follower   // of the process that runs, or ran last
 
-	mu    sync.Mutex
-	calls map[string]int  // of peers, by the address called
-	down  map[string]bool // addresses that do not answer
-	stops map[string]context.CancelFunc
+	mu     sync.Mutex
+	shares map[string]*sharing
+	calls  map[string]int  // of peers, by the address called
+	down   map[string]bool // addresses that do not answer
+	stops  map[string]context.CancelFunc
 }
 
 // startFleet starts the entry VMs called names; their presence is known to all. drain is the time after which a leaving
 // server gets nothing, 0 for that of the test settings.
 func startFleet(ctx context.Context, t *testing.T, drain time.Duration, names ...string) *fleet {
 	fl := &fleet{
-		store: newFakeStore(), gates: make(map[string]*gatedStore), followers: make(map[string]*follower), calls: make(map[string]int),
+		store: newFakeStore(), bounds: testSettings("").Bounds, names: names, gates: make(map[string]*gatedStore),
+		followers: make(map[string]*follower), shares: make(map[string]*sharing), calls: make(map[string]int),
 		down: make(map[string]bool), stops: make(map[string]context.CancelFunc),
 	}
 	fl.store.put("operator/config", fakeConfig{Version: 1})
 	fl.store.put("server/a", fakeServer{Zone: "north-a", Born: 1})
-	shares := make(map[string]*sharing)
-	bounds := testSettings("").Bounds
 	if drain != 0 {
-		bounds.Drain = drain
+		fl.bounds.Drain = drain
 	}
 	for _, name := range names {
 		fl.gates[name] = &gatedStore{fakeStore: fl.store}
-		f := newTestFollower(t, fl.gates[name], name)
-		f.pace.Store(newPace(&bounds))
-		s := testSettings(name)
-		p := newPresence(fl.store, s, f.chooser, f.log)
-		p.self.Peer = name
-		var others []presenceRecord
-		for _, other := range names {
-			if other != name {
-				others = append(others, presenceRecord{Region: "north", Zone: "north-a", Requests: other + ":1", Peer: other})
-			}
-		}
-		p.live.Store(&others)
-		shares[name] = newSharing(f, p, f.log, peer.NewPool(func(ctx context.Context, address string) (net.Conn, error) {
-			return fl.dial(ctx, shares[address], address)
-		}), NewMetrics(prometheus.NewRegistry()))
-		fl.followers[name] = f
 	}
 	for _, name := range names {
-		own, stop := context.WithCancel(ctx)
-		fl.stops[name] = stop
-		f := fl.followers[name]
-		go f.watchOperator(own)
-		go f.pollServers(own)
-		go shares[name].run(own)
+		fl.start(ctx, t, name)
 	}
 	return fl
 }
 
+// start starts a process of an entry VM that does not run.
+func (fl *fleet) start(ctx context.Context, t *testing.T, name string) {
+	f := newTestFollower(t, fl.gates[name], name)
+	f.pace.Store(newPace(&fl.bounds))
+	s := newSharing(f, fl.presenceOf(f, name), f.log, peer.NewPool(fl.dial), NewMetrics(prometheus.NewRegistry()))
+	own, stop := context.WithCancel(ctx)
+	fl.followers[name] = f
+	fl.mu.Lock()
+	fl.shares[name], fl.stops[name] = s, stop
+	delete(fl.down, name)
+	fl.mu.Unlock()
+	go f.watchOperator(own)
+	go f.pollServers(own)
+	go s.run(own)
+}
+
+// presenceOf returns the presence of an entry VM that knows all others.
+func (fl *fleet) presenceOf(f *follower, name string) *presence {
+	p := newPresence(fl.store, testSettings(name), f.chooser, f.log)
+	p.self.Peer = name
+	var others []presenceRecord
+	for _, other := range fl.names {
+		if other != name {
+			others = append(others, presenceRecord{Region: "north", Zone: "north-a", Requests: other + ":1", Peer: other})
+		}
+	}
+	p.live.Store(&others)
+	return p
+}
+
 // dial connects to a peer by a pipe, or waits until ctx ends if it is down.
-func (fl *fleet) dial(ctx context.Context, s *sharing, address string) (net.Conn, error) {
+func (fl *fleet) dial(ctx context.Context, address string) (net.Conn, error) {
 	fl.mu.Lock()
 	fl.calls[address]++
-	down := fl.down[address]
+	down, s := fl.down[address], fl.shares[address]
 	fl.mu.Unlock()
 	if down {
 		<-ctx.Done()
@@ -112,8 +123,8 @@
 // lose makes an entry VM stop and answer nothing.
 func (fl *fleet) lose(name string) {
 	fl.mu.Lock()
+	defer fl.mu.Unlock()
 	fl.down[name] = true
-	fl.mu.Unlock()
 	fl.stops[name]()
 }
 
