placement: an object does not move to a home that would refuse its request

What callers saw: 503 from one slow server although others of the region were free. A tenth of an object's requests move it to its home where that has a slot; such a request was refused if the home was too slow for it, and no other server was weighed. Some may come from services with one server; those that this explains were not told apart.

Change: where the home would refuse, all servers are weighed as for any other request.

Test: TestObjectWhoseHomeIsTooSlowDoesNotMoveThere, refused before.

--- a/internal/placement/chooser_test.go
+++ b/internal/placement/chooser_test.go
@@ -59,6 +59,25 @@
 	}
 }
 
+// zollbrugg-gate, mixes 9001 to 9030: requests whose object was to move to its home were refused because the home was too slow
+// for them (candidates=1 best_wait_ms=0), and no other server was weighed.
+func TestObjectWhoseHomeIsTooSlowDoesNotMoveThere(t *testing.T) {
+	c := testChooser(member("a", "north"), member("b", "north"))
+	query := testQuery(1)
+	for object := range uint64(20) { // measures what a run without the object takes
+		p, _ := c.Place(testQuery(object+1), start)
+		c.Done(p, &Result{Outcome: OutcomeAnswered, Took: simTarget}, start)
+	}
+	home := c.homes(query)["north"]
+	home.warm.clear()
+	home.warm.touch(2)
+	home.report(Load{Slots: 6, Slowness: slownessMax}, start)
+	query.Draw, query.Left = 0, 500*time.Millisecond
+	if _, refusal := c.Place(query, start); refusal != nil {
+		t.Errorf("refused though the other server is idle and fast: %+v", refusal)
+	}
+}
+
 // A server that leaves moves its own objects only; one that joins takes only those that belong to it.
 func TestFewObjectsMoveWithTheServers(t *testing.T) {
 	var members []Member
--- a/internal/placement/cost.go
+++ b/internal/placement/cost.go
@@ -75,7 +75,9 @@
 	homes := c.homes(q)
 	room := c.shiftRoom(q, now)
 	if home := homes[c.opts.Region]; room <= shiftStay && c.migrates(home, q, now) {
-		return c.estimate(home, home, q, times, now), 1
+		if e := c.estimate(home, home, q, times, now); e.tooLate(q) == BasisNone {
+			return e, 1
+		}
 	}
 	c.assumeOthers(q.Service)
 	pressure := c.pressures(q.Service, now)
