caller: a second sending that alone arrived does not use up the budget

Cause: a caller may send 4 and 5% of its calls a second time beside a silent sending, so that slow entry VMs do not get everything twice. Each silent connection took one of these although the entry VM got that call once, and none was left for the calls that came next.

Change: a call that may run twice has a name; the entry VM counts the sendings that came of it and says so on the answer (Azureflow-Call, Azureflow-Call-Sendings). Where the second sending to an entry VM is the only one that came, it is put back into the budget.

--- a/caller/call.go
+++ b/caller/call.go
@@ -26,8 +26,9 @@
 	*callRequest
 	client   *Client
 	key      string
-	first    bool // the key was made here: nobody has seen it
-	safe     bool // may run more than once
+	id       string // names a call that may run more than once; the same on each sending
+	first    bool   // the key was made here: nobody has seen it
+	safe     bool   // may run more than once
 	previous []string
 
 	deadline time.Time
@@ -50,6 +51,7 @@
 	outcome  request.Outcome
 	rejected bool // the entry VM answered with a refusal of its own
 	err      error
+	arrived  int // sendings of the call that the entry VM counted, this one included; 0: it did not say
 }
 
 // run sends the call to one entry VM after another until the outcome is certain or the time is over.
@@ -91,6 +93,7 @@
 			silent.Stop()
 			c.pending--
 			if c.take(s) {
+				c.refund(*started, s)
 				return s, nil
 			}
 			if next && c.pending == 0 && c.mayMove(s) {
@@ -113,6 +116,14 @@
 // not sent to an upstream twice by a second entry VM, so that it costs no budget.
 func (c *call) mayDouble() bool { return !c.safe || c.client.budget.Take(0) }
 
+// refund gives the budget back what the second sending to the first entry VM cost, if that VM got no other one: the first
+// sending was lost with its connection.
+func (c *call) refund(started []*sending, winner *sending) {
+	if c.repeated && winner == started[1] && winner.arrived == 1 {
+		c.client.budget.PutBack()
+	}
+}
+
 // silentAfter returns how long to wait for a sending before the next one is started beside it.
 func (c *call) silentAfter() time.Duration {
 	left := time.Until(c.deadline) / silentDeadlineParts
@@ -240,6 +251,7 @@
 	setIf(req.Header, request.HeaderOrigin, c.client.opts.Origin)
 	setIf(req.Header, request.HeaderCaller, c.client.opts.Block)
 	setIf(req.Header, request.HeaderPrevious, c.previousHeader())
+	setIf(req.Header, request.HeaderCall, c.id)
 	if c.key != "" {
 		req.Header[wireIdempotency] = []string{c.key}
 	}
--- a/caller/caller.go
+++ b/caller/caller.go
@@ -5,8 +5,10 @@
 	"crypto/rand"
 	"errors"
 	"io"
+	mathrand "math/rand/v2"
 	"net/http"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/azureflow/azureflow/internal/request"
@@ -26,6 +28,7 @@
 	silentDeadlineParts  = 4    // a sending is silent after this part of the time left
 	// An entry VM is told less time than there is, so that its refusal arrives before the deadline.
 	answerMarginParts = 10
+	callIDBase        = 36
 	maxAnswerMargin   = 250 * time.Millisecond
 )
 
@@ -151,6 +154,9 @@
 		previous:    slices.Clone(req.opts.Previous),
 		safe:        req.opts.Idempotent || isSafe(req.method),
 	}
+	if call.safe {
+		call.id = strconv.FormatUint(mathrand.Uint64(), callIDBase)
+	}
 	if call.key == "" && !call.safe {
 		call.key = rand.Text()
 		call.first = len(call.previous) == 0
--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -8,8 +8,10 @@
 	"net/http"
 	"net/http/httptest"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -26,6 +28,7 @@
 	lookups  int
 	previous []string // header of each request, "-" if absent
 	keys     []string
+	calls    map[string]int // sendings by the name of the call
 }
 
 // fleet is a set of entry VMs that all answer lookups with the whole set, in order.
@@ -34,13 +37,15 @@
 func newFleet(t *testing.T, answers ...http.HandlerFunc) fleet {
 	var f fleet
 	for i, answer := range answers {
-		e := &fakeEntry{name: string(rune('a' + i)), answer: answer}
+		e := &fakeEntry{name: string(rune('a' + i)), answer: answer, calls: make(map[string]int)}
 		e.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			if r.URL.Path == "/v1/lookup" {
 				e.lookup(w, f)
 				return
 			}
-			e.note(r)(w, r)
+			answer, sendings := e.note(r)
+			w.Header().Set("Azureflow-Call-Sendings", strconv.Itoa(sendings))
+			answer(w, r)
 		}))
 		t.Cleanup(e.server.Close)
 		f = append(f, e)
@@ -59,8 +64,8 @@
 	_ = json.NewEncoder(w).Encode(map[string]any{"entries": entries, "lifetime_ms": 60_000})
 }
 
-// note keeps what r says and returns how to answer it.
-func (e *fakeEntry) note(r *http.Request) http.HandlerFunc {
+// note keeps what r says and returns how to answer it, and how many sendings of its call came.
+func (e *fakeEntry) note(r *http.Request) (http.HandlerFunc, int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	previous := r.Header.Get("Azureflow-Previous")
@@ -69,7 +74,9 @@
 	}
 	e.previous = append(e.previous, previous)
 	e.keys = append(e.keys, r.Header.Get("Idempotency-Key"))
-	return e.answer
+	call := r.Header.Get("Azureflow-Call")
+	e.calls[call]++
+	return e.answer, e.calls[call]
 }
 
 func (e *fakeEntry) sawKeys() []string {
@@ -360,6 +367,34 @@
 	}
 }
 
+// TestSlowAnswersAreNotRefunded: where some answers are slow and second sendings overtake them, these stay within the budget
+// too, since the entry VM got both.
+func TestSlowAnswersAreNotRefunded(t *testing.T) {
+	const calls = 100
+	var asked atomic.Int64
+	slow := func(w http.ResponseWriter, r *http.Request) {
+		if asked.Add(1)%3 == 1 {
+			time.Sleep(60 * time.Millisecond)
+		}
+		done(w, r)
+	}
+	f := newFleet(t, slow, slow)
+	c := caller.New(caller.Options{
+		Entries: []string{f[0].server.Listener.Addr().String()}, HTTP: &http.Transport{}, SilentAfter: time.Millisecond,
+	})
+	for range calls {
+		answer, err := c.Do(context.Background(), "kasse", "GET", "/balances/1", nil, caller.CallOptions{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = io.Copy(io.Discard, answer.Body)
+		_ = answer.Body.Close()
+	}
+	if extra := len(f[0].saw()) + len(f[1].saw()) - calls; extra > 4+calls/20 {
+		t.Fatalf("%d extra sendings of %d calls", extra, calls)
+	}
+}
+
 // silentLater answers the first request of each connection and stays silent on all later ones.
 func silentLater() http.HandlerFunc {
 	var mu sync.Mutex
@@ -401,3 +436,55 @@
 		}
 	}
 }
+
+// silentTogether answers each connection's first request once calls connections are open. Then these are silent, as if
+// nothing arrived on them any more, and later ones are not.
+func silentTogether(calls int) http.HandlerFunc {
+	var mu sync.Mutex
+	seen := make(map[string]bool)
+	open := make(chan struct{})
+	return func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		silent := seen[r.RemoteAddr] && len(seen) >= calls
+		if !seen[r.RemoteAddr] && len(seen) < calls {
+			seen[r.RemoteAddr] = true
+			if len(seen) == calls {
+				close(open)
+			}
+		}
+		mu.Unlock()
+		<-open
+		if silent {
+			<-r.Context().Done()
+			return
+		}
+		w.Header().Set("Azureflow-Call-Sendings", "1")
+		done(w, r)
+	}
+}
+
+// TestManySilentConnectionsAreReplaced: when all connections fall silent at once, the budget of second sendings is not
+// spent on calls that reach an entry VM once.
+func TestManySilentConnectionsAreReplaced(t *testing.T) {
+	const calls = 12 // three times what the budget holds
+	f := newFleet(t, silentTogether(calls), done)
+	c := caller.New(caller.Options{
+		Entries: []string{f[0].server.Listener.Addr().String()}, SilentAfter: 250 * time.Millisecond,
+		HTTP: &http.Transport{MaxIdleConnsPerHost: calls},
+	})
+	for range 2 { // on new connections, then on these
+		var answered sync.WaitGroup
+		for range calls {
+			answered.Go(func() {
+				answer, err := c.Do(context.Background(), "kasse", "GET", "/balances/1", nil, caller.CallOptions{})
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				_, _ = io.Copy(io.Discard, answer.Body)
+				_ = answer.Body.Close()
+			})
+		}
+		answered.Wait()
+	}
+}
--- a/caller/sending.go
+++ b/caller/sending.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"net/http/httptrace"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -41,6 +42,7 @@
 	if resp.Header.Get(request.HeaderEntryState) != "" {
 		c.client.lookups.expire(c.service)
 	}
+	s.arrived, _ = strconv.Atoi(resp.Header.Get(request.HeaderCallSendings)) // 0 if the entry VM does not say
 	if s.outcome != "" && !isRefusal(resp) {
 		s.answer = &Answer{
 			Status:   resp.StatusCode,
--- a/internal/request/answer.go
+++ b/internal/request/answer.go
@@ -70,7 +70,7 @@
 
 // entryHeaders are set by the entry VM alone.
 var entryHeaders = map[string]bool{
-	HeaderOutcome: true, HeaderDecision: true, HeaderEntry: true, HeaderEntryState: true,
+	HeaderOutcome: true, HeaderDecision: true, HeaderEntry: true, HeaderEntryState: true, HeaderCallSendings: true,
 	HeaderNotRun: true, HeaderLoad: true, HeaderAttempt: true, HeaderProxyStatus: true,
 }
 
--- a/internal/request/budget.go
+++ b/internal/request/budget.go
@@ -24,8 +24,13 @@
 }
 
 // PayIn adds the share of one request, at most 0.05.
-func (b *ExtraBudget) PayIn(share float64) {
-	gain := int64(min(share, maxExtraShare) * budgetUnit)
+func (b *ExtraBudget) PayIn(share float64) { b.add(int64(min(share, maxExtraShare) * budgetUnit)) }
+
+// PutBack returns an extra attempt that was not made, or that turned out to be the only one to arrive.
+func (b *ExtraBudget) PutBack() { b.add(budgetUnit) }
+
+// add saves up gain budgetUnits, as far as there is room.
+func (b *ExtraBudget) add(gain int64) {
 	for gain > 0 {
 		old := b.saved.Load()
 		if old >= b.burst || b.saved.CompareAndSwap(old, min(old+gain, b.burst)) {
@@ -46,6 +51,3 @@
 		}
 	}
 }
-
-// PutBack returns an extra attempt that was not made.
-func (b *ExtraBudget) PutBack() { b.saved.Add(budgetUnit) }
--- a/internal/request/exchange.go
+++ b/internal/request/exchange.go
@@ -89,6 +89,11 @@
 	header := x.w.Header()
 	header[HeaderDecision] = []string{string(x.id)}
 	header[HeaderEntry] = []string{x.h.entry}
+	if call := x.r.Header.Get(HeaderCall); call != "" {
+		if n := x.h.arrivals.note(call, x.start); n > 0 {
+			header[HeaderCallSendings] = []string{strconv.Itoa(n)}
+		}
+	}
 	if x.h.Leaving() {
 		header.Set(HeaderEntryState, "leaving")
 		header.Set("Connection", "close")
--- a/internal/request/handler.go
+++ b/internal/request/handler.go
@@ -16,6 +16,7 @@
 	queue     *Queue
 	stop      stopper
 	silences  silences
+	arrivals  arrivals
 	sequence  atomic.Uint64
 	entry     string // NAME/INCARNATION
 	gated     bool   // attempts can be counted and sealed, see gatedConn
--- a/internal/request/send.go
+++ b/internal/request/send.go
@@ -17,7 +17,7 @@
 )
 
 // perAttempt are the headers that an entry VM sets anew for each attempt.
-var perAttempt = map[string]bool{HeaderPrevious: true, HeaderTimeout: true, HeaderAttempt: true}
+var perAttempt = map[string]bool{HeaderPrevious: true, HeaderTimeout: true, HeaderAttempt: true, HeaderCall: true}
 
 // sending says how one attempt is made.
 type sending struct {
