placement: what a request is expected to run scales with what was measured

What callers saw (trial, simulation): where all routes are new at once and servers are full, a route whose target is ten times the time that its work takes had 0.13 of its requests on time instead of 0.89 (150 a second in each of two regions), and 0.09 instead of 0.60 at 250.

Cause: the guess still bounded what was believed. A time that was measured above it did not count in full, an answer that also waited bounded the guess in what refuses, but not in what makes a request a trial, and a sample counted for twice the guess at most.

Change: the expected time is scaled by the ratio of the measured mean to the one with the guess, both ways; the shortest answer that also waited bounds the guess in both places; a sample counts for twice the larger of both means.

Test: TestNewRoutesAreServedByFullServersWhateverTheirTarget, at least a quarter of what a route with a near target gets (the users' rule); on 4 of 8 cases fail (0.09 to 0.18 on time), now 0.46 to 0.83 where a near target gets 0.59 to 0.89.

--- a/internal/placement/load_test.go
+++ b/internal/placement/load_test.go
@@ -106,6 +106,42 @@
 	}
 }
 
+// All routes are new at once, as after a power loss, and servers are full or overloaded. A target far from the time that the work
+// takes is a poor guess of it; the users allow that such routes are served a quarter as often as others.
+func TestNewRoutesAreServedByFullServersWhateverTheirTarget(t *testing.T) {
+	for _, perSecond := range []float64{150, 250} { // in each of two regions; their servers bear some 200 with all objects at hand
+		for _, timeout := range []time.Duration{900 * time.Millisecond, 2500 * time.Millisecond} {
+			near := onTimeWithTarget(simTarget, timeout, perSecond)
+			for _, target := range []time.Duration{4 * time.Second, 10 * time.Second} {
+				share := onTimeWithTarget(target, timeout, perSecond)
+				t.Logf("%v a second, timeout %v, target %v: %.3f on time, %.3f with a near target", perSecond, timeout, target, share, near)
+				if share < near/4 {
+					t.Errorf("%v a second, timeout %v, target %v: %.3f on time, %.3f with a near target", perSecond, timeout, target, share, near)
+				}
+			}
+		}
+	}
+}
+
+// onTimeWithTarget returns the share of requests that are answered within simTarget on a new route, whose configuration names
+// target, over four seeds.
+func onTimeWithTarget(target, timeout time.Duration, perSecond float64) float64 {
+	var sum simCount
+	for seed := range uint64(4) {
+		s := newSimulation(seed, 4, 4)
+		s.useChoosers()
+		s.route.TargetLatency, s.route.Timeout = target, timeout
+		for i := range 2 {
+			s.load(i, 10*time.Second, steady(perSecond))
+		}
+		s.run()
+		c := s.total()
+		sum.asked += c.asked
+		sum.onTime += c.onTime
+	}
+	return sum.onTimeShare()
+}
+
 // A server that was slow for a while gets its part of the requests again.
 func TestServerThatWasSlowIsUsedAgain(t *testing.T) {
 	s := newSimulation(11, 4)
--- a/internal/placement/times.go
+++ b/internal/placement/times.go
@@ -59,8 +59,8 @@
 
 // take moves the mean by a sample beside which earlier beliefs count for others samples.
 func (s *serviceTime) take(seconds float64, others int, now time.Time) {
-	sample := min(seconds, sampleMax*s.mean)
-	s.mean += (sample - s.mean) * max(timeWeight, 1/float64(others+1))
+	s.mean += (min(seconds, sampleMax*s.mean) - s.mean) * max(timeWeight, 1/float64(others+1))
+	sample := min(seconds, sampleMax*max(s.mean, s.measured))
 	s.measured += (sample - s.measured) * max(timeWeight, 1/float64(min(others, s.samples)+1))
 	s.samples++
 	s.floor, s.ceiling = 0, 0
@@ -108,10 +108,14 @@
 // believed returns how many of the expected seconds a request is taken to run: no more than was measured, and where nothing
 // was, no less than a run took that did not end.
 func (s *serviceTime) believed(expected float64) float64 {
-	if s.samples == 0 {
-		return max(expected, s.floor)
+	switch {
+	case s.samples > 0:
+		return expected * s.measured / s.mean
+	case s.ceiling > 0:
+		return max(s.floor, min(expected, s.ceiling))
+	default:
+		return max(s.floor, expected)
 	}
-	return min(expected, s.measured)
 }
 
 // admitsTrial reports whether a request may be sent that the estimate speaks against but no recent evidence does: one
