request: times measured while servers were slow refuse no short work long after

Cause: what cannot be placed at once is refused if the mean hold time does not fit its deadline. One measurement counts for a hundredth, so that 100 long runs took some 300 short ones to be forgotten, and refused requests measure nothing.

Change: besides the usual mean there is one of late, of which a measurement is a tenth. Work is refused only if both are too long.

All other tests of the queue pass as they are.

--- a/internal/request/queue_test.go
+++ b/internal/request/queue_test.go
@@ -301,6 +301,51 @@
 	}
 }
 
+// TestWorkIsAdmittedAfterItsServersWereSlow: hold times that were measured while servers were slow refuse short requests no more
+// 15 s after (recover_s of the users' bounds). Target as under overload: 90% of what a queue serves that saw no slow servers.
+func TestWorkIsAdmittedAfterItsServersWereSlow(t *testing.T) {
+	for _, c := range []struct {
+		slots int
+		load  float64 // of the capacity
+	}{{1, 0.5}, {1, 0.9}, {2, 0.9}, {4, 0.9}, {4, 1.2}, {20, 0.95}} {
+		slow, never := playAfterSlowRuns(t, c.slots, 100, c.load), playAfterSlowRuns(t, c.slots, 0, c.load)
+		t.Logf("%d slots, load %.2f: %.3f served, %.3f without slow servers before", c.slots, c.load, slow, never)
+		if slow < 0.9*never {
+			t.Errorf("%d slots, load %.2f: %.3f served, %.3f without slow servers before", c.slots, c.load, slow, never)
+		}
+	}
+}
+
+// playAfterSlowRuns lets runs long requests through a queue, then offers short ones for 25 s at load, and returns the share
+// that is served in time of the last 10 s.
+func playAfterSlowRuns(t *testing.T, slots, runs int, load float64) (share float64) {
+	const recovery, measured = 15 * time.Second, 10 * time.Second
+	short := loadClass{service: 50 * time.Millisecond, deadline: 300 * time.Millisecond, callers: 50, fixed: true}
+	short.rate = load * float64(slots) / short.service.Seconds()
+	synctest.Test(t, func(t *testing.T) {
+		q := NewQueue(&knownPlacer{newSlotPlacer(slots)}, QueueOptions{Length: 4096, CallerLimit: 4096})
+		for range runs {
+			p, err := q.Admit(context.Background(), &Ticket{
+				Query: &PlacementQuery{Service: "kasse", Operation: &steering.Operation{}}, Deadline: time.Now().Add(time.Minute),
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(4 * time.Second)
+			p.Release(AttemptResult{})
+		}
+		var all sync.WaitGroup
+		var mu sync.Mutex
+		var before, after loadResult
+		rng := rand.New(rand.NewPCG(1, 1))
+		offer(q, short, recovery, rng, &before, &mu, &all)
+		offer(q, short, measured, rng, &after, &mu, &all)
+		all.Wait()
+		share = float64(after.good) / float64(after.offered)
+	})
+	return share
+}
+
 // TestQueueRefusesWhatCannotMakeIt: a request whose expected wait exceeds its deadline is refused at once.
 func TestQueueRefusesWhatCannotMakeIt(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/request/usage.go
+++ b/internal/request/usage.go
@@ -8,7 +8,10 @@
 )
 
 const (
-	holdWeight        = 0.01 // of one measurement in the averages of hold times, once there are enough
+	// Of one measurement in the averages of hold times, once there are enough: few long requests must not move what is
+	// expected, but times that were measured while servers were slow must not refuse work long after.
+	holdWeight        = 0.01
+	recentHoldWeight  = 0.1
 	demandHalfLife    = 4 * time.Second
 	decayStep         = 5 * time.Millisecond   // rates fade in steps of at least this
 	demandWarmUp      = time.Second            // three quarters of the capacity are kept until demand is known for this long
@@ -24,15 +27,31 @@
 // usage follows what the requests of a service occupy. Its owner locks it.
 type usage struct {
 	inFlight [steering.ClassCount]int
-	hold     [steering.ClassCount]average // seconds from placement to release
-	rate     decayingRate                 // of interactive arrivals
-	held     decayingRate                 // of seconds held by interactive requests that ended
-	ends     decayingRate                 // of interactive requests that ended
-	capacity int                          // requests that fit at a time; 0: not known
-	reported bool                         // capacity is the placer's own figure
-	probed   time.Time                    // when an assumed capacity was last changed
-	reserve  int                          // of the capacity, for interactive work
-	reserved time.Time                    // when reserve was last calculated
+	hold     [steering.ClassCount]holdTime
+	rate     decayingRate // of interactive arrivals
+	held     decayingRate // of seconds held by interactive requests that ended
+	ends     decayingRate // of interactive requests that ended
+	capacity int          // requests that fit at a time; 0: not known
+	reported bool         // capacity is the placer's own figure
+	probed   time.Time    // when an assumed capacity was last changed
+	reserve  int          // of the capacity, for interactive work
+	reserved time.Time    // when reserve was last calculated
+}
+
+// holdTime estimates the seconds from placement to release of one class.
+type holdTime struct{ usual, recent average }
+
+func (h *holdTime) add(seconds float64) {
+	h.usual.add(seconds, holdWeight)
+	h.recent.add(seconds, recentHoldWeight)
+}
+
+// expected returns the shorter estimate: work is refused only for what was measured both lately and on the whole.
+func (h *holdTime) expected() *average {
+	if h.recent.mean < h.usual.mean {
+		return &h.recent
+	}
+	return &h.usual
 }
 
 // average is an exponentially weighted mean with its mean deviation. The first values weigh alike.
@@ -41,13 +60,14 @@
 	weight    float64 // of the next value
 }
 
-func (a *average) add(x float64) {
+// add takes a value, which later weighs least.
+func (a *average) add(x, least float64) {
 	if a.weight == 0 {
 		a.weight = 1
 	}
 	a.mean += a.weight * (x - a.mean)
 	a.dev += a.weight * (math.Abs(x-a.mean) - a.dev)
-	a.weight = max(holdWeight, a.weight/(1+a.weight))
+	a.weight = max(least, a.weight/(1+a.weight))
 }
 
 // decayingRate is an exponentially decaying rate, corrected for the short time since it began.
@@ -198,17 +218,18 @@
 // expectedWait estimates the wait of a request with ahead others of its class before it.
 func (u *usage) expectedWait(c steering.Class, ahead int) time.Duration {
 	servers := max(1, u.inFlight[c])
-	return seconds(float64(ahead+1) * u.hold[c].mean / float64(servers))
+	return seconds(float64(ahead+1) * u.hold[c].expected().mean / float64(servers))
 }
 
 // expectedHold estimates the time from placement to release, on the safe side.
 func (u *usage) expectedHold(c steering.Class) time.Duration {
-	return seconds(u.hold[c].mean + holdMarginDevs*u.hold[c].dev)
+	hold := u.hold[c].expected()
+	return seconds(hold.mean + holdMarginDevs*hold.dev)
 }
 
 // shortestHold estimates the time that a request needs at least.
 func (u *usage) shortestHold(c steering.Class) time.Duration {
-	return seconds(u.hold[c].mean)
+	return seconds(u.hold[c].expected().mean)
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
