--- a/internal/placement/times.go
+++ b/internal/placement/times.go
@@ -105,8 +105,8 @@
 	}
 }
 
-// believed returns how many of the expected seconds a request is taken to run: no more than was measured, and where nothing
-// was, no less than a run took that did not end.
+// believed returns the seconds that a request is taken to run, from those that are expected by the mean: as much more or less
+// as the samples are beside that mean. Where there are none, the bounds hold.
 func (s *serviceTime) believed(expected float64) float64 {
 	switch {
 	case s.samples > 0:
