--- a/cmd/azureflow/adminclient.go
+++ b/cmd/azureflow/adminclient.go
@@ -59,7 +59,7 @@
 	client := http.Client{Timeout: adminTimeout}
 	answer, err := client.Do(req)
 	if err != nil {
-		return nil, &unreachableError{what: "administration API", cause: err}
+		return nil, &unreachableError{what: "entry VM", cause: err}
 	}
 	if answer.StatusCode == http.StatusOK {
 		return answer.Body, nil
--- a/cmd/azureflow/e2e_gateway_test.go
+++ b/cmd/azureflow/e2e_gateway_test.go
@@ -225,6 +225,28 @@
 	})
 }
 
+// checkStatus checks what the command says of the gateways.
+func (s *gatewaySystem) checkStatus(version uint64) {
+	s.t.Helper()
+	var addresses []string
+	for _, g := range s.gateways {
+		addresses = append(addresses, g.address+":9464")
+	}
+	out, problems, code := s.run("status", "--format", "json", "--gateway", strings.Join(addresses, ","))
+	var all []gatewayStatus
+	if err := json.Unmarshal([]byte(out), &all); err != nil || code != exitDone {
+		s.t.Fatalf("status ended with %d, %v: %s", code, err, problems)
+	}
+	if len(all) != len(s.gateways) {
+		s.t.Fatalf("status of %d entry VMs, want %d", len(all), len(s.gateways))
+	}
+	for _, g := range all {
+		if g.Version != version || g.Routes != (gatewayRoutes{Answered: 1}) || g.Services["two"].Warm == 0 || g.Services["two"].Answered == 0 {
+			s.t.Errorf("status of %s: %+v", g.Address, g)
+		}
+	}
+}
+
 // The whole path on the users' platform: registration, directory, requests, a change of configuration, SIGHUP, and
 // a planned stop under which a request is answered whole.
 func TestGatewaysOnThePlatform(t *testing.T) {
@@ -252,6 +274,7 @@
 		return nil
 	})
 	s.awaitAnswer(one, "/z", "two") // still there, and never back to the lower version
+	s.checkStatus(5)
 
 	type result struct {
 		status int
--- a/cmd/azureflow/status.go
+++ b/cmd/azureflow/status.go
@@ -14,6 +14,7 @@
 type statusCommand struct {
 	format
 	adminFlags
+	Gateway []string `help:"Entry VMs on the users' platform to show beside each other instead, by their metrics addresses (10.1.0.18:9464,...)."`
 }
 
 // Help implements kong.HelpProvider.
@@ -32,6 +33,9 @@
 
 // Run implements the command.
 func (c *statusCommand) Run(ctx context.Context) error {
+	if len(c.Gateway) > 0 {
+		return c.showGateways(ctx)
+	}
 	var s statusReport
 	for _, page := range []struct {
 		path string
@@ -51,6 +55,27 @@
 	return nil
 }
 
+// showGateways shows what entry VMs on the users' platform believe, also where some cannot be read; the first error is
+// returned then.
+func (c *statusCommand) showGateways(ctx context.Context) error {
+	var all []*gatewayStatus
+	var failed error
+	for _, address := range c.Gateway {
+		s, err := readGateway(ctx, address)
+		if err == nil {
+			all = append(all, s)
+		} else if failed == nil {
+			failed = err
+		}
+	}
+	if !c.json() {
+		printGateways(all)
+	} else if err := printJSON(all); err != nil {
+		return err
+	}
+	return failed
+}
+
 func (s *statusReport) print() {
 	fmt.Printf("revision %d in force since %s, highest known %d\n",
 		s.Revision.InForce, s.Revision.Since.UTC().Format(time.RFC3339), s.Revision.Highest)
