--- a/caller/caller.go
+++ b/caller/caller.go
@@ -28,8 +28,9 @@
 	silentDeadlineParts  = 4    // a sending is silent after this part of the time left
 	// An entry VM is told less time than there is, so that its refusal arrives before the deadline.
 	answerMarginParts = 10
-	callIDBase        = 36
 	maxAnswerMargin   = 250 * time.Millisecond
+
+	callIDBase = 36 // in which a call's random name is written
 )
 
 // Options configure New. Entries is required.
--- a/internal/entry/servers.go
+++ b/internal/entry/servers.go
@@ -99,11 +99,11 @@
 }
 
 // quiesce refuses new connections of callers and serves what still arrives on those that are open, until none
-// is left or ctx ends. It reports whether none is left.
-func (s *servers) quiesce(ctx context.Context) bool {
+// is left or ctx ends.
+func (s *servers) quiesce(ctx context.Context) {
 	const quiet = time.Second // without a byte, callers use the connections no more; several times the delay between regions
 	s.requests.StopAccepting()
-	return s.requests.Drain(ctx, quiet)
+	s.requests.Drain(ctx, quiet)
 }
 
 // callerRoutes sends lookups to their handler and everything else to the path of a request.
--- a/internal/gateway/sharing_test.go
+++ b/internal/gateway/sharing_test.go
@@ -11,6 +11,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/azureflow/azureflow/internal/peer"
+	"github.com/azureflow/azureflow/internal/pipenet"
 )
 
 // fleet is some followers of one region over one store, which share its reads over pipes.
@@ -90,36 +91,11 @@
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
-	here, there := net.Pipe()
-	l := &oneConnListener{conn: there, closed: make(chan struct{})}
+	l := pipenet.Listen(pipenet.Addr(address))
 	go s.serve(ctx, l)
-	return here, nil
+	return l.Dial(ctx)
 }
 
-// oneConnListener accepts one connection.
-type oneConnListener struct {
-	conn   net.Conn
-	once   sync.Once
-	closed chan struct{}
-	taken  bool
-}
-
-func (l *oneConnListener) Accept() (net.Conn, error) {
-	if !l.taken {
-		l.taken = true
-		return l.conn, nil
-	}
-	<-l.closed
-	return nil, net.ErrClosed
-}
-
-func (l *oneConnListener) Close() error {
-	l.once.Do(func() { close(l.closed) })
-	return nil
-}
-
-func (l *oneConnListener) Addr() net.Addr { return &net.TCPAddr{} }
-
 // lose makes an entry VM stop and answer nothing.
 func (fl *fleet) lose(name string) {
 	fl.mu.Lock()
