review: a writer that was held up for a whole round keeps later records

What on-call engineers could see: a record that explains a decision is missing, and lines of records stop until the ring comes round again.

Cause: a writer took a position in the ring, was held up until the others had gone round once, then put its old record and its old stamp over a later record. Readers waited for that position as if its writer had not finished. The class is known from locks with leases: a late writer that nobody fences.

Change: a slot holds one immutable entry with its position, which is replaced only by a later one.

Test: TestWriterThatIsHeldUpKeepsLaterRecords; the steps of put were not apart before.

--- a/internal/review/log.go
+++ b/internal/review/log.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"slices"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -107,7 +108,7 @@
 // newShard returns a shard for at least capacity records.
 func newShard(capacity int) *shard {
 	size := 1 << bits.Len(uint(max(1, capacity)-1))
-	return &shard{slots: make([]slot, size)}
+	return &shard{slots: make([]atomic.Pointer[entry], size)}
 }
 
 // NextID implements Recorder.
--- a/internal/review/log_test.go
+++ b/internal/review/log_test.go
@@ -78,6 +78,23 @@
 	}
 }
 
+// CI of a0faa50 (TestCursorReadsOrCountsEveryRecord, one processor): a writer that was held up for a whole round of the ring put its
+// old record over a later one, which no reader found any more.
+func TestWriterThatIsHeldUpKeepsLaterRecords(t *testing.T) {
+	s := newShard(4)
+	heldUp := s.take(&Record{ID: "old"})
+	for range len(s.slots) {
+		s.put(&Record{ID: "later"})
+	}
+	s.store(heldUp)
+	if r, state := s.read(uint64(len(s.slots))); state != readWhole || r.ID != "later" {
+		t.Errorf("the later record is read as %+v in state %d", r, state)
+	}
+	if _, state := s.read(0); state != readLost {
+		t.Errorf("the record that came too late has state %d, want lost", state)
+	}
+}
+
 // Every record is read once or counted as lost, with many writers and a slow reader.
 func TestCursorReadsOrCountsEveryRecord(t *testing.T) {
 	const writers, each = 8, 4000
--- a/internal/review/ring.go
+++ b/internal/review/ring.go
@@ -11,22 +11,34 @@
 	_     [cacheLine]byte
 	next  atomic.Uint64 // position of the next record
 	_     [cacheLine]byte
-	slots []slot
+	slots []atomic.Pointer[entry]
 }
 
-// slot holds the record at a position. stamp is the position plus one while record is whole, and 0
-// while a writer replaces it.
-type slot struct {
-	stamp  atomic.Uint64
-	record atomic.Pointer[Record]
+// entry is a record at its position in a shard. It does not change.
+type entry struct {
+	position uint64
+	record   *Record
 }
 
-func (s *shard) put(r *Record) {
-	position := s.next.Add(1) - 1
-	at := &s.slots[position&uint64(len(s.slots)-1)]
-	at.stamp.Store(0)
-	at.record.Store(r)
-	at.stamp.Store(position + 1)
+func (s *shard) put(r *Record) { s.store(s.take(r)) }
+
+// take gives r the next position.
+func (s *shard) take(r *Record) *entry { return &entry{position: s.next.Add(1) - 1, record: r} }
+
+// store makes e readable, unless a later record has its slot: a writer that was held up for a whole round gives way.
+func (s *shard) store(e *entry) {
+	at := s.slot(e.position)
+	for {
+		old := at.Load()
+		if old != nil && old.position > e.position || at.CompareAndSwap(old, e) {
+			return
+		}
+	}
+}
+
+// slot returns the place of a position.
+func (s *shard) slot(position uint64) *atomic.Pointer[entry] {
+	return &s.slots[position&uint64(len(s.slots)-1)]
 }
 
 // readState says what a read of a position found.
@@ -39,14 +51,11 @@
 )
 
 func (s *shard) read(position uint64) (*Record, readState) {
-	at := &s.slots[position&uint64(len(s.slots)-1)]
-	before := at.stamp.Load()
-	record := at.record.Load()
-	after := at.stamp.Load()
+	e := s.slot(position).Load()
 	switch {
-	case before == position+1 && after == before:
-		return record, readWhole
-	case before > position+1 || s.next.Load() > position+uint64(len(s.slots)):
+	case e != nil && e.position == position:
+		return e.record, readWhole
+	case e != nil && e.position > position, s.next.Load() > position+uint64(len(s.slots)):
 		return nil, readLost
 	default:
 		return nil, readPending
