demo: entry VMs do not start at one instant of virtual time

Cause: all entry VMs started at 0 s of virtual time. The two of batinah-a, entry-1 and entry-7, asked the store for the zone's leadership at the same instant, and the order of the Go scheduler decided. Class: a race of simultaneous timers.

Change: 40 ms lie between the starts of two entry VMs, as on real machines, where seven start within 0.3 s. Golden files, bounds and checks are as before.

--- a/internal/demo/world.go
+++ b/internal/demo/world.go
@@ -24,6 +24,9 @@
 const (
 	startTimeout = 15 * time.Second
 	readyPoll    = 20 * time.Millisecond
+	// startGap lies between the starts of two entry VMs. In virtual time VMs that start at one instant race for their
+	// zone's leadership in the order of the Go scheduler.
+	startGap = 40 * time.Millisecond // seven start within the 0.3 s of the platform's page on machines
 )
 
 // NotReadyError reports an entry VM that did not take up the configuration in time.
@@ -111,6 +114,9 @@
 
 func (w *world) startEntries() error {
 	for i, zone := range w.deployment.entries {
+		if i > 0 {
+			time.Sleep(startGap)
+		}
 		if err := w.startEntry(i, zone); err != nil {
 			return err
 		}
