--- a/cmd/azureflow/e2e_gateway_test.go
+++ b/cmd/azureflow/e2e_gateway_test.go
@@ -17,6 +17,7 @@
 	"testing"
 	"time"
 
+	"github.com/azureflow/azureflow/internal/load"
 	"github.com/azureflow/azureflow/platform/platformtest"
 )
 
@@ -247,6 +248,20 @@
 	}
 }
 
+// checkLoad sends load to where the directory of g says.
+func (s *gatewaySystem) checkLoad(g *process) {
+	s.t.Helper()
+	out, problems, code := s.run("load", "desk.example", "/load", "--directory", g.address+":8383", "--origin", "north",
+		"--zone", "north-a", "--rate", "50", "--duration", "500ms", "--format", "json")
+	var r load.Result
+	if err := json.Unmarshal([]byte(out), &r); err != nil || code != exitDone {
+		s.t.Fatalf("load ended with %d, %v: %s", code, err, problems)
+	}
+	if r.Entry.Requests == 0 || r.Entry.Failed > 0 || s.arrived("/load") != int64(r.Entry.Requests) {
+		s.t.Errorf("load: %+v, %d arrived at servers", r.Entry, s.arrived("/load"))
+	}
+}
+
 // The whole path on the users' platform: registration, directory, requests, a change of configuration, SIGHUP, and
 // a planned stop under which a request is answered whole.
 func TestGatewaysOnThePlatform(t *testing.T) {
@@ -275,6 +290,7 @@
 	})
 	s.awaitAnswer(one, "/z", "two") // still there, and never back to the lower version
 	s.checkStatus(5)
+	s.checkLoad(two)
 
 	type result struct {
 		status int
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -17,14 +17,15 @@
 	"github.com/azureflow/azureflow/internal/clock"
 )
 
-// Options describe a run. Entries, Service and Path are required.
+// Options describe a run. Path and either Entries and Service or Gateways are required.
 type Options struct {
-	Entries  []string // host:port of entry VMs that answer lookups
+	Entries  []string  // host:port of entry VMs that answer lookups
+	Gateways *Gateways // entry VMs on the users' platform, in place of Entries and Service
 	Direct   string   // host:port of an upstream; empty: no direct calls
 	Origin   string
 	Service  string
 	Method   string
-	Path     string // below the service
+	Path     string // below the service; the whole path with Gateways
 	Body     string
 	Header   http.Header
 	Rate     float64       // requests a second through entry VMs, and as many directly
@@ -106,6 +107,9 @@
 }
 
 func (o *Options) throughEntry() send {
+	if o.Gateways != nil {
+		return newGatewayCaller(o).send
+	}
 	client := caller.New(caller.Options{Entries: o.Entries, Origin: o.Origin, Timeout: o.Timeout})
 	return func(ctx context.Context) bool {
 		answer, err := client.Do(ctx, o.Service, o.Method, o.Path, o.body(), caller.CallOptions{Header: o.Header})
@@ -117,16 +121,12 @@
 }
 
 func (o *Options) directly() send {
-	const idle = 256 // connections
-	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: idle}}
+	client := newClient()
 	return func(ctx context.Context) bool {
-		req, err := http.NewRequestWithContext(ctx, o.Method, "http://"+o.Direct+o.Path, o.body())
+		req, err := o.request(ctx, o.Direct)
 		if err != nil {
 			return false
 		}
-		for name, values := range o.Header {
-			req.Header[name] = values
-		}
 		answer, err := client.Do(req)
 		if err != nil {
 			return false
@@ -135,6 +135,24 @@
 	}
 }
 
+// newClient returns a client that keeps as many connections to an address as a load needs.
+func newClient() *http.Client {
+	const idle = 256 // connections
+	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: idle}}
+}
+
+// request builds a request to address, host:port.
+func (o *Options) request(ctx context.Context, address string) (*http.Request, error) {
+	req, err := http.NewRequestWithContext(ctx, o.Method, "http://"+address+o.Path, o.body())
+	if err != nil {
+		return nil, err
+	}
+	for name, values := range o.Header {
+		req.Header[name] = values
+	}
+	return req, nil
+}
+
 func (o *Options) body() io.Reader {
 	if o.Body == "" {
 		return nil
