--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -21,7 +21,7 @@
 type Options struct {
 	Entries  []string  // host:port of entry VMs that answer lookups
 	Gateways *Gateways // entry VMs on the users' platform, in place of Entries and Service
-	Direct   string   // host:port of an upstream; empty: no direct calls
+	Direct   string    // host:port of an upstream; empty: no direct calls
 	Origin   string
 	Service  string
 	Method   string
