gateway: an entry VM that cannot serve names itself to no caller

Cause: the directory of a process that has no configuration and knows no other VM still named itself.

Change: it names itself only once it can serve.

Test: TestLookupLeavesOutAnEntryVMThatCannotServe; failed before ([self:1] named).

Left: the other VMs still name a VM that stopped while the store was away, and that VM still learns nothing until the store is back.

--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -96,6 +96,7 @@
 			return
 		}
 	}
+	d.presence.serves.Store(true)
 	d.presence.announce(ctx)
 }
 
--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -6,10 +6,15 @@
 	"github.com/azureflow/azureflow/internal/steering"
 )
 
-// Lookup returns the entry VMs for callers in a zone: those of the zone, else of its region, else all. Of these
-// it leaves out the ones whose links are too narrow for an even share. A zone in which that leaves too few is
-// served by its region.
+// Lookup returns the entry VMs for callers in a zone, this one only if it can serve.
 func (p *presence) Lookup(region steering.RegionName, zone steering.ZoneName) Found {
+	return Found{Addresses: p.addresses(region, zone, p.serves.Load()), TTL: p.ttl}
+}
+
+// addresses returns those of the entry VMs of a zone, else of its region, else all; this one only with self and unless it
+// leaves. It leaves out the ones whose links are too narrow for an even share. A zone in which that leaves too few is
+// served by its region.
+func (p *presence) addresses(region steering.RegionName, zone steering.ZoneName, self bool) []string {
 	var inZone, inRegion, all []*presenceRecord
 	add := func(r *presenceRecord) {
 		all = append(all, r)
@@ -20,7 +25,7 @@
 			inZone = append(inZone, r)
 		}
 	}
-	if !p.leaves.Load() {
+	if self && !p.leaves.Load() {
 		add(&p.self)
 	}
 	for _, r := range *p.live.Load() {
@@ -38,7 +43,7 @@
 		addresses = append(addresses, r.Requests)
 	}
 	sort.Strings(addresses)
-	return Found{Addresses: addresses, TTL: p.ttl}
+	return addresses
 }
 
 // leastNamed is the number of entry VMs that an answer names if there are so many near: one may have died unnoticed.
@@ -61,7 +66,7 @@
 // maxAddresses is the most that a caller reads from an answer, by the protocol.
 const maxAddresses = 64
 
-// serving returns how many entry VMs of this region callers are told of.
+// serving returns how many entry VMs of this region callers are told of once this one can serve.
 func (p *presence) serving() int {
 	named := make(map[string]bool)
 	zones := map[steering.ZoneName]bool{p.self.Zone: true}
@@ -71,7 +76,7 @@
 		}
 	}
 	for zone := range zones {
-		for _, address := range p.Lookup(p.self.Region, zone).Addresses {
+		for _, address := range p.addresses(p.self.Region, zone, true) {
 			named[address] = true
 		}
 	}
--- a/internal/gateway/presence.go
+++ b/internal/gateway/presence.go
@@ -45,6 +45,7 @@
 	listing time.Duration // life of the lease
 
 	live   atomic.Pointer[[]presenceRecord] // this VM not included
+	serves atomic.Bool                      // this VM can serve requests
 	leaves atomic.Bool
 	lease  kv.LeaseID // of the loop that renews it
 }
--- a/internal/gateway/presence_test.go
+++ b/internal/gateway/presence_test.go
@@ -24,6 +24,7 @@
 	}
 	entries = append(entries, kv.Entry{Key: presencePrefix + "broken", Value: []byte("{")})
 	p.take(entries)
+	p.serves.Store(true)
 	return p
 }
 
@@ -61,6 +62,20 @@
 	}
 }
 
+// An entry VM that started while the store is away would draw all callers of its zone and refuse them.
+func TestLookupLeavesOutAnEntryVMThatCannotServe(t *testing.T) {
+	p := testPresence(t, map[string]presenceRecord{"b": {Zone: "north-b", Region: "north", Requests: "b:1", Peer: "b:2"}})
+	p.serves.Store(false)
+	if got := p.Lookup("north", "north-a").Addresses; !slices.Equal(got, []string{"b:1"}) {
+		t.Errorf("named %v, want the other one of the region", got)
+	}
+	p = testPresence(t, nil)
+	p.serves.Store(false)
+	if got := p.Lookup("north", "north-a").Addresses; len(got) != 0 {
+		t.Errorf("named %v, want none", got)
+	}
+}
+
 func TestReaderIsTheSameForAllOfARegion(t *testing.T) {
 	p := testPresence(t, map[string]presenceRecord{
 		"x": {Region: "north", Requests: "x:1", Peer: "10.0.0.0:2"},
