gateway: an entry VM that starts while the store is away serves by what its seeds know

Cause: a process learned of the other entry VMs from the store only. Class: what is needed when a dependency fails is known only by way of that dependency. Ruled out: peers that refuse it (none was asked before the store was back).

Change: a process that starts asks the seeds of its settings for their copies and for the entry VMs that they know, beside the store, until it can serve or knows its peers. The first list of the store replaces what a seed said. Entry VMs serve each other at the control address, which is what seeds name.

--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -28,7 +28,7 @@
 	if self && !p.leaves.Load() {
 		add(&p.self)
 	}
-	for _, r := range *p.live.Load() {
+	for _, r := range p.others() {
 		add(&r)
 	}
 	found := widest(inZone, 1)
@@ -70,7 +70,7 @@
 func (p *presence) serving() int {
 	named := make(map[string]bool)
 	zones := map[steering.ZoneName]bool{p.self.Zone: true}
-	for _, r := range *p.live.Load() {
+	for _, r := range p.others() {
 		if r.Region == p.self.Region {
 			zones[r.Zone] = true
 		}
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -273,7 +273,7 @@
 	return &Settings{
 		Name: name, IP: "10.0.0.1", Region: "north", Zone: "north-a",
 		Zones:  map[steering.ZoneName]steering.RegionName{"north-a": "north", "north-b": "north", "south-a": "south"},
-		Listen: ListenSettings{Requests: name + ":1", PeerPort: 2},
+		Listen: ListenSettings{Requests: name + ":1", Peer: "10.0.0.1:2"},
 		Bounds: Bounds{Drain: 2500 * time.Millisecond, DirectoryTTL: 5 * time.Second, Grace: 6 * time.Second},
 	}
 }
--- a/internal/gateway/presence.go
+++ b/internal/gateway/presence.go
@@ -3,8 +3,7 @@
 import (
 	"context"
 	"encoding/json"
-	"net"
-	"strconv"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -44,7 +43,7 @@
 	ttl     time.Duration // of answers to callers
 	listing time.Duration // life of the lease
 
-	live   atomic.Pointer[[]presenceRecord] // this VM not included
+	live   atomic.Pointer[[]presenceRecord] // this VM not included; nil: not known yet
 	serves atomic.Bool                      // this VM can serve requests
 	leaves atomic.Bool
 	lease  kv.LeaseID // of the loop that renews it
@@ -57,14 +56,13 @@
 		listing: max(presenceTTL, s.MinLeaseTTL),
 		self: presenceRecord{
 			Zone: s.Zone, Region: s.Region, Requests: s.Listen.Requests,
-			Peer:     net.JoinHostPort(s.IP, strconv.Itoa(s.Listen.PeerPort)),
+			Peer:     s.Listen.Peer,
 			LinkMbit: s.LinkMbit,
 		},
 	}
 	if s.Bounds.DirectoryTTL > 0 {
 		p.ttl = min(p.ttl, s.Bounds.DirectoryTTL)
 	}
-	p.live.Store(&[]presenceRecord{})
 	return p
 }
 
@@ -134,33 +132,68 @@
 }
 
 func (p *presence) take(entries []kv.Entry) {
-	var live []presenceRecord
-	peers := placement.Peers{Fleet: 1, Region: 1}
+	live := make([]presenceRecord, 0, len(entries))
 	for _, e := range entries {
 		var r presenceRecord
 		if err := json.Unmarshal(e.Value, &r); err != nil {
 			p.log.WithFields(logrus.Fields{"key": e.Key, "error": err.Error()}).Warn("entry ignored")
 			continue
 		}
-		if r.Requests == p.self.Requests {
-			continue
-		}
+		live = append(live, r)
+	}
+	live = p.withoutSelf(live)
+	p.live.Store(&live)
+	p.countPeers()
+}
+
+// adopt takes the entry VMs that a peer knows, until the store has listed them. It reports whether it did.
+func (p *presence) adopt(records []presenceRecord) bool {
+	live := p.withoutSelf(records)
+	if len(live) == 0 || !p.live.CompareAndSwap(nil, &live) {
+		return false
+	}
+	p.countPeers()
+	return true
+}
+
+func (p *presence) withoutSelf(records []presenceRecord) []presenceRecord {
+	return slices.DeleteFunc(records, func(r presenceRecord) bool { return r.Requests == p.self.Requests })
+}
+
+// countPeers tells the chooser how many entry VMs there are.
+func (p *presence) countPeers() {
+	peers := placement.Peers{Fleet: 1, Region: 1, Serving: p.serving()}
+	for _, r := range p.others() {
 		peers.Fleet++
 		if r.Region == p.self.Region {
 			peers.Region++
 		}
-		live = append(live, r)
 	}
-	p.live.Store(&live)
-	peers.Serving = p.serving()
 	p.chooser.SetPeers(peers)
 }
 
+// others returns the other entry VMs that are known.
+func (p *presence) others() []presenceRecord {
+	if live := p.live.Load(); live != nil {
+		return *live
+	}
+	return nil
+}
+
+// known returns the entry VMs that callers could be sent to, this one included if it can serve and stays.
+func (p *presence) known() []presenceRecord {
+	records := slices.Clone(p.others())
+	if p.serves.Load() && !p.leaves.Load() {
+		records = append(records, p.self)
+	}
+	return records
+}
+
 // reader returns the peer address of the entry VM that reads for this region, or "" if that is this one. It is
 // the one with the widest link, since all others take copies from it, and of these the first by address.
 func (p *presence) reader() string {
 	reader := &p.self
-	for _, r := range *p.live.Load() {
+	for _, r := range p.others() {
 		if r.Region == p.self.Region && r.Peer != "" && r.widerThan(reader) {
 			reader = &r
 		}
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -20,6 +20,7 @@
 	StoreAddress string                                    // host:port of the platform's store
 	LinkMbit     float64                                   // the VM's own link, Mbit/s; 0: not known
 	Listen       ListenSettings
+	Seeds        []string      // peer addresses of some entry VMs, host:port; any of them may be gone
 	MinLeaseTTL  time.Duration // the shortest that the store grants
 	Bounds       Bounds
 }
@@ -29,7 +30,7 @@
 	Requests  string
 	Readiness string
 	Directory string
-	PeerPort  int // for other entry VMs
+	Peer      string // for other entry VMs
 }
 
 // Bounds are what the users ask of the system.
--- a/internal/gateway/sharing.go
+++ b/internal/gateway/sharing.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -12,6 +13,7 @@
 	"github.com/azureflow/azureflow/internal/clock"
 	"github.com/azureflow/azureflow/internal/kv"
 	"github.com/azureflow/azureflow/internal/peer"
+	"github.com/azureflow/azureflow/internal/steering"
 )
 
 // shareTimeout bounds a call to a peer. It is several times the delay between regions.
@@ -26,6 +28,7 @@
 	follower *follower
 	presence *presence
 	pool     *peer.Pool
+	seeds    []string // peer addresses
 	log      logrus.FieldLogger
 	metrics  *Metrics
 
@@ -34,9 +37,12 @@
 	turn  int                                // of the peer to ask where the reader does not help
 }
 
-func newSharing(f *follower, p *presence, log logrus.FieldLogger, pool *peer.Pool, metrics *Metrics) *sharing {
+func newSharing(
+	f *follower, p *presence, s *Settings, log logrus.FieldLogger, pool *peer.Pool, metrics *Metrics,
+) *sharing {
 	return &sharing{
 		follower: f, presence: p, pool: pool, log: log, metrics: metrics, known: make(map[string]*peer.FetchStoreRequest),
+		seeds: slices.DeleteFunc(slices.Clone(s.Seeds), func(seed string) bool { return seed == p.self.Peer }),
 	}
 }
 
@@ -53,10 +59,14 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
-	return &peer.FetchStoreReply{
+	reply := &peer.FetchStoreReply{
 		Servers:  copyMessage(f.servers, r.GetServers(), now),
 		Operator: copyMessage(f.operator, r.GetOperator(), now),
-	}, nil
+	}
+	if r.GetEntryVms() {
+		reply.EntryVms = listMessage(s.presence.known())
+	}
+	return reply, nil
 }
 
 // copyMessage returns what changed in c since the copy that the asker knows.
@@ -80,11 +90,26 @@
 
 // run asks peers until ctx ends.
 func (s *sharing) run(ctx context.Context) {
+	s.join(ctx)
 	for clock.Sleep(ctx, s.follower.pace.Load().shareInterval) == nil {
 		s.round(ctx)
 	}
 }
 
+// join asks the seeds until this entry VM can serve or knows its peers: the store may be away, and a seed may be nearer.
+func (s *sharing) join(ctx context.Context) {
+	for !s.follower.Ready() && s.presence.live.Load() == nil {
+		var calls sync.WaitGroup
+		for _, seed := range s.seeds {
+			calls.Go(func() { s.ask(ctx, seed) })
+		}
+		calls.Wait()
+		if clock.Sleep(ctx, s.follower.pace.Load().shareInterval) != nil {
+			return
+		}
+	}
+}
+
 // round asks the region's reader, or another peer where that does not help and own reads fail too.
 func (s *sharing) round(ctx context.Context) {
 	reader := s.presence.reader()
@@ -103,7 +128,7 @@
 // another returns the peers but the reader in turn, "" if there is none.
 func (s *sharing) another(reader string) string {
 	var others []string
-	for _, r := range *s.presence.live.Load() {
+	for _, r := range s.presence.others() {
 		if r.Peer != reader && r.Peer != "" {
 			others = append(others, r.Peer)
 		}
@@ -139,10 +164,10 @@
 func (s *sharing) request(address string) *peer.FetchStoreRequest {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if known := s.known[address]; known != nil {
-		return known
+	known := s.known[address]
+	return &peer.FetchStoreRequest{
+		Servers: known.GetServers(), Operator: known.GetOperator(), EntryVms: s.presence.live.Load() == nil,
 	}
-	return &peer.FetchStoreRequest{}
 }
 
 // take merges a peer's copies into this VM's own and remembers how far they go. Where the two do not agree
@@ -157,11 +182,38 @@
 		changed, known.Operator = merge(c, r.GetOperator(), asked)
 		return changed
 	})
+	if s.presence.adopt(listedVMs(r.GetEntryVms())) {
+		s.log.WithFields(logrus.Fields{"peer": address, "entry_vms": len(r.GetEntryVms())}).Info("entry VMs known from a peer")
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.known[address] = known
 }
 
+// listMessage returns entry VMs as a peer is told of them.
+func listMessage(records []presenceRecord) []*peer.ListedVM {
+	listed := make([]*peer.ListedVM, len(records))
+	for i := range records {
+		r := &records[i]
+		listed[i] = &peer.ListedVM{
+			Zone: string(r.Zone), Region: string(r.Region), RequestsAddress: r.Requests, PeerAddress: r.Peer, LinkMbit: r.LinkMbit,
+		}
+	}
+	return listed
+}
+
+// listedVMs returns the entry VMs that a peer told of.
+func listedVMs(listed []*peer.ListedVM) []presenceRecord {
+	records := make([]presenceRecord, len(listed))
+	for i, l := range listed {
+		records[i] = presenceRecord{
+			Zone: steering.ZoneName(l.GetZone()), Region: steering.RegionName(l.GetRegion()),
+			Requests: l.GetRequestsAddress(), Peer: l.GetPeerAddress(), LinkMbit: l.GetLinkMbit(),
+		}
+	}
+	return records
+}
+
 // merge takes a peer's copy, asked for at asked, into c. It returns whether c changed, and the position from which
 // to ask next.
 func merge(c *storeCopy, m *peer.StoreCopy, asked time.Time) (changed bool, next *peer.StoreCopy) {
--- a/internal/gateway/sharing_test.go
+++ b/internal/gateway/sharing_test.go
@@ -10,8 +10,10 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/azureflow/azureflow/internal/kv"
 	"github.com/azureflow/azureflow/internal/peer"
 	"github.com/azureflow/azureflow/internal/pipenet"
+	"github.com/azureflow/azureflow/internal/placement"
 )
 
 // fleet is some followers of one region over one store, which share its reads over pipes.
@@ -19,6 +21,7 @@
 	store     *fakeStore
 	bounds    Bounds
 	names     []string
+	seeds     []string               // if not nil, entry VMs that start know these only
 	gates     map[string]*gatedStore // by entry VM
 	followers map[string]*follower   // of the process that runs, or ran last
 
@@ -55,7 +58,8 @@
 func (fl *fleet) start(ctx context.Context, t *testing.T, name string) {
 	f := newTestFollower(t, fl.gates[name], name)
 	f.pace.Store(newPace(&fl.bounds))
-	s := newSharing(f, fl.presenceOf(f, name), f.log, peer.NewPool(fl.dial), NewMetrics(prometheus.NewRegistry()))
+	p := fl.presenceOf(f, name)
+	s := newSharing(f, p, &Settings{Seeds: fl.seeds}, f.log, peer.NewPool(fl.dial), NewMetrics(prometheus.NewRegistry()))
 	own, stop := context.WithCancel(ctx)
 	fl.followers[name] = f
 	fl.mu.Lock()
@@ -67,10 +71,14 @@
 	go s.run(own)
 }
 
-// presenceOf returns the presence of an entry VM that knows all others.
+// presenceOf returns the presence of an entry VM that knows all others, or none if there are seeds.
 func (fl *fleet) presenceOf(f *follower, name string) *presence {
 	p := newPresence(fl.store, testSettings(name), f.chooser, f.log)
 	p.self.Peer = name
+	p.serves.Store(true)
+	if fl.seeds != nil {
+		return p
+	}
 	var others []presenceRecord
 	for _, other := range fl.names {
 		if other != name {
@@ -217,3 +225,45 @@
 		}
 	}, "vm-1", "vm-2")
 }
+
+// A process that starts while the store is away, as in restarts one after the other, has only its seeds to ask.
+func TestEntryVMThatStartsWhileTheStoreIsAwayServes(t *testing.T) {
+	const startBound = time.Second // a second after its start the platform asks whether it is ready
+	for _, seeds := range [][]string{{"vm-1"}, {"vm-2", "vm-3", "vm-1"}, {"gone", "vm-3"}} {
+		sharingTest(t, func(t *testing.T, fl *fleet) {
+			fl.store.put("operator/config", fakeConfig{Version: 2})
+			time.Sleep(time.Second)
+			fl.store.fail(&kv.UnavailableError{Op: "test", Cause: &brokenEntryError{}})
+			fl.lose("vm-2")
+			fl.down["gone"], fl.seeds = true, seeds
+			fl.start(t.Context(), t, "vm-2")
+			time.Sleep(startBound)
+			f := fl.followers["vm-2"]
+			if !f.Ready() || f.Table().Version() != 2 || !f.known()["a"] {
+				t.Errorf("seeds %v: ready %v, servers %v %v after its start", seeds, f.Ready(), f.known(), startBound)
+			}
+			if others := fl.shares["vm-2"].presence.others(); len(others) != 2 {
+				t.Errorf("seeds %v: knows %+v, want two other entry VMs", seeds, others)
+			}
+		}, "vm-1", "vm-2", "vm-3")
+	}
+}
+
+// What a peer said of entry VMs ends with the first list of the store.
+func TestListOfTheStoreReplacesWhatAPeerKnew(t *testing.T) {
+	p := newPresence(newFakeStore(), testSettings("self"), placement.NewChooser(placement.Options{}), silentLog())
+	self := presenceRecord{Requests: "self:1"}
+	if p.adopt([]presenceRecord{self}) {
+		t.Error("a list without other entry VMs was taken")
+	}
+	if !p.adopt([]presenceRecord{self, {Requests: "a:1"}}) || len(p.others()) != 1 {
+		t.Errorf("knows %+v, want the other one", p.others())
+	}
+	if p.adopt([]presenceRecord{{Requests: "b:1"}, {Requests: "c:1"}}) {
+		t.Error("a second peer's list was taken")
+	}
+	p.take(nil)
+	if p.adopt([]presenceRecord{{Requests: "a:1"}}) || len(p.others()) != 0 {
+		t.Errorf("knows %+v, but the store lists none", p.others())
+	}
+}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -69,7 +69,7 @@
 	routes := s.chooser.Routes()
 	gauge(s.routes, float64(routes.Answered), "answered")
 	gauge(s.routes, float64(routes.Unanswered), "unanswered")
-	gauge(s.peers, float64(len(*s.presence.live.Load())))
+	gauge(s.peers, float64(len(s.presence.others())))
 	servers, operator := s.follower.readTimes()
 	for copied, readAt := range map[string]time.Time{"servers": servers, "operator": operator} {
 		if !readAt.IsZero() {
