--- a/internal/entry/vmlist.go
+++ b/internal/entry/vmlist.go
@@ -134,8 +134,8 @@
 	if err == nil {
 		return rows, nil
 	}
-	for _, peer := range z.peersInTurn() {
-		if z.adopt(ctx, peer) == nil {
+	for _, name := range z.peersInTurn() {
+		if z.adopt(ctx, name) == nil {
 			rows, _ = z.log.Rows()
 			return rows, nil
 		}
@@ -151,12 +151,12 @@
 			live = append(live, e.VM.Name)
 		}
 	}
-	var peers []vm.Name
+	var turn []vm.Name
 	for range min(firstAsked, len(live)) {
-		peers = append(peers, live[z.turn%len(live)])
+		turn = append(turn, live[z.turn%len(live)])
 		z.turn++
 	}
-	return peers
+	return turn
 }
 
 // adopt takes the list of a peer as it is. Errors: *UnknownVersionError, those of the call.
--- a/internal/gateway/presence.go
+++ b/internal/gateway/presence.go
@@ -131,6 +131,7 @@
 	}
 }
 
+// take replaces what is known of the other entry VMs by the store's list.
 func (p *presence) take(entries []kv.Entry) {
 	live := make([]presenceRecord, 0, len(entries))
 	for _, e := range entries {
