--- a/internal/gateway/sharing_test.go
+++ b/internal/gateway/sharing_test.go
@@ -112,6 +112,13 @@
 	fl.stops[name]()
 }
 
+// neverStart makes the address of an entry VM that does not run answer nothing.
+func (fl *fleet) neverStart(name string) {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	fl.down[name] = true
+}
+
 func (fl *fleet) isDown(name string) bool {
 	fl.mu.Lock()
 	defer fl.mu.Unlock()
@@ -235,7 +242,8 @@
 			time.Sleep(time.Second)
 			fl.store.fail(&kv.UnavailableError{Op: "test", Cause: &brokenEntryError{}})
 			fl.lose("vm-2")
-			fl.down["gone"], fl.seeds = true, seeds
+			fl.neverStart("gone")
+			fl.seeds = seeds
 			fl.start(t.Context(), t, "vm-2")
 			time.Sleep(startBound)
 			f := fl.followers["vm-2"]
