entry, vm: seeds of the reference platform's daemon are taken back; known red

TestFaultMatrix/cells/VM-list-read/sender-and-receiver-killed: scanvault in dhofar carried 11 of 10 slots. TestFaultMatrix/defects/stamps-are-sent-to-their-upstream-a-second-time: a region overloaded as well. TestSilentConnectionsOnBothHops: 1 of 3,584 lookups unknown.

Suspected, not traced: an entry VM plans before the leader and the floor of its zone are confirmed.

Change: internal/entry, internal/vm, internal/steering and the demo's settings are as before. "Never over a cap" weighs more than service by a VM that restarts while the platform is away. The gateway's seeds are not touched.

--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -82,12 +82,11 @@
 	})
 }
 
-func provideExchanger(s *steering.Settings, d *vm.Directory, state *selfState, l *vm.Leaders, pool *peer.Pool) *vm.Exchanger {
+func provideExchanger(d *vm.Directory, state *selfState, l *vm.Leaders, pool *peer.Pool) *vm.Exchanger {
 	return vm.NewExchanger(vm.ExchangerOptions{
 		Directory: d,
 		Leaders:   l,
 		Self:      state.next,
 		Pool:      pool,
-		Seeds:     s.Seeds,
 	})
 }
--- a/internal/entry/vmlist.go
+++ b/internal/entry/vmlist.go
@@ -19,7 +19,6 @@
 	staleReads        = 3                      // polls after which a reader's list is stale
 	soloEvery         = 10 * time.Second       // on average, between own readings while the reader's list is stale
 	longestReaderWait = time.Second
-	firstAsked        = 3 // peers asked for the first list in a poll, while the platform is away
 )
 
 // zoneList is the VM list as the entry VMs of a zone share it: the first of them by name reads it from the
@@ -36,7 +35,6 @@
 	log       *vm.ListLog
 	skipped   map[vm.Name]time.Time // readers that failed, until when
 	solo      time.Time             // the next own reading while the reader's list is stale
-	turn      int                   // of the peers that are asked for the first list
 }
 
 func provideZoneList(opts Options, self Identity, list refplatform.VMList, d *vm.Directory, p *peers) *zoneList {
@@ -51,10 +49,7 @@
 	now := time.Now()
 	reader := z.reader(now)
 	rows, version := z.log.Rows()
-	switch {
-	case rows == nil:
-		return z.first(ctx)
-	case reader == z.self.Name:
+	if rows == nil || reader == z.self.Name {
 		return z.read(ctx)
 	}
 	err := z.learn(ctx, reader, version)
@@ -127,58 +122,6 @@
 	return rows, nil
 }
 
-// first returns the first list of this VM: the platform's, or while that is away a peer's, however old. Errors: those of
-// reading.
-func (z *zoneList) first(ctx context.Context) ([]vm.VM, error) {
-	rows, err := z.read(ctx)
-	if err == nil {
-		return rows, nil
-	}
-	for _, name := range z.peersInTurn() {
-		if z.adopt(ctx, name) == nil {
-			rows, _ = z.log.Rows()
-			return rows, nil
-		}
-	}
-	return nil, err
-}
-
-// peersInTurn returns firstAsked other VMs that were heard of and live, different ones each time.
-func (z *zoneList) peersInTurn() []vm.Name {
-	var live []vm.Name
-	for _, e := range z.directory.View().Entries {
-		if e.VM.Name != z.self.Name && e.Liveness == vm.Live && e.Incarnation > 0 {
-			live = append(live, e.VM.Name)
-		}
-	}
-	var turn []vm.Name
-	for range min(firstAsked, len(live)) {
-		turn = append(turn, live[z.turn%len(live)])
-		z.turn++
-	}
-	return turn
-}
-
-// adopt takes the list of a peer as it is. Errors: *UnknownVersionError, those of the call.
-func (z *zoneList) adopt(ctx context.Context, from vm.Name) error {
-	ctx, cancel := context.WithTimeout(ctx, listAnswerMargin)
-	defer cancel()
-	asked := time.Now()
-	reply, err := z.ask(ctx, from, &peer.FetchVMsRequest{})
-	if err != nil {
-		return err
-	}
-	change, err := changeOf(0, reply)
-	if err != nil {
-		return err
-	}
-	age := time.Duration(reply.GetAgeMs()) * time.Millisecond
-	if !reply.GetKnown() || len(change.Changed) == 0 || !z.log.Apply(change, asked.Add(-age)) {
-		return &UnknownVersionError{Reader: from}
-	}
-	return nil
-}
-
 // learn asks the reader for changes. Errors: *StaleReaderError, *UnknownVersionError, else those of the call.
 func (z *zoneList) learn(ctx context.Context, reader vm.Name, version vm.ListVersion) error {
 	wait := z.wait()
--- a/internal/steering/defaults.go
+++ b/internal/steering/defaults.go
@@ -54,7 +54,6 @@
 // DefaultSettings returns the settings that hold where a settings file says nothing.
 func DefaultSettings() *Settings {
 	return &Settings{
-		Seeds:     []string{},
 		Telemetry: TelemetrySettings{LogLevel: "info", Traces: "none", SampleShare: 0.01},
 		Limits: LimitSettings{
 			QueuePerService:    512,
--- a/internal/steering/settings.go
+++ b/internal/steering/settings.go
@@ -6,7 +6,6 @@
 	VM         VMSettings        `json:"vm" file:"required"`
 	Listen     ListenSettings    `json:"listen" file:"required"`
 	Platform   PlatformSettings  `json:"platform" file:"required"`
-	Seeds      []string          `json:"seeds"` // peer addresses of some entry VMs, host:port; any of them may be gone
 	Telemetry  TelemetrySettings `json:"telemetry"`
 	Limits     LimitSettings     `json:"limits"`
 	Admin      AdminSettings     `json:"admin"`
--- a/internal/steering/settings_file.go
+++ b/internal/steering/settings_file.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"io"
 	"net"
 	"net/url"
@@ -62,9 +61,6 @@
 	c.address("listen.admin", s.Listen.Admin)
 	c.url("platform.store", s.Platform.Store)
 	c.url("platform.vm_list", s.Platform.VMList)
-	for i, seed := range s.Seeds {
-		c.address(fmt.Sprintf("seeds[%d]", i), seed)
-	}
 	c.word("telemetry.log_level", s.Telemetry.LogLevel, logLevels)
 	c.word("telemetry.traces", s.Telemetry.Traces, exporters)
 	if s.Telemetry.Traces == "otlp" || s.Telemetry.OTLPEndpoint != "" {
--- a/internal/vm/exchange.go
+++ b/internal/vm/exchange.go
@@ -17,7 +17,6 @@
 	Leaders   *Leaders
 	Self      func() *peer.VMState // state of this VM now
 	Pool      *peer.Pool           // connections to peers
-	Seeds     []string             // peer addresses, asked while no other entry VM is known
 	Every     time.Duration        // between two rounds; default 500 ms
 	Timeout   time.Duration        // of one exchange; default 400 ms
 	Fanout    int                  // peers of the own zone asked in a round; default 3
@@ -191,9 +190,6 @@
 	round := x.rounds
 	x.rounds++
 	x.mu.Unlock()
-	if len(near)+len(far) == 0 {
-		return x.seeds(self.VM.PeerAddress)
-	}
 	out := inTurn(near, x.opts.Fanout, round, self.VM.Name)
 	if len(far) <= x.opts.Remote || x.opts.Leaders.Is(self.VM.Zone, self.VM.Name) {
 		out = append(out, inTurn(far, x.opts.Remote, round, self.VM.Name)...)
@@ -201,17 +197,6 @@
 	return out
 }
 
-// seeds returns the seeds but the one at address self. Their names are not known.
-func (x *Exchanger) seeds(self string) []VM {
-	var out []VM
-	for _, seed := range x.opts.Seeds {
-		if seed != self {
-			out = append(out, VM{PeerAddress: seed})
-		}
-	}
-	return out
-}
-
 // inTurn returns the VMs of n entries, others each round, beginning at a place that differs between VMs.
 // Entries are sorted by name.
 func inTurn(entries []*Entry, n, round int, self Name) []VM {
--- a/internal/vm/listlog.go
+++ b/internal/vm/listlog.go
@@ -138,7 +138,7 @@
 }
 
 // Since returns the change from a version to the rows held, and when the platform was asked for them. It is false
-// for a version that is not known here; version 0 holds no row and is always known once there is a list.
+// for a version that is not known here.
 func (l *ListLog) Since(version ListVersion) (c ListChange, asked time.Time, known bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -146,10 +146,6 @@
 	if version == l.version {
 		return c, l.askedAt, l.rows != nil
 	}
-	if version == 0 {
-		c.Changed = l.rows
-		return c, l.askedAt, true
-	}
 	first := len(l.changes) - 1
 	for first >= 0 && l.changes[first].From != version {
 		first--
