httpserver: serve the pipelined requests of a connection side by side

Change: a package of its own reads the requests of a connection, runs idempotent ones without a body concurrently, writes the responses in order and stops without losing a request. It replaces internal/drain for both daemons, whose tests it takes over. Heads are checked more strictly than by net/http where two readers could disagree. Ruled out: a splitter before net/http (it must know where a request ends, which is what smuggling abuses) and taking over the connection by Hijack (net/http may have read the second request already).

--- a/internal/entry/servers.go
+++ b/internal/entry/servers.go
@@ -10,7 +10,7 @@
 	"github.com/gorilla/mux"
 	"github.com/sirupsen/logrus"
 
-	"github.com/azureflow/azureflow/internal/drain"
+	"github.com/azureflow/azureflow/internal/httpserver"
 	"github.com/azureflow/azureflow/internal/lookup"
 	"github.com/azureflow/azureflow/internal/peer"
 	"github.com/azureflow/azureflow/internal/request"
@@ -65,7 +65,7 @@
 // servers are the three servers of a daemon.
 type servers struct {
 	listeners *Listeners
-	requests  *drain.Server
+	requests  *httpserver.Server
 	admin     *http.Server
 	peers     peer.DRPCPeerServer
 	log       logrus.FieldLogger
@@ -85,8 +85,8 @@
 	})
 	s := &servers{
 		listeners: l,
-		requests: drain.New(l.Requests, &http.Server{
-			Handler: callerRoutes(lookups, h), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout, ErrorLog: discardLog(),
+		requests: httpserver.New(l.Requests, httpserver.Options{
+			Handler: callerRoutes(lookups, h), HeadTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout, Log: log,
 		}),
 		admin: &http.Server{Handler: admin, ReadHeaderTimeout: readHeaderTimeout},
 		peers: peerService{
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -20,9 +20,9 @@
 	Placement *placement.Placement
 	Outcome   placement.Outcome
 	Took      time.Duration
-	Err       error // nil if the server responded
-	Status    int   // of the server's response, 0 if none
-	Ejected   bool  // the server was ejected: it gets no requests for a while
+	Err       error            // nil if the server responded
+	Status    int              // of the server's response, 0 if none
+	Effect    placement.Effect // on the server
 }
 
 // Reason says how a request ended: with a server's response, or why there was none. Apart from the values below it is
@@ -105,6 +105,17 @@
 // InFlight returns the number of requests that are being handled.
 func (h *Handler) InFlight() int64 { return h.inFlight.Load() }
 
+// IsIdempotent reports whether the request r may run more than once, by the route that it selects.
+func (h *Handler) IsIdempotent(r *http.Request) bool {
+	table := h.opts.Table()
+	if table == nil {
+		return false
+	}
+	path, _, _ := cutQuery(r.RequestURI)
+	route := table.Route(r.Host, path)
+	return route != nil && route.Kind.Idempotent()
+}
+
 // rejectedBodyTimeout bounds how long the body of a request that is rejected before the body was read may delay the
 // rejection. It is several times the delay between regions.
 const rejectedBodyTimeout = time.Second
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -14,8 +14,8 @@
 	"go.uber.org/fx"
 
 	"github.com/azureflow/azureflow/internal/clock"
-	"github.com/azureflow/azureflow/internal/drain"
 	"github.com/azureflow/azureflow/internal/forward"
+	"github.com/azureflow/azureflow/internal/httpserver"
 	"github.com/azureflow/azureflow/internal/request"
 )
 
@@ -55,8 +55,8 @@
 	stop           context.CancelFunc
 	stopAnnouncing context.CancelFunc // ends the listing of this entry VM
 	loops          sync.WaitGroup
-	requestServer  *drain.Server   // for callers; nil if there is no request listener
-	auxServers     []*drain.Server // for readiness, directory and metrics
+	requestServer  *httpserver.Server   // for callers; nil if there is no request listener
+	auxServers     []*httpserver.Server // for readiness, directory and metrics
 }
 
 func (d *daemon) start(context.Context) error {
@@ -146,18 +146,19 @@
 	metrics.Handle("/metrics", promhttp.HandlerFor(d.registry, promhttp.HandlerOpts{}))
 	listen := &d.settings.Listen
 	for _, l := range []struct {
-		address string
-		handler http.Handler
+		address   string
+		handler   http.Handler
+		runsAhead func(*http.Request) bool
 	}{
-		{listen.Requests, d.handler},
-		{listen.Readiness, d.catalog.Readiness(d.isReady)},
-		{listen.Directory, d.catalog.Directory(d.presence.Lookup)},
-		{net.JoinHostPort(d.settings.IP, metricsPort), metrics},
+		{listen.Requests, d.handler, d.handler.IsIdempotent},
+		{listen.Readiness, d.catalog.Readiness(d.isReady), nil},
+		{listen.Directory, d.catalog.Directory(d.presence.Lookup), nil},
+		{net.JoinHostPort(d.settings.IP, metricsPort), metrics, nil},
 	} {
 		if l.address == "" {
 			continue
 		}
-		server, err := d.startServer(ctx, l.address, l.handler)
+		server, err := d.startServer(ctx, l.address, l.handler, l.runsAhead)
 		if err != nil {
 			return err
 		}
@@ -173,13 +174,16 @@
 // metricsPort is the port that serves /metrics.
 const metricsPort = "9464"
 
-func (d *daemon) startServer(ctx context.Context, address string, handler http.Handler) (*drain.Server, error) {
+func (d *daemon) startServer(
+	ctx context.Context, address string, handler http.Handler, runsAhead func(*http.Request) bool,
+) (*httpserver.Server, error) {
 	listener, err := request.ListenConfig(tcpUserTimeout).Listen(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	server := drain.New(listener, &http.Server{
-		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	server := httpserver.New(listener, httpserver.Options{
+		Handler: handler, RunsAhead: runsAhead, HeadTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		MaxHeadBytes: maxHeaderBytes, Log: d.log,
 	})
 	d.loops.Go(func() {
 		if err := server.Serve(); err != nil {
@@ -231,7 +235,7 @@
 	}
 }
 
-func drainUntil(s *drain.Server, until time.Time, idle time.Duration) bool {
+func drainUntil(s *httpserver.Server, until time.Time, idle time.Duration) bool {
 	ctx, cancel := context.WithDeadline(context.Background(), until)
 	defer cancel()
 	return s.Drain(ctx, idle)
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -11,8 +11,8 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/azureflow/azureflow/internal/drain"
 	"github.com/azureflow/azureflow/internal/forward"
+	"github.com/azureflow/azureflow/internal/httpserver"
 	"github.com/azureflow/azureflow/internal/pipenet"
 	"github.com/azureflow/azureflow/internal/placement"
 	"github.com/azureflow/azureflow/internal/routing"
@@ -52,7 +52,7 @@
 	vm.daemon = &daemon{
 		settings: settings, handler: handler, log: discardLog(), stopAnnouncing: stopAnnouncing, stop: stop,
 		presence:      newPresence(newFakeStore(), settings, chooser, discardLog()),
-		requestServer: drain.New(vm.listener, &http.Server{Handler: handler, IdleTimeout: time.Minute, ReadHeaderTimeout: 10 * time.Second}),
+		requestServer: httpserver.New(vm.listener, httpserver.Options{Handler: handler, RunsAhead: handler.IsIdempotent}),
 	}
 	go func() { _ = vm.requestServer.Serve() }()
 	return vm
--- a/internal/drain/listener.go
+++ b/internal/httpserver/listener.go
@@ -1,4 +1,4 @@
-package drain
+package httpserver
 
 import (
 	"errors"
@@ -7,13 +7,19 @@
 	"time"
 )
 
+const (
+	// A listener that stops accepting is closed once no connection was pending for pendingAcceptWait, or after
+	// pendingAcceptLimit; the request of a new connection follows within milliseconds in a zone.
+	pendingAcceptWait  = 5 * time.Millisecond
+	pendingAcceptLimit = 100 * time.Millisecond
+)
+
 // deadlineListener is a listener whose Accept can be interrupted.
 type deadlineListener interface{ SetDeadline(t time.Time) error }
 
-// listener wraps and tracks the connections that it accepts.
+// listener is a listener that can stop accepting without resetting the connections that are already pending.
 type listener struct {
 	net.Listener
-	owner          *Server
 	acceptDeadline time.Time // of accepting pending connections; zero: the server still accepts
 }
 
@@ -24,10 +30,7 @@
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		raw, err = l.acceptPending()
 	}
-	if err != nil {
-		return nil, err
-	}
-	return l.owner.track(raw), nil
+	return raw, err
 }
 
 // acceptPending returns the next pending connection. It closes the listener if there is none. Errors: net.ErrClosed,
--- a/internal/drain/server_test.go
+++ b/internal/httpserver/server_test.go
@@ -1,4 +1,4 @@
-package drain
+package httpserver
 
 import (
 	"bufio"
@@ -9,14 +9,18 @@
 	"time"
 )
 
-// newTestServer returns a Server on loopback whose handler waits until released is closed.
-func newTestServer(t *testing.T, released <-chan struct{}) (*Server, string) {
+// newTestServer returns a Server on loopback whose handler reports each request on started, unless that is nil, and
+// waits until released is closed.
+func newTestServer(t *testing.T, started chan<- struct{}, released <-chan struct{}) (*Server, string) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := New(l, &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	s := New(l, Options{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if started != nil {
+			started <- struct{}{}
+		}
 		<-released
 		w.WriteHeader(http.StatusNoContent)
 	})})
@@ -48,7 +52,7 @@
 }
 
 func TestResponsesAskToCloseOnceKeepAlivesAreDisabled(t *testing.T) {
-	s, url := newTestServer(t, closedChannel())
+	s, url := newTestServer(t, nil, closedChannel())
 	client := &http.Client{Transport: &http.Transport{}}
 	if resp := get(t, client, url); resp.Close {
 		t.Error("a response asks to close the connection while keep-alives are enabled")
@@ -60,7 +64,7 @@
 }
 
 func TestDrainClosesIdleConnections(t *testing.T) {
-	s, url := newTestServer(t, closedChannel())
+	s, url := newTestServer(t, nil, closedChannel())
 	get(t, &http.Client{Transport: &http.Transport{}}, url) // its connection stays open
 	s.StopAccepting()
 	if !s.Drain(t.Context(), 10*time.Millisecond) {
@@ -72,8 +76,8 @@
 }
 
 func TestDrainWaitsForRequestsInFlight(t *testing.T) {
-	release := make(chan struct{})
-	s, url := newTestServer(t, release)
+	started, release := make(chan struct{}), make(chan struct{})
+	s, url := newTestServer(t, started, release)
 	status := make(chan int, 1)
 	go func() {
 		resp, err := http.Get(url)
@@ -84,9 +88,7 @@
 		resp.Body.Close()
 		status <- resp.StatusCode
 	}()
-	for s.openConns() == 0 || len(s.idleConns()) > 0 {
-		time.Sleep(time.Millisecond)
-	}
+	<-started
 	s.StopAccepting()
 	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
 	defer cancel()
@@ -118,7 +120,7 @@
 		t.Fatal(err)
 	}
 	blocked := &blockedListener{TCPListener: l, released: make(chan struct{})}
-	s := New(blocked, &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	s := New(blocked, Options{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.WriteHeader(http.StatusNoContent)
 	})})
 	defer s.Close()
