placement, forward: obey what servers ask for in their responses, believe no copied refusal

A faulty server that writes an earlier refusal once more on a kept connection made an unsafe request run twice: the retry of a transiently refused request used the same connection with the same ID, and a refusal without an ID passed for the response to whatever was in flight. Change: a notice per server that ends with its incarnation and outlives its registry entry; a refusal for the shortest pause if all servers want one. A connection does not carry a request again that was refused on it, and a response without an ID is trusted on a new connection only.

--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -26,7 +26,8 @@
 	conn     *conn
 }
 
-// readResponse reads the response to the request with id from c. Responses to other requests are skipped.
+// readResponse reads the response to the request with id from c. Responses to other requests are skipped. One without
+// an ID can only be trusted on a new connection: elsewhere it may belong to an earlier request.
 // Errors: *InvalidResponseError, *HeadTooLargeError, those of reading.
 func readResponse(c *conn, address, id string, names *Headers, req *http.Request) (*serverResponse, error) {
 	for range maxStrayResponses {
@@ -44,6 +45,9 @@
 			}
 			continue
 		}
+		if response.Header.Get(names.RequestID) == "" && c.used {
+			return nil, &InvalidResponseError{Address: address, Problem: "it has no request ID on a connection that was used before"}
+		}
 		resp := &serverResponse{http: response, buffered: buffered, complete: complete, conn: c}
 		if problem := resp.problem(names); problem != "" {
 			return nil, &InvalidResponseError{Address: address, Problem: problem}
@@ -121,7 +125,7 @@
 func (resp *serverResponse) isReusable() bool {
 	r := resp.http
 	isFramed := r.ContentLength >= 0 || len(r.TransferEncoding) > 0
-	return resp.complete && isFramed && !r.Close && resp.conn.reader.Buffered() == 0
+	return resp.complete && isFramed && !r.Close && resp.conn.reader.Buffered() == 0 && len(resp.conn.refused) < maxRefusedIDs
 }
 
 // reportsNotRun reports whether the server says that it did not run the request.
--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -7,6 +7,7 @@
 	"math"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -30,6 +31,7 @@
 	idleSince time.Time
 	idleLimit time.Duration
 	used      bool
+	refused   []string // IDs of the requests that the server refused on it
 }
 
 func newConn(raw net.Conn) *conn {
@@ -80,6 +82,13 @@
 	return state == socket.Idle || state == socket.Unknown
 }
 
+// maxRefusedIDs bounds the memory for the IDs of refused requests; a connection with more is not used again.
+const maxRefusedIDs = 16
+
+// mayCarry reports whether the connection may carry the request with id. A server that refused it before may send that
+// refusal a second time, which would pass for the response to this attempt although the request runs.
+func (c *conn) mayCarry(id string) bool { return !slices.Contains(c.refused, id) }
+
 // interruptOn makes all reads and writes on the connection fail once ctx ends. stop cancels this.
 func (c *conn) interruptOn(ctx context.Context) (stop func() bool) {
 	return context.AfterFunc(ctx, func() { _ = c.raw.SetDeadline(time.Unix(1, 0)) })
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -117,10 +117,10 @@
 	if !a.notRun {
 		x.mayHaveRun = true
 	}
-	ejected := x.h.opts.Chooser.RecordResult(a.to, &a.result, time.Now())
+	effect := x.h.opts.Chooser.RecordResult(a.to, &a.result, time.Now())
 	x.h.opts.Journal.AttemptDone(&Attempt{
 		RequestID: x.id, Service: x.service, Placement: a.to, Outcome: a.result.Outcome, Took: a.result.Latency,
-		Err: a.err, Status: a.status(), Ejected: ejected,
+		Err: a.err, Status: a.status(), Effect: effect,
 	})
 }
 
@@ -155,7 +155,11 @@
 	if x.mayHaveRun {
 		return x.respond(x.last)
 	}
-	x.writeFailure(http.StatusServiceUnavailable, Reason(r.Reason), x.h.retryAfter(r.RetryAfter))
+	retryAfter := x.h.retryAfter(r.RetryAfter)
+	if r.Reason == placement.ReasonBackoff {
+		retryAfter = max(retryAfter, r.RetryAfter) // no server accepts a request before that
+	}
+	x.writeFailure(http.StatusServiceUnavailable, Reason(r.Reason), retryAfter)
 	return true
 }
 
--- a/internal/forward/fakes_test.go
+++ b/internal/forward/fakes_test.go
@@ -22,9 +22,14 @@
 	RequestID: "Test-Id", Deadline: "Test-Deadline", AffinityCookie: "object", Signature: "Test-Signature",
 	ExpectServer: "Test-Expect", Load: "Test-Load", NotRun: "Test-Not-Run", Server: "Test-Server", Cold: "Test-Cold",
 	ParseLoad: func(text string) (placement.Load, bool) {
-		return placement.Load{Running: 6, Slots: 6, Slowness: 1}, text == "full"
+		load := placement.Load{Running: 6, Slots: 6, Slowness: 1}
+		if text == "free" {
+			load.Running = 1
+		}
+		return load, text == "full" || text == "free"
 	},
 	ParseCold: func(string) (time.Duration, bool) { return 0, false },
+	Leaving:   "Test-Leaving", ParseLeaving: func(text string) bool { return text == "1" },
 }
 
 // script responds to the requests that reach one server, one connection at a time.
--- a/internal/forward/headers.go
+++ b/internal/forward/headers.go
@@ -19,6 +19,8 @@
 	NotRun         string // on a response: the request did not run
 	Server         string // ID of the server that responds
 	Cold           string
+	Leaving        string // on a server's response: the server is leaving
 	ParseLoad      func(text string) (load placement.Load, ok bool)
 	ParseCold      func(text string) (time.Duration, bool)
+	ParseLeaving   func(text string) bool
 }
--- a/internal/forward/pool.go
+++ b/internal/forward/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -22,10 +23,12 @@
 	return &Pool{dial: dial, idle: make(map[placement.ServerID][]*conn)}
 }
 
-// acquire returns a connection to the server of to: one that has been idle for less than limit, or a new one. dialed is
-// the time that connecting took, 0 for an idle connection. Errors: *DialError.
-func (p *Pool) acquire(ctx context.Context, to *placement.Placement, limit time.Duration) (c *conn, dialed time.Duration, err error) {
-	if c := p.takeIdle(to.Server, limit); c != nil {
+// acquire returns a connection to the server of to for the request with id: one that has been idle for less than limit,
+// or a new one. dialed is the time that connecting took, 0 for an idle connection. Errors: *DialError.
+func (p *Pool) acquire(
+	ctx context.Context, to *placement.Placement, limit time.Duration, id string,
+) (c *conn, dialed time.Duration, err error) {
+	if c := p.takeIdle(to.Server, limit, id); c != nil {
 		return c, 0, nil
 	}
 	start := time.Now()
@@ -36,11 +39,11 @@
 	return newConn(raw), time.Since(start), nil
 }
 
-// takeIdle returns an idle connection that is alive and within its limits, nil if there is none. It closes the others
-// that it finds.
-func (p *Pool) takeIdle(server placement.ServerID, limit time.Duration) *conn {
+// takeIdle returns an idle connection that may carry the request with id, is alive and within its limits, nil if there
+// is none. It closes those that have ended or reached a limit.
+func (p *Pool) takeIdle(server placement.ServerID, limit time.Duration, id string) *conn {
 	for {
-		c := p.popIdle(server)
+		c := p.popIdle(server, id)
 		if c == nil {
 			return nil
 		}
@@ -51,16 +54,18 @@
 	}
 }
 
-func (p *Pool) popIdle(server placement.ServerID) *conn {
+// popIdle takes the most recently used connection that may carry the request with id, nil if there is none.
+func (p *Pool) popIdle(server placement.ServerID, id string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	conns := p.idle[server]
-	if len(conns) == 0 {
-		return nil
+	for i := len(conns) - 1; i >= 0; i-- {
+		if c := conns[i]; c.mayCarry(id) {
+			p.idle[server] = slices.Delete(conns, i, i+1)
+			return c
+		}
 	}
-	last := conns[len(conns)-1]
-	p.idle[server] = conns[:len(conns)-1]
-	return last
+	return nil
 }
 
 // release returns a connection to the pool for later requests.
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -66,6 +67,9 @@
 		return resp, nil // the connection is needed for the rest of the response
 	}
 	c.applyKeepAlive(resp.http.Header)
+	if resp.reportsNotRun(&x.h.opts.Headers) {
+		c.refused = append(c.refused, x.id)
+	}
 	if resp.isReusable() && a.written.Load() && x.ctx.Err() == nil {
 		x.h.opts.Pool.release(p.Server, c)
 	} else {
@@ -85,7 +89,7 @@
 	}
 	ctx, cancel := context.WithTimeout(x.ctx, timeout)
 	defer cancel()
-	c, dialed, err := x.h.opts.Pool.acquire(ctx, p, limit)
+	c, dialed, err := x.h.opts.Pool.acquire(ctx, p, limit, x.id)
 	if err != nil {
 		return nil, err
 	}
@@ -186,6 +190,8 @@
 	if cold, ok := names.ParseCold(h.Get(names.Cold)); ok {
 		a.result.ColdFor = cold
 	}
+	a.result.Leaving = names.ParseLeaving(h.Get(names.Leaving))
+	a.result.Backoff = backoffOf(a.response.http)
 	a.result.Bytes = len(a.response.buffered) + len(x.body.buffered)
 	switch {
 	case a.response.http.StatusCode == http.StatusMisdirectedRequest:
@@ -200,6 +206,22 @@
 	}
 }
 
+// backoffOf returns how long the server wants no requests, by a response that turns one away; 0 if it does not say.
+func backoffOf(r *http.Response) time.Duration {
+	if r.StatusCode != http.StatusServiceUnavailable {
+		return 0
+	}
+	s, err := strconv.ParseFloat(strings.TrimSpace(r.Header.Get("Retry-After")), 64)
+	if err != nil || !(s > 0) {
+		return 0
+	}
+	return time.Duration(min(s, maxBackoffSeconds) * float64(time.Second))
+}
+
+// maxBackoffSeconds keeps the conversion of a server's Retry-After in range; package placement sets the bound that
+// applies.
+const maxBackoffSeconds = 1e6
+
 // canceledOutcome returns the outcome of an attempt that ended with x.ctx. It distinguishes a caller that disconnected,
 // which says nothing about the server, from a server that did not respond in time.
 func (x *exchange) canceledOutcome() placement.Outcome {
--- a/internal/gateway/journal.go
+++ b/internal/gateway/journal.go
@@ -43,18 +43,34 @@
 // AttemptDone implements forward.Journal. An attempt with a complete response is logged with the end of its request.
 func (j *journal) AttemptDone(s *forward.Attempt) {
 	j.metrics.recordAttempt(s)
+	j.logNotice(s)
 	if s.Outcome == placement.OutcomeSuccess || !j.allowLine(j.failures) {
 		return
 	}
 	fields := placementFields(s.Placement)
 	fields["request"], fields["service"], fields["outcome"] = s.RequestID, s.Service, s.Outcome.String()
-	fields["status"], fields["took_ms"], fields["ejected"] = s.Status, s.Took.Milliseconds(), s.Ejected
+	fields["status"], fields["took_ms"], fields["ejected"] = s.Status, s.Took.Milliseconds(), s.Effect.Ejected
 	if s.Err != nil {
 		fields["error"] = s.Err.Error()
 	}
 	j.log.WithFields(fields).Info("sending failed")
 }
 
+// logNotice logs what the response says about its server: that it is leaving, or wants a pause.
+func (j *journal) logNotice(s *forward.Attempt) {
+	if !s.Effect.StartedLeaving && s.Effect.Backoff == 0 || !j.allowLine(j.failures) {
+		return
+	}
+	event := "server leaving"
+	if !s.Effect.StartedLeaving {
+		event = "server backs off"
+	}
+	j.log.WithFields(logrus.Fields{
+		"server": s.Placement.Server, "service": s.Service, "server_zone": s.Placement.Zone, "source": "response",
+		"request": s.RequestID, "backoff_ms": s.Effect.Backoff.Milliseconds(),
+	}).Info(event)
+}
+
 // RequestDone implements forward.Journal.
 func (j *journal) RequestDone(d *forward.FinishedRequest) {
 	j.metrics.recordRequest(d)
--- a/internal/gateway/journal_test.go
+++ b/internal/gateway/journal_test.go
@@ -59,7 +59,7 @@
 	})
 	j.AttemptDone(&forward.Attempt{
 		RequestID: "r2", Placement: &placement.Placement{Server: "s2", ReportAge: 40 * time.Millisecond},
-		Outcome: placement.OutcomeNoResponse, Err: errors.ErrUnsupported, Ejected: true,
+		Outcome: placement.OutcomeNoResponse, Err: errors.ErrUnsupported, Effect: placement.Effect{Ejected: true},
 	})
 	for _, want := range []string{
 		"request=r1", "refusal=no-room", "best_server=s1", "best_wait_ms=300", "left_ms=1000", "version=7", "basis=waited", "best_run_ms=1090", "run_samples=0",
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -16,6 +16,8 @@
 	attempts       *prometheus.CounterVec
 	refusals       *prometheus.CounterVec
 	trials         *prometheus.CounterVec
+	notices        *prometheus.CounterVec
+	ignoredEntries prometheus.Counter
 
 	storeCalls       *prometheus.CounterVec
 	storeCallSeconds *prometheus.HistogramVec
@@ -45,6 +47,14 @@
 			Namespace: "azureflow", Name: "gateway_trials_total",
 			Help: "Sendings against an estimate for which there is no recent evidence, by how they ended.",
 		}, []string{"service", "outcome"}),
+		notices: auto.NewCounterVec(prometheus.CounterOpts{
+			Namespace: "azureflow", Name: "gateway_server_notices_total",
+			Help: "Responses in which a server started to leave, or asked for a pause.",
+		}, []string{"service", "notice"}),
+		ignoredEntries: auto.NewCounter(prometheus.CounterOpts{
+			Namespace: "azureflow", Name: "gateway_ignored_entries_total",
+			Help: "Versions of entries among those of the servers that describe no usable server.",
+		}),
 		storeCalls: auto.NewCounterVec(prometheus.CounterOpts{
 			Namespace: "azureflow", Name: "gateway_store_calls_total", Help: "Calls of the platform's store.",
 		}, []string{"call", "outcome"}),
@@ -78,6 +88,12 @@
 
 func (m *Metrics) recordAttempt(s *forward.Attempt) {
 	m.attempts.WithLabelValues(string(s.Service), string(s.Placement.Region), s.Outcome.String()).Inc()
+	if s.Effect.StartedLeaving {
+		m.notices.WithLabelValues(string(s.Service), "leaving").Inc()
+	}
+	if s.Effect.Backoff > 0 {
+		m.notices.WithLabelValues(string(s.Service), "backoff").Inc()
+	}
 	if s.Placement.Trial {
 		m.trials.WithLabelValues(string(s.Service), s.Outcome.String()).Inc()
 	}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -61,6 +61,7 @@
 		gauge(s.servers, float64(state.Usable-state.Cold), service, "warm")
 		gauge(s.servers, float64(state.Cold), service, "cold")
 		gauge(s.servers, float64(state.Leaving), service, "leaving")
+		gauge(s.servers, float64(state.BackedOff), service, "backed-off")
 		gauge(s.servers, float64(state.Ejected), service, "ejected")
 		gauge(s.inFlight, float64(state.InFlight), service)
 		gauge(s.utilization, state.Utilization, service)
--- a/internal/placement/chooser.go
+++ b/internal/placement/chooser.go
@@ -71,6 +71,15 @@
 	Bytes   int           // in both directions
 	// Unfinished is true if the time of the request ended before the run did.
 	Unfinished bool
+	Leaving    bool          // the server says that it is leaving
+	Backoff    time.Duration // the server wants no requests from this entry VM for this long; 0: it does not say
+}
+
+// Effect is what a Result changed about its server.
+type Effect struct {
+	Ejected        bool          // the server gets no requests for a while
+	StartedLeaving bool          // the server gets no more requests
+	Backoff        time.Duration // the server gets no requests for this long, at its own request
 }
 
 // isServerFull reports whether the server shed the request because it had no free capacity.
@@ -97,6 +106,7 @@
 	shift     shiftLimiter
 	peers     Peers
 	coldRates map[steering.ServiceName]float64 // requests per second that a cold server can handle
+	notices   map[ServerID]*notice             // of servers that said that they are leaving or want a pause
 }
 
 // Peers counts the live entry VMs, including this one. The allowances are divided by the counts of fleet and region.
@@ -117,6 +127,7 @@
 		shift:     shiftLimiter{bound: opts.MaxShift},
 		peers:     Peers{Fleet: 1, Region: 1},
 		coldRates: make(map[steering.ServiceName]float64),
+		notices:   make(map[ServerID]*notice),
 	}
 }
 
@@ -132,6 +143,7 @@
 			s = newServer(member)
 		}
 		s.applyMember(member)
+		c.attachNotice(s)
 		servers[member.ID] = s
 		services[member.Service] = append(services[member.Service], s)
 	}
@@ -188,9 +200,7 @@
 	times := c.routeTimes(q.Route, q.Service)
 	best, candidates := c.selectServer(q, times, now)
 	if best.server == nil {
-		return nil, &Refusal{
-			Reason: ReasonNoServer, RetryAfter: noServerRetryAfter, TimeLeft: q.TimeLeft, TargetLeft: q.TargetLeft, Candidates: candidates,
-		}
+		return nil, c.noServerRefusal(q, candidates, now)
 	}
 	basis := best.refusalBasis(q)
 	switch {
@@ -231,14 +241,16 @@
 	return p
 }
 
-// RecordResult records how an attempt ended. It reports whether the server was ejected for it.
-func (c *Chooser) RecordResult(p *Placement, r *Result, now time.Time) bool {
+// RecordResult records how an attempt ended and returns what that changed.
+func (c *Chooser) RecordResult(p *Placement, r *Result, now time.Time) Effect {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s := p.server
 	if _, ok := s.running[p]; !ok {
-		return false
+		return Effect{}
 	}
+	var effect Effect
+	effect.StartedLeaving, effect.Backoff = c.recordNotice(s, r, now)
 	if r.Load != nil {
 		s.applyReport(*r.Load, now)
 	}
@@ -262,9 +274,10 @@
 	}
 	if r.isServerFull() {
 		s.health.endTrial()
-		return false // the report shows that the server is full, which is no failure
+		return effect // the report shows that the server is full, which is no failure
 	}
-	return s.health.recordOutcome(r.Outcome, now)
+	effect.Ejected = s.health.recordOutcome(r.Outcome, now)
+	return effect
 }
 
 // recordSuccess records the time of a request that got a response. Only a request that did not have to wait shows its
--- a/internal/placement/cost.go
+++ b/internal/placement/cost.go
@@ -187,7 +187,7 @@
 	load := make(map[steering.RegionName]float64)
 	slots := make(map[steering.RegionName]float64)
 	for _, s := range c.services[service] {
-		if s.member.Draining || c.evacuated[s.member.Zone] {
+		if s.isLeaving() || c.evacuated[s.member.Zone] {
 			continue
 		}
 		load[s.member.Region] += s.load(now)
@@ -201,13 +201,18 @@
 
 // isEligible reports whether the request may be sent to s at all.
 func (c *Chooser) isEligible(s *Server, q *Query, now time.Time) bool {
-	m := &s.member
-	if m.Draining || c.evacuated[m.Zone] || !q.Route.Allows(m.Region) || q.wasTried(m.ID) || !s.health.isUsable(now) {
+	if !s.notice.admits(now) || !c.isListedFor(s, q) || !s.health.isUsable(now) {
 		return false
 	}
 	return c.coldRateAllows(s, now)
 }
 
+// isListedFor reports whether s may run the request by the registry and the configuration.
+func (c *Chooser) isListedFor(s *Server, q *Query) bool {
+	m := &s.member
+	return !m.Draining && !c.evacuated[m.Zone] && q.Route.Allows(m.Region) && !q.wasTried(m.ID)
+}
+
 // coldRateAllows reports whether s is not cold, or can handle one more request now. Only entry VMs of its region send
 // to a cold server; they divide its rate.
 func (c *Chooser) coldRateAllows(s *Server, now time.Time) bool {
@@ -232,7 +237,7 @@
 	highest := make(map[steering.RegionName]uint64)
 	for _, s := range c.services[q.Service] {
 		m := &s.member
-		if m.Draining || c.evacuated[m.Zone] || !q.Route.Allows(m.Region) {
+		if s.isLeaving() || c.evacuated[m.Zone] || !q.Route.Allows(m.Region) {
 			continue
 		}
 		if r := rendezvousScore(q.Object, m.ID); preferred[m.Region] == nil || r > highest[m.Region] {
--- a/internal/placement/refusal.go
+++ b/internal/placement/refusal.go
@@ -10,6 +10,7 @@
 	ReasonNoServer   Reason = "no-server" // no server is known where the route may run
 	ReasonNoCapacity Reason = "no-room"   // every server would respond too late
 	ReasonBudget     Reason = "retry-budget"
+	ReasonBackoff    Reason = "servers-back-off" // the servers that may run the request asked for a pause
 )
 
 // Refusal is the decision not to send a request.
@@ -50,6 +51,17 @@
 	}
 }
 
+// noServerRefusal returns the refusal of a request that no server can be sent now.
+func (c *Chooser) noServerRefusal(q *Query, candidates int, now time.Time) *Refusal {
+	r := &Refusal{
+		Reason: ReasonNoServer, RetryAfter: noServerRetryAfter, TimeLeft: q.TimeLeft, TargetLeft: q.TargetLeft, Candidates: candidates,
+	}
+	if backoff := c.shortestBackoff(q, now); backoff > 0 {
+		r.Reason, r.RetryAfter = ReasonBackoff, backoff
+	}
+	return r
+}
+
 // noCapacityRefusal returns the refusal of a request that even the best server would respond to too late.
 func (e *estimate) noCapacityRefusal(q *Query, basis Basis, candidates int, now time.Time) *Refusal {
 	r := e.refusal(q, ReasonNoCapacity, max(toDuration(e.wait)/2, minRetryAfter), candidates, now)
--- a/internal/placement/server.go
+++ b/internal/placement/server.go
@@ -33,6 +33,7 @@
 	coldUntil time.Time
 	coldRate  tokenBucket
 	health    health
+	notice    *notice // nil: the server said nothing
 
 	reportedAt     time.Time // time of the last report
 	othersLoad     float64   // requests of other entry VMs at the server, by the last report
@@ -72,6 +73,9 @@
 	s.member = m
 }
 
+// isLeaving reports whether the server is leaving, by the registry or by its own responses.
+func (s *Server) isLeaving() bool { return s.member.Draining || s.notice != nil && s.notice.isLeaving }
+
 // isCold reports whether the server is still cold at now.
 func (s *Server) isCold(now time.Time) bool { return now.Before(s.coldUntil) }
 
--- a/internal/placement/simulation_test.go
+++ b/internal/placement/simulation_test.go
@@ -45,7 +45,7 @@
 // simPolicy decides where the requests of one entry VM go.
 type simPolicy interface {
 	Place(q *Query, now time.Time) (*Placement, *Refusal)
-	RecordResult(p *Placement, r *Result, now time.Time) bool
+	RecordResult(p *Placement, r *Result, now time.Time) Effect
 }
 
 // simCount counts how the requests of a region ended.
@@ -366,12 +366,12 @@
 	return &Placement{Server: m.ID, sent: now}, nil
 }
 
-func (b *baseline) RecordResult(p *Placement, r *Result, _ time.Time) bool {
+func (b *baseline) RecordResult(p *Placement, r *Result, _ time.Time) Effect {
 	b.inFlight[p.Server]--
 	if r.Load != nil {
 		b.loads[p.Server] = r.Load.Running + r.Load.Waiting
 	}
-	return false
+	return Effect{}
 }
 
 // leastLoadedOfThree picks the least loaded of three random servers in any region.
--- a/internal/placement/state.go
+++ b/internal/placement/state.go
@@ -11,6 +11,7 @@
 	Usable      int     // servers that may get requests
 	Cold        int     // usable servers that have just started
 	Leaving     int     // servers that get no new requests: draining, or in an evacuated zone
+	BackedOff   int     // servers that asked for a pause
 	Ejected     int     // servers that get no requests because of their failures
 	InFlight    int     // requests of this entry VM
 	Utilization float64 // share of the slots in this region that is in use, at most 1
@@ -68,8 +69,10 @@
 func (c *Chooser) countServer(state *ServiceState, s *Server, now time.Time) {
 	state.InFlight += len(s.running)
 	switch {
-	case s.member.Draining || c.evacuated[s.member.Zone]:
+	case s.isLeaving() || c.evacuated[s.member.Zone]:
 		state.Leaving++
+	case !s.notice.admits(now):
+		state.BackedOff++
 	case !s.health.isUsable(now):
 		state.Ejected++
 	default:
