gateway, platform: odd entries cost only themselves, outdated peers restore no withdrawn key

Cause 2: changes from a peer that had not read the store for longer put a key back that the store no longer had (TestChangesOfAnOutdatedPeerRestoreNoWithdrawnKey; the property test of copies finds it with a stricter check). Change: entries are checked whole; unreadable ones are kept without content, logged once and counted. A copy takes no key that is older than itself from changes, and counts as complete only if its digest agrees with the peer's. TestCopiesMergeInAnyOrder now calls each hop twice in turn: a copy that is not complete is not passed on as complete, so that a second hop converges after the first.

--- a/internal/gateway/copy.go
+++ b/internal/gateway/copy.go
@@ -17,7 +17,8 @@
 	version     kv.Version // of the store, up to which the copy is complete
 	readAt      time.Time  // when the read that it reflects was requested; zero: it was never filled
 	digest      uint64     // sum of the fingerprints of the keys that exist; equal for copies that agree
-	// fingerprint hashes the content of an entry that matters here. Changes that keep it are not propagated.
+	// fingerprint hashes the content of an entry that matters here. Changes that keep it are not propagated. It may
+	// remove content of e that does not matter.
 	fingerprint func(e *kv.Entry) uint64
 }
 
@@ -66,11 +67,23 @@
 // applyChanges applies the keys that changed up to version, requested at readAt. It reports whether a fingerprint
 // changed.
 func (c *storeCopy) applyChanges(entries []kv.Entry, version kv.Version, readAt time.Time) bool {
+	changed := c.applyEntries(entries)
+	c.advanceTo(version, readAt)
+	return changed
+}
+
+// applyEntries applies changed keys without a claim about the others. It reports whether a fingerprint changed.
+func (c *storeCopy) applyEntries(entries []kv.Entry) bool {
 	previousChange := c.change
 	for i := range entries {
-		c.applyEntry(&entries[i])
+		// The copy is complete up to its version, so a key that it lacks was deleted since: the changes come from an entry
+		// VM that has not read the store for longer.
+		e := &entries[i]
+		row := c.rows[e.Key]
+		if e.Version > c.version || row != nil && !row.entry.Deleted {
+			c.applyEntry(e)
+		}
 	}
-	c.advanceTo(version, readAt)
 	return c.change != previousChange
 }
 
@@ -94,7 +107,7 @@
 	row.entry = *e
 	fingerprint := uint64(0)
 	if !e.Deleted {
-		fingerprint = c.fingerprint(e)
+		fingerprint = c.fingerprint(&row.entry)
 	}
 	if row.change != 0 && fingerprint == row.fingerprint {
 		return
--- a/internal/gateway/copy_test.go
+++ b/internal/gateway/copy_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -34,6 +35,9 @@
 		now := time.Unix(0, 0)
 		check := func(i int) {
 			for key, row := range copies[i].rows {
+				if !row.entry.Deleted && row.entry.Version <= copies[i].version && store.isDeletedAt(key, copies[i].version) {
+					t.Fatalf("copy %d, complete up to %d, has %s of %d, which is deleted", i, copies[i].version, key, row.entry.Version)
+				}
 				if row.entry.Version < seen[i][key] {
 					t.Fatalf("copy %d went back to an older version of %s", i, key)
 				}
@@ -70,9 +74,10 @@
 			}
 		}
 		list(0)
-		for range 2 { // the second call fetches the complete copy where the first left a difference
-			fetch(1, 0)
-			fetch(2, 1)
+		for i := 1; i < len(copies); i++ {
+			for range 2 { // the second call fetches the complete copy where the first left a difference
+				fetch(i, i-1)
+			}
 		}
 		for i, c := range copies {
 			entries := c.entries()
@@ -88,6 +93,57 @@
 	})
 }
 
+// A process that restarted has the store's current list. A peer that has not read the store since, and to which the
+// process already spoke, then tells of a server that joined and left in between.
+func TestChangesOfAnOutdatedPeerRestoreNoWithdrawnKey(t *testing.T) {
+	store := newFakeStore()
+	outdated, restarted := newStoreCopy(valueHash), newStoreCopy(valueHash)
+	list := func(c *storeCopy) {
+		entries, version, _ := store.List(t.Context(), "")
+		c.applyList(entries, version, time.Unix(1, 0))
+	}
+	store.writeEntry(kv.Entry{Key: "stays"})
+	list(outdated)
+	_, position := mergeCopy(restarted, copyUpdate(outdated, nil, time.Unix(1, 0)), time.Unix(1, 0))
+	store.writeEntry(kv.Entry{Key: "withdrawn"})
+	list(outdated)
+	store.remove("withdrawn")
+	list(restarted)
+	mergeCopy(restarted, copyUpdate(outdated, position, time.Unix(1, 0)), time.Unix(1, 0))
+	for _, e := range restarted.entries() {
+		if e.Key == "withdrawn" {
+			t.Errorf("a key is back that the store no longer has: %+v", e)
+		}
+	}
+}
+
+// An entry that cannot be decoded takes no memory and no room in the messages to peers, whatever its size.
+func TestUnreadableEntriesAreKeptWithoutContent(t *testing.T) {
+	f := newTestFollower(t, newFakeStore(), "one")
+	big := []byte(`{"Broken":true,"Zone":"` + strings.Repeat("x", 1<<20) + `"}`)
+	f.updateServers(func(c *storeCopy) bool {
+		return c.applyList([]kv.Entry{{Key: "server/a", Version: 1, Value: big}, {Key: "server/b", Version: 2, Value: []byte(`{"Zone":"north-a"}`)}}, 2, time.Unix(1, 0))
+	})
+	size := 0
+	for _, e := range copyUpdate(f.servers, nil, time.Unix(1, 0)).GetEntries() {
+		size += len(e.GetValue())
+	}
+	if size > 1000 || !f.knownServers()["b"] || f.knownServers()["a"] {
+		t.Errorf("%d bytes are passed on, known servers %v; want only the server that can be read", size, f.knownServers())
+	}
+}
+
+// isDeletedAt reports whether the store had no key at version.
+func (s *fakeStore) isDeletedAt(key string, version kv.Version) bool {
+	deleted := true
+	for _, e := range s.log {
+		if e.Key == key && e.Version <= version {
+			deleted = e.Deleted
+		}
+	}
+	return deleted
+}
+
 func TestHeartbeatsAreNotPropagated(t *testing.T) {
 	f := newTestFollower(t, newFakeStore(), "one")
 	entry := func(version kv.Version, value string) []kv.Entry {
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 
 	"github.com/azureflow/azureflow/internal/kv"
@@ -288,7 +289,7 @@
 	t.Helper()
 	s := testSettings(name)
 	chooser := placement.NewChooser(placement.Options{Zone: s.Zone, Region: s.Region})
-	return newFollower(store, testCatalog(), chooser, s, discardLog())
+	return newFollower(store, testCatalog(), chooser, s, discardLog(), NewMetrics(prometheus.NewRegistry()))
 }
 
 // knownServers returns the ids of the follower's servers that are not draining.
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -30,6 +30,7 @@
 	catalog   *Catalog
 	chooser   *placement.Chooser
 	log       logrus.FieldLogger
+	metrics   *Metrics
 	intervals atomic.Pointer[intervals]
 	table     atomic.Pointer[routing.Table]
 
@@ -47,10 +48,10 @@
 }
 
 func newFollower(
-	store kv.StaleReader, catalog *Catalog, chooser *placement.Chooser, s *Settings, log logrus.FieldLogger,
+	store kv.StaleReader, catalog *Catalog, chooser *placement.Chooser, s *Settings, log logrus.FieldLogger, metrics *Metrics,
 ) *follower {
 	f := &follower{
-		store: store, catalog: catalog, chooser: chooser, log: log,
+		store: store, catalog: catalog, chooser: chooser, log: log, metrics: metrics,
 		registry:       newRegistry(s.Zones),
 		operator:       newStoreCopy(func(e *kv.Entry) uint64 { return xxhash.Sum64String(e.Key + "\x00" + string(e.Value)) }),
 		unreadableKeys: make(map[string]bool),
@@ -67,11 +68,13 @@
 // Ready reports whether requests can be served.
 func (f *follower) Ready() bool { return f.Table() != nil && f.serversRead.Load() }
 
-// serverFingerprint hashes the entry of a server without its heartbeat. All entries of a key that cannot be decoded
-// have the same hash.
+// serverFingerprint hashes the entry of a server without its heartbeat. An entry that cannot be decoded names no server
+// and may be large: its content is removed, and all such entries of a key have the same hash.
 func (f *follower) serverFingerprint(e *kv.Entry) uint64 {
 	m, err := f.catalog.DecodeServer(e.Key, e.Value)
 	if err != nil {
+		f.recordUnreadable(e, err)
+		e.Value = nil
 		return xxhash.Sum64String(e.Key)
 	}
 	return xxhash.Sum64String(fmt.Sprintf("%s %+v", e.Key, m))
--- a/internal/gateway/follow_test.go
+++ b/internal/gateway/follow_test.go
@@ -157,7 +157,7 @@
 }
 
 func TestRestartUnderTheSameIDIsReported(t *testing.T) {
-	g := newRegistry(nil)
+	g := newRegistry(testSettings("one").Zones)
 	first := placement.Member{ID: "a", Zone: "north-a", Born: time.Unix(1, 0)}
 	second := first
 	second.Born = time.Unix(2, 0)
@@ -187,3 +187,12 @@
 		}
 	}
 }
+
+// An entry of a zone that the deployment does not have names no server to use.
+func TestServersOfUnknownZonesAreNotUsed(t *testing.T) {
+	g := newRegistry(testSettings("one").Zones)
+	g.applyList([]placement.Member{{ID: "a", Zone: "nowhere"}, {ID: "b", Zone: "north-a"}}, time.Unix(10, 0))
+	if m := g.membership().Members; len(m) != 1 || m[0].ID != "b" {
+		t.Errorf("members %+v, want only the one of a known zone", m)
+	}
+}
--- a/internal/gateway/intake.go
+++ b/internal/gateway/intake.go
@@ -80,12 +80,12 @@
 	entries := f.servers.entries()
 	members := make([]placement.Member, 0, len(entries))
 	for i := range entries {
-		m, err := f.catalog.DecodeServer(entries[i].Key, entries[i].Value)
-		if err != nil {
-			f.logUnreadable(&entries[i], err)
-			continue
+		if len(entries[i].Value) == 0 {
+			continue // an entry that could not be decoded
+		}
+		if m, err := f.catalog.DecodeServer(entries[i].Key, entries[i].Value); err == nil {
+			members = append(members, m)
 		}
-		members = append(members, m)
 	}
 	for _, c := range f.registry.applyList(members, time.Now()) {
 		f.log.WithFields(logrus.Fields{
@@ -102,8 +102,13 @@
 // maxUnreadableKeys bounds the memory for keys of unreadable entries.
 const maxUnreadableKeys = 1000
 
-// logUnreadable logs an unreadable entry, once for each key.
-func (f *follower) logUnreadable(e *kv.Entry, err error) {
+// recordUnreadable counts an unreadable entry and logs it once for each key. Peers pass such entries on without their
+// content; those are not counted again.
+func (f *follower) recordUnreadable(e *kv.Entry, err error) {
+	if len(e.Value) == 0 {
+		return
+	}
+	f.metrics.ignoredEntries.Inc()
 	if f.unreadableKeys[e.Key] {
 		return
 	}
@@ -111,5 +116,5 @@
 		clear(f.unreadableKeys)
 	}
 	f.unreadableKeys[e.Key] = true
-	f.log.WithFields(logrus.Fields{"key": e.Key, "error": err.Error()}).Warn("entry ignored")
+	f.log.WithFields(logrus.Fields{"key": e.Key, "bytes": len(e.Value), "error": err.Error()}).Warn("entry ignored")
 }
--- a/internal/gateway/registry.go
+++ b/internal/gateway/registry.go
@@ -62,6 +62,9 @@
 	var changes []serverChange
 	present := make(map[placement.ServerID]bool, len(servers))
 	for _, m := range servers {
+		if _, known := g.zones[m.Zone]; !known {
+			continue // no deployment has it, so that nothing is known about where the server may be used
+		}
 		m.Region, m.Seen = g.zones[m.Zone], now
 		if old, ok := g.members[m.ID]; ok && sameEntry(old, m) {
 			m.Seen = old.Seen // times in the entry count from its first read
--- a/internal/gateway/sharing.go
+++ b/internal/gateway/sharing.go
@@ -230,11 +230,15 @@
 	version := kv.Version(m.GetVersion())
 	if m.GetWhole() {
 		changed = c.applyList(entries, version, readAt)
+		if !c.isConsistentWith(m.GetDigest(), version) {
+			return changed, nil
+		}
 	} else {
-		changed = c.applyChanges(entries, version, readAt)
-	}
-	if !c.isConsistentWith(m.GetDigest(), version) {
-		return changed, nil
+		changed = c.applyEntries(entries)
+		if !c.isConsistentWith(m.GetDigest(), version) {
+			return changed, nil // the copy is not complete up to version
+		}
+		c.advanceTo(version, readAt)
 	}
 	return changed, &peer.StoreCopy{Incarnation: m.GetIncarnation(), Change: m.GetChange()}
 }
