gateway: one entry VM of a region reads everything for the others

Change: the list of entry VMs is shared as a third copy. A VM whose reader's copies are fresh, all three of them, makes no reads of its own; when they expire it continues from the copy instead of listing all servers. A reader that gives no fresh copies twice in a row is replaced by the next VM of the region for 10 s. Ruled out: longer leases (callers would be sent to lost VMs for longer). Tests: a reader that the store turns away, the list of entry VMs over peers, calls and stale reads bounded.

--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -68,7 +68,7 @@
 	d.loops.Go(func() { d.follower.pollOperator(ctx) })
 	d.loops.Go(func() { d.follower.pollServers(ctx) })
 	d.loops.Go(func() { d.announceWhenReady(announceCtx) })
-	d.loops.Go(func() { d.presence.pollList(ctx) })
+	d.loops.Go(func() { d.presence.pollList(ctx, d.follower.awaitOwnReads) })
 	d.loops.Go(func() { d.sweepPool(ctx) })
 	d.loops.Go(func() { d.store.run(ctx) })
 	d.loops.Go(func() { d.watchSettings(ctx) })
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -30,7 +30,8 @@
 	compactedAt    kv.Version // changes up to this version are not in the history
 	changed        chan struct{}
 	err            error
-	calls          int
+	calls          int // without stale reads
+	staleCalls     int
 	lease          kv.LeaseID
 	watchesStalled bool                // watches deliver no events and do not return before their context ends
 	staleItems     map[string]kv.Entry // what stale reads return, if not nil
@@ -78,6 +79,13 @@
 	return s.calls
 }
 
+// staleCallCount returns the number of stale reads so far.
+func (s *fakeStore) staleCallCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.staleCalls
+}
+
 // storeLink is the connection of one entry VM to the store, which can be cut.
 type storeLink struct {
 	*fakeStore
@@ -98,6 +106,13 @@
 	return s.fakeStore.Watch(ctx, prefix, after)
 }
 
+func (s *storeLink) ListStale(ctx context.Context, prefix string) ([]kv.Entry, kv.Version, error) {
+	if s.isCut.Load() {
+		return nil, 0, &kv.UnavailableError{Op: "test", Cause: &unreadableEntryError{}}
+	}
+	return s.fakeStore.ListStale(ctx, prefix)
+}
+
 func (s *fakeStore) compactHistory() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -108,8 +123,14 @@
 
 func (s *fakeStore) List(_ context.Context, prefix string) ([]kv.Entry, kv.Version, error) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.calls++
+	s.mu.Unlock()
+	return s.list(prefix)
+}
+
+func (s *fakeStore) list(prefix string) ([]kv.Entry, kv.Version, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if s.err != nil {
 		return nil, 0, s.err
 	}
@@ -123,12 +144,13 @@
 	return found, s.version, nil
 }
 
-func (s *fakeStore) ListStale(ctx context.Context, prefix string) ([]kv.Entry, kv.Version, error) {
+func (s *fakeStore) ListStale(_ context.Context, prefix string) ([]kv.Entry, kv.Version, error) {
 	s.mu.Lock()
 	stale := s.staleItems
+	s.staleCalls++
 	s.mu.Unlock()
 	if stale == nil {
-		return s.List(ctx, prefix)
+		return s.list(prefix)
 	}
 	var found []kv.Entry
 	for key, e := range stale {
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -19,8 +19,8 @@
 )
 
 const (
-	serverRelistInterval = 15 * time.Second // between two complete lists, whatever changes were received
-	operatorWaitWithPeer = 10 * time.Second // of a watch of the operator's keys while a peer is queried too
+	serverRelistInterval = 15 * time.Second       // between two complete lists, whatever changes were received
+	resumeWait           = 300 * time.Millisecond // of the first watch of the servers after a peer's copy expired
 )
 
 // follower keeps configuration and membership as the store has them. It reads the servers' entries itself unless a
@@ -128,10 +128,10 @@
 	return false
 }
 
-// watchOperator follows the operator's keys until ctx ends.
+// watchOperator follows the operator's keys until ctx ends, while no peer's copy replaces own reads.
 func (f *follower) watchOperator(ctx context.Context) {
 	waits := newRetryWaits()
-	for ctx.Err() == nil {
+	for f.awaitOwnReads(ctx) {
 		version, _, err := f.listKeys(ctx, readOperatorList, f.catalog.OperatorPrefix, f.updateOperator)
 		if err != nil {
 			_ = clock.Sleep(ctx, waits.NextBackOff())
@@ -141,38 +141,14 @@
 	}
 }
 
-// watchOperatorOnce waits for changes of the operator's keys. A watch may stall, so a VM that reads for others, or only
-// for itself, renews it in time for the bound on configurations; the others receive changes from that VM as long as
-// peer copies replace their reads. Errors: those of watchKeys, *peerCopyExpiredError.
-func (f *follower) watchOperatorOnce(ctx context.Context, version kv.Version) ([]kv.Entry, kv.Version, error) {
-	wait := f.intervals.Load().operatorWait
-	if f.peerCopyValidFor() > 0 {
-		wait = operatorWaitWithPeer
-		watchCtx, cancel := context.WithCancelCause(ctx)
-		defer cancel(nil)
-		go func() {
-			if f.awaitOwnReads(watchCtx) {
-				cancel(&peerCopyExpiredError{})
-			}
-		}()
-		ctx = watchCtx
-	}
-	return f.watchKeys(ctx, readOperatorChanges, f.catalog.OperatorPrefix, version, wait)
-}
-
-// peerCopyExpiredError ends a long watch: no peer's copy replaces own reads any more.
-type peerCopyExpiredError struct{}
-
-// Error implements error.
-func (*peerCopyExpiredError) Error() string { return "peer copy expired: own reads resume" }
-
-// watchOperatorFrom applies changes until the watch fails, after which it waits, or its history is compacted.
+// watchOperatorFrom applies changes until the watch fails, after which it waits, its history is compacted, or a peer's
+// copy replaces own reads. A watch may stall, so it is renewed in time for the bound on configurations.
 func (f *follower) watchOperatorFrom(ctx context.Context, version kv.Version, waits *backoff.ExponentialBackOff) {
-	for ctx.Err() == nil {
-		entries, next, err := f.watchOperatorOnce(ctx, version)
+	for ctx.Err() == nil && f.peerCopyValidFor() <= 0 {
+		entries, next, err := f.watchKeys(
+			ctx, readOperatorChanges, f.catalog.OperatorPrefix, version, f.intervals.Load().operatorWait)
 		var compacted *kv.CompactedError
-		var expired *peerCopyExpiredError
-		if errors.As(err, &compacted) || errors.As(err, &expired) {
+		if errors.As(err, &compacted) {
 			return
 		}
 		if err != nil {
@@ -207,10 +183,6 @@
 	call, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	entries, next, err := f.store.Watch(call, prefix, version)
-	var expired *peerCopyExpiredError
-	if err != nil && errors.As(context.Cause(ctx), &expired) {
-		return nil, 0, expired
-	}
 	var compacted *kv.CompactedError
 	if errors.As(err, &compacted) {
 		f.log.WithFields(logrus.Fields{"prefix": prefix, "after": version}).Info("watch history gone")
@@ -220,9 +192,10 @@
 	return entries, next, err
 }
 
-// pollOperator reads the operator's keys by stale reads, in case the watch has stalled.
+// pollOperator reads the operator's keys by stale reads, in case the watch has stalled, while no peer's copy replaces
+// own reads.
 func (f *follower) pollOperator(ctx context.Context) {
-	for clock.Sleep(ctx, f.intervals.Load().configReadInterval) == nil {
+	for clock.Sleep(ctx, f.intervals.Load().configReadInterval) == nil && f.awaitOwnReads(ctx) {
 		entries, version, err := f.store.ListStale(ctx, f.catalog.OperatorPrefix)
 		f.logReadOutcome(readOperatorStale, err)
 		if err == nil {
@@ -231,41 +204,66 @@
 	}
 }
 
-// pollServers follows the servers' entries until ctx ends: a list, then the changes since, in batches.
+// pollServers follows the servers' entries until ctx ends: a list, then the changes since, in batches. Own reads that
+// resume after a peer's copy expired continue from that copy.
 func (f *follower) pollServers(ctx context.Context) {
 	waits := newRetryWaits()
+	resumes := false
 	for f.awaitOwnReads(ctx) {
-		version, requestedAt, err := f.listKeys(ctx, readServerList, f.catalog.ServerPrefix, f.updateServers)
+		var version kv.Version
+		var readAt time.Time
+		var err error
+		if resumes {
+			version, readAt, err = f.resumeServers(ctx)
+		} else {
+			version, readAt, err = f.listKeys(ctx, readServerList, f.catalog.ServerPrefix, f.updateServers)
+		}
 		if err != nil {
+			resumes = false
 			_ = clock.Sleep(ctx, waits.NextBackOff())
 			continue
 		}
-		f.pollServersFrom(ctx, version, requestedAt, waits)
+		resumes = f.pollServersFrom(ctx, version, readAt, waits)
 	}
 }
 
-// pollServersFrom applies the changes after version until a read fails, the history is compacted, a peer's copy
-// replaces own reads, or the next complete list is due. After a failure it waits.
+// resumeServers reads what changed since the copy of the servers' entries. A stalled watch does not delay it for long.
+func (f *follower) resumeServers(ctx context.Context) (kv.Version, time.Time, error) {
+	f.mu.Lock()
+	version := f.servers.version
+	f.mu.Unlock()
+	requestedAt := time.Now()
+	entries, next, err := f.watchKeys(ctx, readServerChanges, f.catalog.ServerPrefix, version, resumeWait)
+	if err != nil {
+		return 0, requestedAt, err
+	}
+	f.updateServers(func(c *storeCopy) bool { return c.applyChanges(entries, next, requestedAt) })
+	return max(version, next), requestedAt, nil
+}
+
+// pollServersFrom applies the changes after version until a read fails, after which it waits, the history is compacted,
+// a peer's copy replaces own reads, or the next complete list is due. It reports whether a peer's copy did.
 func (f *follower) pollServersFrom(
-	ctx context.Context, version kv.Version, listed time.Time, waits *backoff.ExponentialBackOff,
-) {
-	requestedAt := listed
-	for time.Since(listed) < serverRelistInterval {
+	ctx context.Context, version kv.Version, readAt time.Time, waits *backoff.ExponentialBackOff,
+) (replaced bool) {
+	requestedAt := readAt
+	for time.Since(readAt) < serverRelistInterval {
 		// The pause batches changes where servers write often; a watch that waited for a change is renewed at once.
 		_ = clock.Sleep(ctx, f.intervals.Load().serverReadInterval-time.Since(requestedAt))
-		if !f.awaitOwnReads(ctx) {
-			return
+		if f.peerCopyValidFor() > 0 || ctx.Err() != nil {
+			return true
 		}
 		requestedAt = time.Now()
 		entries, next, err := f.watchKeys(ctx, readServerChanges, f.catalog.ServerPrefix, version, f.serverWait())
 		if err != nil {
 			_ = clock.Sleep(ctx, waits.NextBackOff())
-			return
+			return false
 		}
 		waits.Reset()
 		f.updateServers(func(c *storeCopy) bool { return c.applyChanges(entries, next, time.Now()) })
 		version = max(version, next)
 	}
+	return false
 }
 
 // serverWait returns the time limit of one watch of the servers' entries: not past the time at which servers that are
--- a/internal/gateway/pace.go
+++ b/internal/gateway/pace.go
@@ -15,6 +15,10 @@
 	defaultOperatorWait       = 1400 * time.Millisecond // with the store's delays, within defaultConfig
 	defaultConfigReadInterval = time.Second             // finds changes that a stalled watch misses
 
+	defaultOperatorMaxAge = 2 * time.Second // one watch, one share interval and a slow call
+
+	listMaxAge = 3 * time.Second // of the list of entry VMs, which the reader reads each presenceReadInterval
+
 	minScale = 0.25 // of the default intervals; below it the store would be called without a pause
 )
 
@@ -27,6 +31,7 @@
 	peerCopyValidity   time.Duration // for which it does; one lost call does not make the VM read for itself
 	operatorWait       time.Duration // time limit of one watch of the operator's keys
 	configReadInterval time.Duration // between two stale reads of these
+	operatorMaxAge     time.Duration // age up to which a peer's copy of these replaces own reads
 }
 
 // newIntervals returns the intervals that keep b.
@@ -42,6 +47,7 @@
 		peerCopyValidity:   2 * share,
 		operatorWait:       scaled(defaultOperatorWait, config),
 		configReadInterval: scaled(defaultConfigReadInterval, config),
+		operatorMaxAge:     scaled(defaultOperatorMaxAge, config),
 	}
 }
 
--- a/internal/gateway/presence.go
+++ b/internal/gateway/presence.go
@@ -4,13 +4,16 @@
 	"context"
 	"encoding/json"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
 	"github.com/azureflow/azureflow/internal/clock"
 	"github.com/azureflow/azureflow/internal/kv"
+	"github.com/azureflow/azureflow/internal/peer"
 	"github.com/azureflow/azureflow/internal/placement"
 	"github.com/azureflow/azureflow/internal/steering"
 )
@@ -47,6 +50,9 @@
 	canServe  atomic.Bool                      // this VM can serve requests
 	isLeaving atomic.Bool
 	lease     kv.LeaseID // owned by the loop that renews it
+
+	mu   sync.Mutex // guards list
+	list *storeCopy // of the entry VMs' entries
 }
 
 func newPresence(store kv.StaleReader, s *Settings, chooser *placement.Chooser, log logrus.FieldLogger) *presence {
@@ -54,6 +60,7 @@
 	p := &presence{
 		store: store, name: s.Name, chooser: chooser, log: log, lookupTTL: defaultTTL,
 		leaseTTL: max(presenceTTL, s.MinLeaseTTL),
+		list:     newStoreCopy(func(e *kv.Entry) uint64 { return xxhash.Sum64String(e.Key + "\x00" + string(e.Value)) }),
 		self: presenceRecord{
 			Zone: s.Zone, Region: s.Region, Requests: s.Listen.Requests,
 			Peer:     s.Listen.Peer,
@@ -120,17 +127,43 @@
 	return err
 }
 
-// pollList reads the list of entry VMs until ctx ends. While the store is unreachable, the last list stays.
-func (p *presence) pollList(ctx context.Context) {
-	for ctx.Err() == nil {
-		entries, _, err := p.store.ListStale(ctx, presencePrefix)
+// pollList reads the list of entry VMs until ctx ends. awaitOwnReads waits while a peer's copy replaces own reads, and
+// returns false once ctx has ended. While the store is unreachable, the last list stays.
+func (p *presence) pollList(ctx context.Context, awaitOwnReads func(ctx context.Context) bool) {
+	for awaitOwnReads(ctx) {
+		requestedAt := time.Now()
+		entries, version, err := p.store.ListStale(ctx, presencePrefix)
 		if err == nil {
-			p.applyList(entries)
+			p.updateList(func(c *storeCopy) bool { return c.applyList(entries, version, requestedAt) })
 		}
 		_ = clock.Sleep(ctx, presenceReadInterval)
 	}
 }
 
+// updateList lets update change the copy of the list and applies the result.
+func (p *presence) updateList(update func(*storeCopy) bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	wasRead := !p.list.readAt.IsZero()
+	if update(p.list) || !wasRead && !p.list.readAt.IsZero() {
+		p.applyList(p.list.entries())
+	}
+}
+
+// listUpdate returns what changed in the copy of the list since a peer's position.
+func (p *presence) listUpdate(position *peer.StoreCopy, now time.Time) *peer.StoreCopy {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return copyUpdate(p.list, position, now)
+}
+
+// listReadAt returns when the read was requested that the copy of the list reflects; zero if there was none.
+func (p *presence) listReadAt() time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.list.readAt
+}
+
 // applyList replaces the known other entry VMs by the store's list.
 func (p *presence) applyList(entries []kv.Entry) {
 	listed := make([]presenceRecord, 0, len(entries))
@@ -192,11 +225,12 @@
 }
 
 // readerAddress returns the peer address of the entry VM that reads for this region, or "" if that is this one. It is
-// the one with the widest link, since all others copy from it, and among equals the first by address.
-func (p *presence) readerAddress() string {
+// the one with the widest link, since all others copy from it, and among equals the first by address. VMs for which
+// isExcluded returns true are passed over.
+func (p *presence) readerAddress(isExcluded func(address string) bool) string {
 	reader := &p.self
 	for _, r := range p.others() {
-		if r.Region == p.self.Region && r.Peer != "" && r.ranksBefore(reader) {
+		if r.Region == p.self.Region && r.Peer != "" && r.ranksBefore(reader) && !isExcluded(r.Peer) {
 			reader = &r
 		}
 	}
--- a/internal/gateway/presence_test.go
+++ b/internal/gateway/presence_test.go
@@ -81,11 +81,11 @@
 		"x": {Region: "north", Requests: "x:1", Peer: "10.0.0.0:2"},
 		"y": {Region: "south", Requests: "y:1", Peer: "0.0.0.0:2"},
 	})
-	if got := p.readerAddress(); got != "10.0.0.0:2" {
+	if got := p.readerAddress(excludeNone); got != "10.0.0.0:2" {
 		t.Errorf("reader is %q, want the first address of the region", got)
 	}
 	p = testPresence(t, map[string]presenceRecord{"x": {Region: "north", Requests: "x:1", Peer: "10.0.0.9:2"}})
-	if got := p.readerAddress(); got != "" {
+	if got := p.readerAddress(excludeNone); got != "" {
 		t.Errorf("reader is %q, want this VM itself", got)
 	}
 }
@@ -121,7 +121,7 @@
 		"x": {Region: "north", Requests: "x:1", Peer: "10.0.0.0:2", LinkMbit: 12},
 		"y": {Region: "north", Requests: "y:1", Peer: "10.0.0.2:2", LinkMbit: 200},
 	})
-	if got := p.readerAddress(); got != "10.0.0.2:2" {
+	if got := p.readerAddress(excludeNone); got != "10.0.0.2:2" {
 		t.Errorf("reader is %q, want the VM with the widest link", got)
 	}
 }
@@ -161,3 +161,5 @@
 		t.Errorf("%d entry VMs serve the region, want 3: this one and the two with wide links", got)
 	}
 }
+
+func excludeNone(string) bool { return false }
--- a/internal/gateway/sharing.go
+++ b/internal/gateway/sharing.go
@@ -35,13 +35,22 @@
 	mu            sync.Mutex
 	positions     map[string]*peer.FetchStoreRequest // by peer address: how far its copies are applied
 	fallbackIndex int                                // of the peer to query if the reader's copy is not fresh
+	failures      map[string]int                     // of readers in a row, by peer address
+	excludedUntil map[string]time.Time               // readers that gave no fresh copies, by peer address
 }
 
+// Readers that give no fresh copies are replaced by the next entry VM of the region.
+const (
+	maxReaderFailures = 2 // in a row; the copies that they gave are then no longer fresh
+	readerExclusion   = 10 * time.Second
+)
+
 func newSharing(
 	f *follower, p *presence, s *Settings, log logrus.FieldLogger, pool *peer.Pool, metrics *Metrics,
 ) *sharing {
 	return &sharing{
 		follower: f, presence: p, pool: pool, log: log, metrics: metrics, positions: make(map[string]*peer.FetchStoreRequest),
+		failures: make(map[string]int), excludedUntil: make(map[string]time.Time),
 		seeds: slices.DeleteFunc(slices.Clone(s.Seeds), func(seed string) bool { return seed == p.self.Peer }),
 	}
 }
@@ -63,6 +72,7 @@
 		Servers:  copyUpdate(f.servers, r.GetServers(), now),
 		Operator: copyUpdate(f.operator, r.GetOperator(), now),
 	}
+	reply.ListedVms = s.presence.listUpdate(r.GetListedVms(), now)
 	if r.GetEntryVms() {
 		reply.EntryVms = toListedVMs(s.presence.servingVMs())
 	}
@@ -111,14 +121,16 @@
 	}
 }
 
-// fetchFromPeers queries the region's reader. If that gives no fresh copy and own reads fail too, it queries another
+// fetchFromPeers queries the region's reader. If that gives no fresh copies and own reads fail too, it queries another
 // peer.
 func (s *sharing) fetchFromPeers(ctx context.Context) {
-	reader := s.presence.readerAddress()
+	reader := s.presence.readerAddress(s.isExcluded)
 	if reader != "" && s.fetchFrom(ctx, reader) {
+		s.recordReader(reader, true)
 		s.follower.setPeerCopyValidUntil(time.Now().Add(s.follower.intervals.Load().peerCopyValidity))
 		return
 	}
+	s.recordReader(reader, false)
 	if s.follower.hasFreshServers(time.Now()) {
 		return
 	}
@@ -127,6 +139,35 @@
 	}
 }
 
+// recordReader records whether the reader gave fresh copies, and excludes one that repeatedly did not.
+func (s *sharing) recordReader(reader string, isFresh bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if isFresh || reader == "" {
+		delete(s.failures, reader)
+		return
+	}
+	s.failures[reader]++
+	if s.failures[reader] < maxReaderFailures {
+		return
+	}
+	delete(s.failures, reader)
+	s.excludedUntil[reader] = time.Now().Add(readerExclusion)
+	s.log.WithFields(logrus.Fields{"peer": reader, "excluded_ms": readerExclusion.Milliseconds()}).Info("reader replaced")
+}
+
+// isExcluded reports whether the entry VM at address gave no fresh copies lately.
+func (s *sharing) isExcluded(address string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	until, ok := s.excludedUntil[address]
+	if ok && !time.Now().Before(until) {
+		delete(s.excludedUntil, address)
+		return false
+	}
+	return ok
+}
+
 // nextFallback returns the next peer other than the reader, in rotation, or "" if there is none.
 func (s *sharing) nextFallback(reader string) string {
 	var others []string
@@ -159,8 +200,14 @@
 		return false
 	}
 	s.applyReply(address, reply, requestedAt)
-	age := time.Duration(reply.GetServers().GetAgeMs()) * time.Millisecond
-	return reply.GetServers().GetIncarnation() != 0 && age < s.follower.intervals.Load().shareMaxAge
+	intervals := s.follower.intervals.Load()
+	return isYounger(reply.GetServers(), intervals.shareMaxAge) &&
+		isYounger(reply.GetOperator(), intervals.operatorMaxAge) && isYounger(reply.GetListedVms(), listMaxAge)
+}
+
+// isYounger reports whether a peer has the copy m, and read the store for it less than limit ago.
+func isYounger(m *peer.StoreCopy, limit time.Duration) bool {
+	return m.GetIncarnation() != 0 && time.Duration(m.GetAgeMs())*time.Millisecond < limit
 }
 
 func (s *sharing) fetchRequest(address string) *peer.FetchStoreRequest {
@@ -168,7 +215,7 @@
 	defer s.mu.Unlock()
 	position := s.positions[address]
 	return &peer.FetchStoreRequest{
-		Servers: position.GetServers(), Operator: position.GetOperator(), EntryVms: s.presence.otherVMs.Load() == nil,
+		Servers: position.GetServers(), Operator: position.GetOperator(), ListedVms: position.GetListedVms(), EntryVms: s.presence.otherVMs.Load() == nil,
 	}
 }
 
@@ -184,6 +231,10 @@
 		changed, position.Operator = mergeCopy(c, r.GetOperator(), requestedAt)
 		return changed
 	})
+	s.presence.updateList(func(c *storeCopy) (changed bool) {
+		changed, position.ListedVms = mergeCopy(c, r.GetListedVms(), requestedAt)
+		return changed
+	})
 	if s.presence.adoptPeerList(fromListedVMs(r.GetEntryVms())) {
 		s.log.WithFields(logrus.Fields{"peer": address, "entry_vms": len(r.GetEntryVms())}).Info("entry VMs known from a peer")
 	}
--- a/internal/gateway/sharing_test.go
+++ b/internal/gateway/sharing_test.go
@@ -47,6 +47,7 @@
 	}
 	for _, name := range names {
 		fl.links[name] = &storeLink{fakeStore: fl.store}
+		fl.store.putJSON(presencePrefix+name, fl.record(name))
 	}
 	for _, name := range names {
 		fl.startVM(ctx, t, name)
@@ -68,13 +69,14 @@
 	fl.mu.Unlock()
 	go f.watchOperator(own)
 	go f.pollServers(own)
+	go p.pollList(own, f.awaitOwnReads)
 	go s.run(own)
 }
 
 // presenceOf returns the presence of an entry VM that knows all others, or none of them if there are seeds.
 func (fl *fleet) presenceOf(f *follower, name string) *presence {
-	p := newPresence(fl.store, testSettings(name), f.chooser, f.log)
-	p.self.Peer = name
+	p := newPresence(fl.links[name], testSettings(name), f.chooser, f.log)
+	p.self = fl.record(name)
 	p.canServe.Store(true)
 	if fl.seeds != nil {
 		return p
@@ -82,13 +84,18 @@
 	var others []presenceRecord
 	for _, other := range fl.names {
 		if other != name {
-			others = append(others, presenceRecord{Region: "north", Zone: "north-a", Requests: other + ":1", Peer: other})
+			others = append(others, fl.record(other))
 		}
 	}
 	p.otherVMs.Store(&others)
 	return p
 }
 
+// record returns the entry of an entry VM.
+func (fl *fleet) record(name string) presenceRecord {
+	return presenceRecord{Region: "north", Zone: "north-a", Requests: name + ":1", Peer: name}
+}
+
 // dial connects to a peer by a pipe, or waits until ctx ends if the peer is down.
 func (fl *fleet) dial(ctx context.Context, address string) (net.Conn, error) {
 	fl.mu.Lock()
@@ -142,16 +149,19 @@
 func TestOneEntryVMOfARegionReadsForAll(t *testing.T) {
 	withFleet(t, func(t *testing.T, fl *fleet) {
 		const span = 10 * time.Second
-		before := fl.store.callCount()
+		before, staleBefore := fl.store.callCount(), fl.store.staleCallCount()
 		for range int(span / time.Second) {
 			fl.store.putJSON("server/a", fakeServer{Zone: "north-a", Born: 1, Beat: fl.store.callCount()})
 			time.Sleep(time.Second)
 		}
 		calls := fl.store.callCount() - before
-		// The reader reads once per defaultServerReadInterval, which is 13 times; each VM watches the operator's keys.
+		// The reader reads once per defaultServerReadInterval, which is 13 times, and watches the operator's keys.
 		if maxCalls := int(span/defaultServerReadInterval) + 10; calls > maxCalls {
 			t.Errorf("%d calls to the store in %v, want at most %d from three entry VMs", calls, span, maxCalls)
 		}
+		if stale, most := fl.store.staleCallCount()-staleBefore, int(span/presenceReadInterval)+1; stale > most {
+			t.Errorf("%d stale reads in %v, want at most %d from three entry VMs", stale, span, most)
+		}
 		fl.store.putJSON("server/b", fakeServer{Zone: "north-b", Born: 1})
 		fl.store.remove("server/a")
 		time.Sleep(drainBound)
@@ -181,8 +191,9 @@
 // reader is lost, the VM receives a new configuration too late.
 func TestConfigurationComesInTimeWhenTheReaderDiesUnderAStalledWatch(t *testing.T) {
 	const applyBound = 2500 * time.Millisecond // config_apply_ms of the settings
-	const step = 250 * time.Millisecond        // between the tested times of the loss
-	for lossAt := time.Duration(0); lossAt < operatorWaitWithPeer; lossAt += step {
+	const span = 10 * time.Second              // of the tested times of the loss, longer than any interval between reads
+	const step = 250 * time.Millisecond        // between them
+	for lossAt := time.Duration(0); lossAt < span; lossAt += step {
 		withFleet(t, func(t *testing.T, fl *fleet) {
 			fl.store.stallWatches()
 			time.Sleep(lossAt)
@@ -276,3 +287,47 @@
 		t.Errorf("other entry VMs are %+v, but the store lists none", p.others())
 	}
 }
+
+// The reader of a region lives, but the store turns it away: the next VM reads in its place, and the others go on
+// without reads of their own.
+func TestReaderThatIsTurnedAwayIsReplaced(t *testing.T) {
+	withFleet(t, func(t *testing.T, fl *fleet) {
+		fl.links["vm-1"].isCut.Store(true)
+		time.Sleep(3 * time.Second)
+		const span = 6 * time.Second
+		before := fl.store.callCount()
+		for range int(span / time.Second) {
+			fl.store.putJSON("server/a", fakeServer{Zone: "north-a", Born: 1, Beat: fl.store.callCount()})
+			time.Sleep(time.Second)
+		}
+		if calls, maxCalls := fl.store.callCount()-before, int(span/defaultServerReadInterval)+7; calls > maxCalls {
+			t.Errorf("%d calls to the store in %v, want at most %d from five entry VMs", calls, span, maxCalls)
+		}
+		fl.store.remove("server/a")
+		fl.store.putJSON("operator/config", fakeConfig{Version: 2})
+		time.Sleep(drainBound)
+		for name, f := range fl.followers {
+			if f.knownServers()["a"] || f.Table().Version() != 2 {
+				t.Errorf("%s knows servers %v and version %d after %v", name, f.knownServers(), f.Table().Version(), drainBound)
+			}
+		}
+	}, "vm-1", "vm-2", "vm-3", "vm-4", "vm-5")
+}
+
+// The list of entry VMs reaches those that do not read it: a VM that joined, and one that is gone.
+func TestListOfEntryVMsComesFromTheReader(t *testing.T) {
+	withFleet(t, func(t *testing.T, fl *fleet) {
+		fl.store.putJSON(presencePrefix+"vm-9", fl.record("vm-9"))
+		fl.store.remove(presencePrefix + "vm-2")
+		time.Sleep(presenceReadInterval + 2*defaultShareInterval)
+		for name, s := range fl.shares {
+			known := make(map[string]bool)
+			for _, r := range s.presence.others() {
+				known[r.Peer] = true
+			}
+			if !known["vm-9"] || known["vm-2"] {
+				t.Errorf("%s knows the entry VMs %v, want vm-9 and not vm-2", name, known)
+			}
+		}
+	}, "vm-1", "vm-2", "vm-3")
+}
