placement: objects have a home region where a region has too few servers

Change: an object has its home in the region or in another one, by its hash, so that the same requests always meet the same warm server. As many objects stay as half of the region's slots can run warm (rate and warm service time measured, peaks held for 5 s), no fewer than if all regions had the same demand, which is also assumed for the first requests. Also: a stale list of entry VMs that is older than the copy confirms the copy instead of letting it age.

--- a/internal/gateway/copy.go
+++ b/internal/gateway/copy.go
@@ -89,10 +89,15 @@
 
 func (c *storeCopy) advanceTo(version kv.Version, readAt time.Time) {
 	c.version = max(c.version, version)
+	c.confirm(readAt)
+	c.pruneTombstones()
+}
+
+// confirm records that the copy reflects a read that was requested at readAt.
+func (c *storeCopy) confirm(readAt time.Time) {
 	if readAt.After(c.readAt) {
 		c.readAt = readAt
 	}
-	c.pruneTombstones()
 }
 
 // applyEntry applies one key if its version is higher than the stored one.
--- a/internal/gateway/presence.go
+++ b/internal/gateway/presence.go
@@ -134,7 +134,11 @@
 		requestedAt := time.Now()
 		entries, version, err := p.store.ListStale(ctx, presencePrefix)
 		if err == nil {
-			p.updateList(func(c *storeCopy) bool { return c.applyList(entries, version, requestedAt) })
+			p.updateList(func(c *storeCopy) bool {
+				changed := c.applyList(entries, version, requestedAt)
+				c.confirm(requestedAt) // a list older than the copy says that no newer one is to be had
+				return changed
+			})
 		}
 		_ = clock.Sleep(ctx, presenceReadInterval)
 	}
@@ -157,13 +161,6 @@
 	return copyUpdate(p.list, position, now)
 }
 
-// listReadAt returns when the read was requested that the copy of the list reflects; zero if there was none.
-func (p *presence) listReadAt() time.Time {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.list.readAt
-}
-
 // applyList replaces the known other entry VMs by the store's list.
 func (p *presence) applyList(entries []kv.Entry) {
 	listed := make([]presenceRecord, 0, len(entries))
--- a/internal/placement/chooser.go
+++ b/internal/placement/chooser.go
@@ -107,6 +107,8 @@
 	peers     Peers
 	coldRates map[steering.ServiceName]float64 // requests per second that a cold server can handle
 	notices   map[ServerID]*notice             // of servers that said that they are leaving or want a pause
+	homePlans map[steering.ServiceName]homePlan
+	slots     map[steering.ServiceName]map[steering.RegionName]float64 // of servers that get requests
 }
 
 // Peers counts the live entry VMs, including this one. The allowances are divided by the counts of fleet and region.
@@ -128,6 +130,7 @@
 		peers:     Peers{Fleet: 1, Region: 1},
 		coldRates: make(map[steering.ServiceName]float64),
 		notices:   make(map[ServerID]*notice),
+		homePlans: make(map[steering.ServiceName]homePlan),
 	}
 }
 
@@ -148,6 +151,7 @@
 		services[member.Service] = append(services[member.Service], s)
 	}
 	c.servers, c.services, c.evacuated = servers, services, m.Evacuated
+	c.countSlots()
 }
 
 // SetPeers sets the numbers of live entry VMs.
@@ -198,6 +202,9 @@
 		budget.Deposit()
 	}
 	times := c.routeTimes(q.Route, q.Service)
+	if q.FirstAttempt {
+		times.demand.add(now)
+	}
 	best, candidates := c.selectServer(q, times, now)
 	if best.server == nil {
 		return nil, c.noServerRefusal(q, candidates, now)
--- a/internal/placement/cost.go
+++ b/internal/placement/cost.go
@@ -32,7 +32,7 @@
 type estimate struct {
 	server           *Server
 	warm             bool
-	preferred        bool    // the server is the object's preferred server in this region
+	preferred        bool    // the server is the object's home
 	wait             float64 // seconds
 	service          float64 // seconds, at a server of usual speed
 	slowness         float64
@@ -76,9 +76,14 @@
 	var best estimate
 	candidates := 0
 	preferred := c.preferredServers(q)
+	home := preferred[c.homeRegion(q, now)]
+	if home == nil {
+		home = preferred[c.opts.Region]
+	}
+	isAway := home != nil && home.member.Region != c.opts.Region
 	permission := c.shiftPermission(q, now)
-	if local := preferred[c.opts.Region]; permission <= shiftLocalOnly && c.shouldMigrate(local, q, now) {
-		if e := c.estimate(local, local, q, times, now); e.refusalBasis(q) == BasisNone {
+	if home != nil && permission.admits(home.member.Region == c.opts.Region) && c.shouldMigrate(home, q, now) {
+		if e := c.estimate(home, home, q, times, now); e.refusalBasis(q) == BasisNone {
 			return e, 1
 		}
 	}
@@ -89,9 +94,12 @@
 			continue
 		}
 		candidates++
-		e := c.estimate(s, preferred[c.opts.Region], q, times, now)
+		e := c.estimate(s, home, q, times, now)
 		if q.Object != 0 && !e.warm {
-			e.cost += c.coldCost(s, preferred, times, utilization[s.member.Region])
+			e.cost += c.coldCost(s, home, preferred, times, utilization[s.member.Region])
+		}
+		if isAway && s.member.Region == c.opts.Region {
+			e.cost += awayCost
 		}
 		e.wouldBeRefused = e.refusalBasis(q) != BasisNone
 		e.hasFreeCapacity = utilization[s.member.Region] < freeCapacityThreshold
@@ -151,9 +159,11 @@
 }
 
 // coldCost returns the cost to other requests if a server that does not have the object gets the request: the object
-// displaces another one there. It is 0 at the object's preferred server.
-func (c *Chooser) coldCost(s *Server, preferred map[steering.RegionName]*Server, times *RouteTimes, utilization float64) float64 {
-	if s == preferred[c.opts.Region] {
+// displaces another one there. It is 0 at the object's home.
+func (c *Chooser) coldCost(
+	s, home *Server, preferred map[steering.RegionName]*Server, times *RouteTimes, utilization float64,
+) float64 {
+	if s == home {
 		return 0
 	}
 	cost := (duplicateWeightIdle + duplicateWeightBusy*utilization*utilization) * (times.cold.mean - times.warm.mean)
@@ -265,9 +275,9 @@
 	}
 }
 
-func (c *Chooser) estimate(s, preferred *Server, q *Query, times *RouteTimes, now time.Time) estimate {
+func (c *Chooser) estimate(s, home *Server, q *Query, times *RouteTimes, now time.Time) estimate {
 	e := estimate{server: s, warm: q.Object != 0 && s.warm.contains(q.Object), slowness: s.slownessAt(now)}
-	e.times, e.preferred = times.serviceTime(e.warm), s == preferred
+	e.times, e.preferred = times.serviceTime(e.warm), s == home
 	e.service = e.times.mean
 	if e.preferred && !e.warm {
 		e.service = times.preferredServiceTime()
--- a/internal/placement/times.go
+++ b/internal/placement/times.go
@@ -149,6 +149,7 @@
 	warm, cold         serviceTime
 	preferredWarmShare float64 // of the objects new to this VM, the share that others sent to the preferred server
 	bytes              float64
+	demand             demand
 	served             bool // a request of the route got a response
 }
 
