gateway: a peer whose copy agrees is sent no entries

The first call to a reader, and each one after a reader was replaced, asked for a complete copy: 3,000 servers are some 0.9 MB, which a link of 20 Mbit/s does not carry in the 0.3 s that a call may take, so that it was sent again and again. Change: a VM without a position in a peer's copies describes its own by version and digest; where they agree, no entry is sent. The first call may take 1 s.

--- a/internal/gateway/copy.go
+++ b/internal/gateway/copy.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/azureflow/azureflow/internal/kv"
+	"github.com/azureflow/azureflow/internal/peer"
 )
 
 // storeCopy is this entry VM's copy of the keys with one prefix. It is filled by reads of the store and by copies of
@@ -129,6 +130,11 @@
 	return c.version > version || c.digest == digest
 }
 
+// describe returns what tells a peer whether this copy agrees with its own.
+func (c *storeCopy) describe() *peer.StoreCopy {
+	return &peer.StoreCopy{Version: uint64(c.version), Digest: c.digest}
+}
+
 // pruneTombstones removes the tombstones once there are too many keys.
 func (c *storeCopy) pruneTombstones() {
 	if len(c.rows) <= maxTombstones {
--- a/internal/gateway/copy_test.go
+++ b/internal/gateway/copy_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"fmt"
 	"strings"
 	"testing"
@@ -50,7 +51,7 @@
 			check(i)
 		}
 		fetch := func(i, j int) {
-			m := copyUpdate(copies[j], positions[[2]int{i, j}], now)
+			m := copyUpdate(copies[j], cmp.Or(positions[[2]int{i, j}], copies[i].describe()), now)
 			_, positions[[2]int{i, j}] = mergeCopy(copies[i], m, now)
 			check(i)
 		}
@@ -117,6 +118,35 @@
 	}
 }
 
+// A VM that has read the store itself needs no complete copy from a peer that it calls for the first time, as after the
+// loss of the region's reader.
+func TestCopiesThatAgreeAreNotSent(t *testing.T) {
+	store := newFakeStore()
+	for _, key := range []string{"a", "b", "c"} {
+		store.writeEntry(kv.Entry{Key: key})
+	}
+	reader, other := newStoreCopy(valueHash), newStoreCopy(valueHash)
+	for _, c := range []*storeCopy{reader, other} {
+		entries, version, _ := store.List(t.Context(), "")
+		c.applyList(entries, version, time.Unix(1, 0))
+	}
+	m := copyUpdate(reader, other.describe(), time.Unix(1, 0))
+	if len(m.GetEntries()) != 0 || m.GetWhole() {
+		t.Errorf("%d entries are sent to a VM whose copy agrees", len(m.GetEntries()))
+	}
+	_, position := mergeCopy(other, m, time.Unix(1, 0))
+	store.remove("b")
+	entries, version, _ := store.List(t.Context(), "")
+	reader.applyList(entries, version, time.Unix(2, 0))
+	mergeCopy(other, copyUpdate(reader, position, time.Unix(2, 0)), time.Unix(2, 0))
+	if len(other.entries()) != 2 {
+		t.Errorf("entries %v after a deletion, want two", other.entries())
+	}
+	if empty := newStoreCopy(valueHash); len(copyUpdate(reader, empty.describe(), time.Unix(2, 0)).GetEntries()) != 2 {
+		t.Error("a VM without a copy does not get a complete one")
+	}
+}
+
 // An entry that cannot be decoded takes no memory and no room in the messages to peers, whatever its size.
 func TestUnreadableEntriesAreKeptWithoutContent(t *testing.T) {
 	f := newTestFollower(t, newFakeStore(), "one")
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -14,6 +14,7 @@
 
 	"github.com/azureflow/azureflow/internal/clock"
 	"github.com/azureflow/azureflow/internal/kv"
+	"github.com/azureflow/azureflow/internal/peer"
 	"github.com/azureflow/azureflow/internal/placement"
 	"github.com/azureflow/azureflow/internal/routing"
 )
@@ -102,6 +103,13 @@
 	return now.Sub(f.servers.readAt) < f.intervals.Load().shareMaxAge
 }
 
+// describeCopies describes the copies to a peer.
+func (f *follower) describeCopies() (servers, operator *peer.StoreCopy) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.servers.describe(), f.operator.describe()
+}
+
 // readTimes returns when the reads were requested that the copies reflect; zero if there was none.
 func (f *follower) readTimes() (servers, operator time.Time) {
 	f.mu.Lock()
--- a/internal/gateway/presence.go
+++ b/internal/gateway/presence.go
@@ -161,6 +161,13 @@
 	return copyUpdate(p.list, position, now)
 }
 
+// describeList describes the copy of the list to a peer.
+func (p *presence) describeList() *peer.StoreCopy {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.list.describe()
+}
+
 // applyList replaces the known other entry VMs by the store's list.
 func (p *presence) applyList(entries []kv.Entry) {
 	listed := make([]presenceRecord, 0, len(entries))
--- a/internal/gateway/sharing.go
+++ b/internal/gateway/sharing.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"slices"
@@ -16,8 +17,12 @@
 	"github.com/azureflow/azureflow/internal/steering"
 )
 
-// peerCallTimeout bounds a call to a peer. It is several times the delay between regions.
-const peerCallTimeout = 300 * time.Millisecond
+// Bounds of a call to a peer: several times the delay between regions, and more for the first call, whose reply may be
+// a complete copy that a narrow link carries in this time.
+const (
+	peerCallTimeout  = 300 * time.Millisecond
+	firstCallTimeout = time.Second
+)
 
 // sharing keeps store reads few: one entry VM of each region reads the servers' entries, the others request the changes
 // from it. An entry VM whose peers have no fresh copy reads for itself; one that cannot read at all queries peers of
@@ -79,12 +84,17 @@
 	return reply, nil
 }
 
-// copyUpdate returns what changed in c since the requester's position.
+// copyUpdate returns what changed in c since the requester's position. A requester without a position whose copy agrees
+// with c needs no entries.
 func copyUpdate(c *storeCopy, position *peer.StoreCopy, now time.Time) *peer.StoreCopy {
 	if c.readAt.IsZero() {
 		return &peer.StoreCopy{}
 	}
-	entries, complete := c.changesSince(position.GetIncarnation(), position.GetChange())
+	incarnation, change := position.GetIncarnation(), position.GetChange()
+	if incarnation == 0 && position.GetVersion() > 0 && position.GetDigest() == c.digest {
+		incarnation, change = c.incarnation, c.change
+	}
+	entries, complete := c.changesSince(incarnation, change)
 	m := &peer.StoreCopy{
 		Incarnation: c.incarnation, Change: c.change, Whole: complete, Version: uint64(c.version),
 		AgeMs: uint32(max(0, now.Sub(c.readAt).Milliseconds())), Digest: c.digest,
@@ -186,12 +196,16 @@
 
 // fetchFrom applies the copies of the peer at address and reports whether they are fresh.
 func (s *sharing) fetchFrom(ctx context.Context, address string) bool {
-	ctx, cancel := context.WithTimeout(ctx, peerCallTimeout)
+	request, timeout := s.fetchRequest(address), peerCallTimeout
+	if request.GetServers().GetIncarnation() == 0 {
+		timeout = firstCallTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	requestedAt := time.Now()
 	var reply *peer.FetchStoreReply
 	err := s.pool.Call(ctx, address, func(c peer.DRPCPeerClient) (err error) {
-		reply, err = c.FetchStore(ctx, s.fetchRequest(address))
+		reply, err = c.FetchStore(ctx, request)
 		return err
 	})
 	s.metrics.recordPeerCall(callOutcome(err))
@@ -210,12 +224,18 @@
 	return m.GetIncarnation() != 0 && time.Duration(m.GetAgeMs())*time.Millisecond < limit
 }
 
+// fetchRequest returns the request for the changes since the position in the peer's copies. Where there is none, the
+// request describes this VM's own copies instead, since they may agree.
 func (s *sharing) fetchRequest(address string) *peer.FetchStoreRequest {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	position := s.positions[address]
+	s.mu.Unlock()
+	servers, operator := s.follower.describeCopies()
 	return &peer.FetchStoreRequest{
-		Servers: position.GetServers(), Operator: position.GetOperator(), ListedVms: position.GetListedVms(), EntryVms: s.presence.otherVMs.Load() == nil,
+		Servers:   cmp.Or(position.GetServers(), servers),
+		Operator:  cmp.Or(position.GetOperator(), operator),
+		ListedVms: cmp.Or(position.GetListedVms(), s.presence.describeList()),
+		EntryVms:  s.presence.otherVMs.Load() == nil,
 	}
 }
 
