--- a/internal/forward/notice_test.go
+++ b/internal/forward/notice_test.go
@@ -117,7 +117,7 @@
 				t.Errorf("Retry-After %q: a request reached the server: %v", text, reached)
 			}
 			if retry, _ := strconv.ParseFloat(resp.Header().Get("Retry-After"), 64); retry < want.Seconds() {
-				t.Errorf("Retry-After %q: the caller is told to come back after %v s", text, retry)
+				t.Errorf("Retry-After %q: the response asks the caller to retry after %v s", text, retry)
 			}
 			time.Sleep(want)
 			env.serve(newRequestWithID("/unsafe/x", 2))
--- a/internal/gateway/registry.go
+++ b/internal/gateway/registry.go
@@ -63,7 +63,7 @@
 	present := make(map[placement.ServerID]bool, len(servers))
 	for _, m := range servers {
 		if _, known := g.zones[m.Zone]; !known {
-			continue // no deployment has it, so that nothing is known about where the server may be used
+			continue // of no zone of the deployment: its region, and so where it may be used, is unknown
 		}
 		m.Region, m.Seen = g.zones[m.Zone], now
 		if old, ok := g.members[m.ID]; ok && sameEntry(old, m) {
--- a/internal/placement/home.go
+++ b/internal/placement/home.go
@@ -16,7 +16,7 @@
 
 const (
 	demandWindow = 2 * time.Second // time constant of the measured rate of requests
-	demandHold   = 5 * time.Second // in which a peak of the rate decays, so that it outlasts a pause between waves of load
+	demandHold   = 5 * time.Second // time constant with which a peak of the rate decays
 	demandWarmUp = 300 * time.Millisecond
 	homeShareAge = 100 * time.Millisecond // for which a computed share is used
 	// homeUtilization is the share of a region's slots that the requests which stay may need: above it, requests wait.
--- a/internal/placement/notice_test.go
+++ b/internal/placement/notice_test.go
@@ -98,7 +98,7 @@
 	}
 }
 
-// If all servers want a pause, the caller is told at once when the first of them accepts requests again.
+// If all servers want a pause, the request is refused at once, until the first of them accepts requests again.
 func TestRefusalNamesTheShortestPause(t *testing.T) {
 	c := testChooser(member("a", "north"), member("b", "north"))
 	respondWith(t, c, Result{Outcome: OutcomeShed, Backoff: 3 * time.Second}, start)
