--- a/review/rig/latereader.go
+++ b/review/rig/latereader.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"strings"
 	"sync"
 	"time"
 )
@@ -26,9 +27,10 @@
 			return nil, err
 		}
 		s.readsLate = true
+		s.writeEntry()
 		go s.beat()
 	}
-	if err := w.startGateways(); err != nil {
+	if err := w.startGateways(config, oneEach, strings.NewReplacer()); err != nil {
 		return nil, err
 	}
 	time.Sleep(settle)
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -29,6 +29,7 @@
 var cases = map[string]func(w *world) ([]string, error){
 	"odd-entry":   oddEntry,
 	"late-reader": lateReader,
+	"cold-server": coldServer,
 }
 
 func main() { os.Exit(runCase(os.Args[1:])) }
--- a/review/rig/oddentry.go
+++ b/review/rig/oddentry.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"sync"
 	"time"
 )
@@ -28,13 +29,14 @@
 		if err != nil {
 			return nil, err
 		}
+		s.writeEntry()
 		if i == 0 {
 			leaving = s
 		} else {
 			go s.beat()
 		}
 	}
-	if err := w.startGateways(); err != nil {
+	if err := w.startGateways(config, oneEach, strings.NewReplacer()); err != nil {
 		return nil, err
 	}
 	stop := make(chan struct{})
--- a/review/rig/server.go
+++ b/review/rig/server.go
@@ -26,14 +26,21 @@
 	work      time.Duration
 	readsLate bool // it answers before it has read the body, keeps the connection and reads on then
 
+	coldUntil time.Time
+	crashRate int // requests in one second at which it crashes while it is cold; 0: it does not
+
 	seq      atomic.Int64
 	running  atomic.Int64
+	queued   atomic.Int64 // requests that run or wait
 	draining atomic.Bool
 
 	mu       sync.Mutex
 	listener net.Listener
 	conns    map[net.Conn]bool
+	arrivals []time.Time // of requests that were not rejected with 421
 	ended    bool
+
+	slotsFree chan struct{} // full while all slots are in use
 }
 
 func (w *world) startServer(id, service, zone string, slots int, work time.Duration) (*server, error) {
@@ -44,12 +51,27 @@
 	s := &server{
 		w: w, id: id, service: service, zone: zone, address: l.Addr().String(), slots: slots, work: work,
 		born: time.Now().UnixMilli(), listener: l, conns: make(map[net.Conn]bool),
+		slotsFree: make(chan struct{}, slots),
 	}
-	s.writeEntry()
 	go s.serve()
 	return s, nil
 }
 
+// crashes records an arrival and reports whether the server crashes of it.
+func (s *server) crashes() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	s.arrivals = append(s.arrivals, now)
+	latest := 0
+	for _, t := range s.arrivals {
+		if now.Sub(t) <= time.Second {
+			latest++
+		}
+	}
+	return s.crashRate > 0 && now.Before(s.coldUntil) && latest >= s.crashRate
+}
+
 // writeEntry writes the server's entry, as with each heartbeat, and returns when the store accepted it.
 func (s *server) writeEntry() time.Time {
 	state := "ready"
@@ -57,8 +79,8 @@
 		state = "draining"
 	}
 	return s.w.store.put("servers/"+s.id, fmt.Sprintf(
-		`{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":%d,"state":%q,"cold_remaining_ms":0,"seq":%d,"born":%d}`,
-		s.service, s.address, s.zone, s.slots, state, s.seq.Add(1), s.born))
+		`{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":%d,"state":%q,"cold_remaining_ms":%d,"seq":%d,"born":%d}`,
+		s.service, s.address, s.zone, s.slots, state, max(0, time.Until(s.coldUntil).Milliseconds()), s.seq.Add(1), s.born))
 }
 
 // beat writes the entry each heartbeat until the server ends.
@@ -128,6 +150,18 @@
 	if !s.readsLate {
 		_, _ = io.Copy(io.Discard, r.Body)
 	}
+	if s.crashes() {
+		s.w.rec.printf("server %s got too much work while it was cold and crashes", s.id)
+		s.exit()
+		return false
+	}
+	if s.queued.Add(1) > int64(4*s.slots) {
+		s.queued.Add(-1)
+		_, err := fmt.Fprintf(c, "HTTP/1.1 503 Service Unavailable\r\nX-Request-Id: %s\r\nX-Not-Executed: 1\r\nX-Server-Load: %d,%d,%d,100\r\nContent-Length: 0\r\n\r\n", id, s.slots, 3*s.slots, s.slots)
+		return err == nil
+	}
+	s.slotsFree <- struct{}{}
+	defer func() { <-s.slotsFree; s.queued.Add(-1) }()
 	started := time.Now()
 	s.w.ran(&run{server: s.id, request: id, start: started})
 	s.w.rec.printf("server %s runs %s (deadline %s ms)", s.id, id, r.Header.Get("X-Deadline-Ms"))
--- a/review/rig/world.go
+++ b/review/rig/world.go
@@ -152,27 +152,33 @@
 	return found
 }
 
-// startGateways starts a gateway in each zone and waits until all are ready.
-func (w *world) startGateways() error {
+// place is where a gateway stands.
+type place struct{ zone, region string }
+
+// oneEach has a gateway in each zone.
+var oneEach = []place{{"sohar-a", "batinah"}, {"sohar-b", "batinah"}, {"ruwi-a", "muscat"}}
+
+// startGateways starts a gateway at each place with the operator's configuration in force, and waits until all are
+// ready. edit changes the text of the settings.
+func (w *world) startGateways(config string, places []place, edit *strings.Replacer) error {
 	storeListener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return err
 	}
 	go func() { _ = http.Serve(storeListener, w.store) }()
 	w.store.put("op/config", config)
-	net24, err := freeLoopbackNet()
+	net24, err := freeLoopbackNet(len(places))
 	if err != nil {
 		return err
 	}
-	zones := []struct{ zone, region string }{{"sohar-a", "batinah"}, {"sohar-b", "batinah"}, {"ruwi-a", "muscat"}}
 	var seeds []string
-	for i := range zones {
+	for i := range maxSeeds {
 		seeds = append(seeds, fmt.Sprintf("%q", fmt.Sprintf("%s.%d:8382", net24, i+1)))
 	}
-	for i, z := range zones {
-		name, ip := "edge-"+z.zone+"-1", fmt.Sprintf("%s.%d", net24, i+1)
-		text := fmt.Sprintf(settings, name, ip, z.zone, z.region, strings.Join(seeds, ","), storeListener.Addr())
-		if err := w.startGateway(name, ip, text); err != nil {
+	for i, p := range places {
+		name, ip := fmt.Sprintf("edge-%s-%d", p.zone, i+1), fmt.Sprintf("%s.%d", net24, i+1)
+		text := fmt.Sprintf(settings, name, ip, p.zone, p.region, strings.Join(seeds, ","), storeListener.Addr())
+		if err := w.startGateway(name, ip, edit.Replace(text)); err != nil {
 			return err
 		}
 	}
@@ -211,19 +217,22 @@
 	return nil
 }
 
-// freeLoopbackNet returns the first three numbers of loopback addresses on which the ports of the gateways are free.
-func freeLoopbackNet() (string, error) {
+// maxSeeds is the number of entry VMs that the settings name.
+const maxSeeds = 3
+
+// freeLoopbackNet returns the first three numbers of loopback addresses on which the ports of n gateways are free.
+func freeLoopbackNet(n int) (string, error) {
 	for range 50 {
 		net24 := fmt.Sprintf("127.%d.%d", 16+rand.IntN(200), 1+rand.IntN(250))
-		if areFree(net24) {
+		if areFree(net24, n) {
 			return net24, nil
 		}
 	}
 	return "", fmt.Errorf("%w: no free loopback addresses", errSetup)
 }
 
-func areFree(net24 string) bool {
-	for i := 1; i <= 3; i++ {
+func areFree(net24 string, n int) bool {
+	for i := 1; i <= n; i++ {
 		for _, port := range []int{8381, 8382, 8383, 8388, 9464} {
 			l, err := net.Listen("tcp", fmt.Sprintf("%s.%d:%d", net24, i, port))
 			if err != nil {
