--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -27,9 +27,11 @@
 
 // cases are the cases by name. Each returns the violations of its rule.
 var cases = map[string]func(w *world) ([]string, error){
-	"odd-entry":   oddEntry,
-	"late-reader": lateReader,
-	"cold-server": coldServer,
+	"odd-entry":     oddEntry,
+	"late-reader":   lateReader,
+	"cold-server":   coldServer,
+	"wrong-address": wrongAddress,
+	"wrong-service": wrongService,
 }
 
 func main() { os.Exit(runCase(os.Args[1:])) }
