--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -30,6 +30,7 @@
 	"odd-entry":     oddEntry,
 	"late-reader":   lateReader,
 	"cold-server":   coldServer,
+	"late-beat":     lateBeat,
 	"wrong-address": wrongAddress,
 	"wrong-service": wrongService,
 }
--- a/review/rig/server.go
+++ b/review/rig/server.go
@@ -72,15 +72,20 @@
 	return s.crashRate > 0 && now.Before(s.coldUntil) && latest >= s.crashRate
 }
 
-// writeEntry writes the server's entry, as with each heartbeat, and returns when the store accepted it.
-func (s *server) writeEntry() time.Time {
+// entry returns the server's next heartbeat.
+func (s *server) entry() string {
 	state := "ready"
 	if s.draining.Load() {
 		state = "draining"
 	}
-	return s.w.store.put("servers/"+s.id, fmt.Sprintf(
+	return fmt.Sprintf(
 		`{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":%d,"state":%q,"cold_remaining_ms":%d,"seq":%d,"born":%d}`,
-		s.service, s.address, s.zone, s.slots, state, max(0, time.Until(s.coldUntil).Milliseconds()), s.seq.Add(1), s.born))
+		s.service, s.address, s.zone, s.slots, state, max(0, time.Until(s.coldUntil).Milliseconds()), s.seq.Add(1), s.born)
+}
+
+// writeEntry writes the server's entry, as with each heartbeat, and returns when the store accepted it.
+func (s *server) writeEntry() time.Time {
+	return s.w.store.put("servers/"+s.id, s.entry())
 }
 
 // beat writes the entry each heartbeat until the server ends.
