gateway: lines and a counter tell attempts at cold servers

The inputs are added: cold and region_vms on the lines of a request and an attempt, and azureflow_gateway_cold_sendings_total. Requests that a cold server ran are logged up to the limit of failures.

--- a/internal/gateway/journal.go
+++ b/internal/gateway/journal.go
@@ -75,7 +75,8 @@
 func (j *journal) RequestDone(d *forward.FinishedRequest) {
 	j.metrics.recordRequest(d)
 	limiter := j.failures
-	if d.Reason == forward.ReasonResponded && d.Status < 500 {
+	toColdServer := d.LastPlacement != nil && d.LastPlacement.Cold
+	if d.Reason == forward.ReasonResponded && d.Status < 500 && !toColdServer {
 		limiter = j.successes
 	}
 	if !j.allowLine(limiter) {
@@ -103,7 +104,7 @@
 	return logrus.Fields{
 		"server": p.Server, "server_zone": p.Zone, "warm": p.Warm, "expected_ms": p.ExpectedLatency.Milliseconds(),
 		"wait_ms": p.Wait.Milliseconds(), "report_age_ms": p.ReportAge.Milliseconds(), "candidates": p.Candidates,
-		"trial": p.Trial,
+		"trial": p.Trial, "cold": p.Cold, "region_vms": p.RegionVMs,
 	}
 }
 
--- a/internal/gateway/journal_test.go
+++ b/internal/gateway/journal_test.go
@@ -58,12 +58,12 @@
 			BestLatency: 1400 * time.Millisecond, ServiceTime: 1090 * time.Millisecond, ServiceTimeEvidence: placement.Evidence{Age: -1}},
 	})
 	j.AttemptDone(&forward.Attempt{
-		RequestID: "r2", Placement: &placement.Placement{Server: "s2", ReportAge: 40 * time.Millisecond},
+		RequestID: "r2", Placement: &placement.Placement{Server: "s2", ReportAge: 40 * time.Millisecond, Cold: true, RegionVMs: 26},
 		Outcome: placement.OutcomeNoResponse, Err: errors.ErrUnsupported, Effect: placement.Effect{Ejected: true},
 	})
 	for _, want := range []string{
 		"request=r1", "refusal=no-room", "best_server=s1", "best_wait_ms=300", "left_ms=1000", "version=7", "basis=waited", "best_run_ms=1090", "run_samples=0",
-		"request=r2", "server=s2", "report_age_ms=40", "outcome=no-answer", "ejected=true", "error=",
+		"request=r2", "server=s2", "report_age_ms=40", "outcome=no-answer", "ejected=true", "error=", "cold=true", "region_vms=26",
 	} {
 		if !strings.Contains(out.String(), want) {
 			t.Errorf("no line contains %s:\n%s", want, out.String())
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -16,6 +16,7 @@
 	attempts       *prometheus.CounterVec
 	refusals       *prometheus.CounterVec
 	trials         *prometheus.CounterVec
+	coldAttempts   *prometheus.CounterVec
 	notices        *prometheus.CounterVec
 	ignoredEntries prometheus.Counter
 
@@ -47,6 +48,9 @@
 			Namespace: "azureflow", Name: "gateway_trials_total",
 			Help: "Sendings against an estimate for which there is no recent evidence, by how they ended.",
 		}, []string{"service", "outcome"}),
+		coldAttempts: auto.NewCounterVec(prometheus.CounterOpts{
+			Namespace: "azureflow", Name: "gateway_cold_sendings_total", Help: "Sendings to cold servers by how they ended.",
+		}, []string{"service", "outcome"}),
 		notices: auto.NewCounterVec(prometheus.CounterOpts{
 			Namespace: "azureflow", Name: "gateway_server_notices_total",
 			Help: "Responses in which a server started to leave, or asked for a pause.",
@@ -94,6 +98,9 @@
 	if s.Effect.Backoff > 0 {
 		m.notices.WithLabelValues(string(s.Service), "backoff").Inc()
 	}
+	if s.Placement.Cold {
+		m.coldAttempts.WithLabelValues(string(s.Service), s.Outcome.String()).Inc()
+	}
 	if s.Placement.Trial {
 		m.trials.WithLabelValues(string(s.Service), s.Outcome.String()).Inc()
 	}
--- a/internal/placement/chooser.go
+++ b/internal/placement/chooser.go
@@ -49,6 +49,8 @@
 	ReportAge       time.Duration // of the server's report that the choice used; negative if there was none
 	Candidates      int           // servers that were compared
 	Trial           bool          // sent although the estimate is too long, since no recent evidence supports the estimate
+	Cold            bool          // the server is believed to be cold
+	RegionVMs       int           // entry VMs of this region, as many as share the rate of a cold server
 
 	server              *Server
 	times               *RouteTimes
@@ -227,6 +229,7 @@
 		Warm: best.warm, ExpectedLatency: toDuration(best.expectedLatency()), Wait: toDuration(best.wait), ReportAge: -1, Candidates: candidates,
 		server: s, times: times, object: q.Object, onPreferredServer: best.preferred, service: best.service, slowness: best.slowness, rtt: best.rtt, sent: now,
 		hasSamplesToCompare: best.times.hasSamplesToCompare(),
+		Cold:                s.isCold(now), RegionVMs: c.allowancePeers().Region,
 	}
 	if best.isTrial(q) {
 		p.trial = best.times
@@ -236,7 +239,7 @@
 	if !s.reportedAt.IsZero() {
 		p.ReportAge = now.Sub(s.reportedAt)
 	}
-	if s.isCold(now) {
+	if p.Cold {
 		s.coldRate.tryTake()
 	}
 	s.running[p] = struct{}{}
