placement: a region of many entry VMs keeps the bound of a cold server (FAILBACK)

The servers crashed, and callers of an unsafe route got 502.

Cause: each entry VM divides the rate of a cold server by the entry VMs of its region, but its token bucket has a whole token at the start. So a region's burst was the number of its entry VMs; cold_overage and cold_slack were not read. The same tokens were saved up when a server turned cold again.

Change: only as many entry VMs send to a cold server as the bound has room for their tokens and the rate, less a fifth; which ones follows from a rendezvous order by server. They divide the whole rate. An entry VM that does not know the others yet sends nothing to cold servers. Smaller regions behave as before.

--- a/internal/gateway/presence.go
+++ b/internal/gateway/presence.go
@@ -206,6 +206,7 @@
 		peers.Fleet++
 		if r.Region == p.self.Region {
 			peers.Region++
+			peers.OthersInRegion = append(peers.OthersInRegion, r.Requests)
 		}
 	}
 	p.chooser.SetPeers(peers)
--- a/internal/gateway/presence_test.go
+++ b/internal/gateway/presence_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"slices"
 	"testing"
 	"time"
 
 	"github.com/azureflow/azureflow/internal/kv"
 	"github.com/azureflow/azureflow/internal/placement"
+	"github.com/azureflow/azureflow/internal/routing"
 	"github.com/azureflow/azureflow/internal/steering"
 )
 
@@ -163,3 +165,44 @@
 }
 
 func excludeNone(string) bool { return false }
+
+// Regression, review/3: entry VMs that know each other from the store's list keep the bound of a cold server together.
+func TestListedEntryVMsKeepTheBoundOfAColdServer(t *testing.T) {
+	const vms, perSecond = 26, 1.9
+	bounds := placement.ColdBounds{Overage: 1.5, Slack: 10}
+	var entries []kv.Entry
+	for i := range vms {
+		name := fmt.Sprintf("vm-%d", i)
+		value, err := json.Marshal(presenceRecord{Zone: "north-a", Region: "north", Requests: name + ":1", Peer: name + ":2"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		entries = append(entries, kv.Entry{Key: presencePrefix + name, Value: value})
+	}
+	now := time.Now()
+	table := routing.NewTable(&routing.Config{Services: []routing.Service{{Name: "desk", ColdPerSecond: perSecond}}})
+	cold := placement.Member{
+		ID: "a", Service: "desk", Address: "a:1", Zone: "north-a", Region: "north", Slots: 6, Seen: now, ColdFor: time.Minute,
+	}
+	route := &routing.Route{Name: "lookup", Timeout: 3 * time.Second, TargetLatency: time.Second}
+	sent := 0
+	for i := range vms {
+		s := testSettings(fmt.Sprintf("vm-%d", i))
+		s.Listen.Requests, s.Bounds.Cold = fmt.Sprintf("vm-%d:1", i), bounds
+		c := placement.NewChooser(s.placementOptions())
+		c.SetMembership(&placement.Membership{Members: []placement.Member{cold}})
+		c.SetTable(table)
+		p := newPresence(newFakeStore(), s, c, discardLog())
+		query := &placement.Query{Route: route, Service: "desk", TimeLeft: 3 * time.Second, TargetLeft: time.Second, FirstAttempt: true}
+		if to, _ := c.Place(query, now); to != nil {
+			t.Fatal("a cold server gets a request of an entry VM that does not know the others")
+		}
+		p.applyList(entries)
+		if to, _ := c.Place(query, now); to != nil {
+			sent++
+		}
+	}
+	if limit := perSecond*bounds.Overage + bounds.Slack; sent == 0 || float64(sent) > limit {
+		t.Errorf("%d requests at once to a cold server, want some and at most %v", sent, limit)
+	}
+}
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -42,7 +42,8 @@
 	RetryBudgetRatio float64       // attempts beyond the first for each request to a service
 	RetryBudgetSlack float64       // attempts beyond that in a window
 	DirectoryTTL     time.Duration
-	MaxShift         float64 // change of the share of requests in other regions, per 2 s
+	Cold             placement.ColdBounds // of the requests that a cold server may get in one second
+	MaxShift         float64              // change of the share of requests in other regions, per 2 s
 }
 
 // placementOptions returns the options for choosing servers. Each zone has at least one entry VM.
@@ -56,6 +57,6 @@
 	return placement.Options{
 		Zone: s.Zone, Region: s.Region, MaxShift: s.Bounds.MaxShift,
 		RetryRatio: s.Bounds.RetryBudgetRatio, RetrySlack: s.Bounds.RetryBudgetSlack,
-		MinPeers: minPeers,
+		MinPeers: minPeers, VM: s.Listen.Requests, Cold: s.Bounds.Cold,
 	}
 }
--- a/internal/placement/chooser.go
+++ b/internal/placement/chooser.go
@@ -21,6 +21,8 @@
 	RetryRatio float64             // retries for each request
 	RetrySlack float64             // retries beyond that ratio, of all entry VMs together
 	MinPeers   Peers               // minimum divisors of the allowances, for unknown peers such as after a power loss
+	VM         string              // identity of this entry VM among Peers.OthersInRegion
+	Cold       ColdBounds          // of the requests that a cold server may get
 }
 
 // Query describes one request that is to be sent to a server.
@@ -50,7 +52,7 @@
 	Candidates      int           // servers that were compared
 	Trial           bool          // sent although the estimate is too long, since no recent evidence supports the estimate
 	Cold            bool          // the server is believed to be cold
-	RegionVMs       int           // entry VMs of this region, as many as share the rate of a cold server
+	RegionVMs       int           // entry VMs of this region, of which some or all share the rate of a cold server
 
 	server              *Server
 	times               *RouteTimes
@@ -99,25 +101,30 @@
 type Chooser struct {
 	opts Options
 
-	mu        sync.Mutex
-	services  map[steering.ServiceName][]*Server
-	servers   map[ServerID]*Server
-	evacuated map[steering.ZoneName]bool                      // zones
-	times     map[string]map[steering.ServiceName]*RouteTimes // by route and the service that it leads to
-	budgets   map[steering.ServiceName]*RetryBudget
-	shift     shiftLimiter
-	peers     Peers
-	coldRates map[steering.ServiceName]float64 // requests per second that a cold server can handle
-	notices   map[ServerID]*notice             // of servers that said that they are leaving or want a pause
-	homePlans map[steering.ServiceName]homePlan
-	slots     map[steering.ServiceName]map[steering.RegionName]float64 // of servers that get requests
+	mu         sync.Mutex
+	services   map[steering.ServiceName][]*Server
+	servers    map[ServerID]*Server
+	evacuated  map[steering.ZoneName]bool                      // zones
+	times      map[string]map[steering.ServiceName]*RouteTimes // by route and the service that it leads to
+	budgets    map[steering.ServiceName]*RetryBudget
+	shift      shiftLimiter
+	peers      Peers
+	peersKnown bool                             // SetPeers was called
+	rankEpoch  int                              // changes with what the ranks among senders depend on
+	coldRates  map[steering.ServiceName]float64 // requests per second that a cold server can handle
+	notices    map[ServerID]*notice             // of servers that said that they are leaving or want a pause
+	homePlans  map[steering.ServiceName]homePlan
+	slots      map[steering.ServiceName]map[steering.RegionName]float64 // of servers that get requests
 }
 
-// Peers counts the live entry VMs, including this one. The allowances are divided by the counts of fleet and region.
+// Peers describes the live entry VMs. The counts include this one. The allowances are divided by the counts of fleet and
+// region.
 type Peers struct {
 	Fleet   int
 	Region  int
 	Serving int // of the region, those that lookups return to callers
+	// OthersInRegion identifies the other entry VMs of the region. The order does not matter.
+	OthersInRegion []string
 }
 
 // NewChooser returns a Chooser without servers.
@@ -156,11 +163,12 @@
 	c.countSlots()
 }
 
-// SetPeers sets the numbers of live entry VMs.
+// SetPeers sets the live entry VMs. Before the first call, no request is sent to cold servers.
 func (c *Chooser) SetPeers(p Peers) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.peers = p
+	c.peers, c.peersKnown = p, true
+	c.rankEpoch++
 }
 
 // allowancePeers returns the numbers of entry VMs that the allowances are divided by.
@@ -176,6 +184,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.opts = opts
+	c.rankEpoch++
 	c.shift.bound = opts.MaxShift
 }
 
--- a/internal/placement/cost.go
+++ b/internal/placement/cost.go
@@ -223,20 +223,6 @@
 	return !m.Draining && !c.evacuated[m.Zone] && q.Route.Allows(m.Region) && !q.wasTried(m.ID)
 }
 
-// coldRateAllows reports whether s is not cold, or can handle one more request now. Only entry VMs of its region send
-// to a cold server; they divide its rate.
-func (c *Chooser) coldRateAllows(s *Server, now time.Time) bool {
-	if !s.isCold(now) {
-		return true
-	}
-	if s.member.Region != c.opts.Region {
-		return false
-	}
-	share := c.coldRates[s.member.Service] / float64(c.allowancePeers().Region)
-	s.coldRate.refill(share, 1, now)
-	return s.coldRate.tokens >= 1
-}
-
 // preferredServers returns the preferred server of q's object in each region: the one with the highest rendezvous
 // score. The callers of a region share their objects, so its zones share the preferred server.
 func (c *Chooser) preferredServers(q *Query) map[steering.RegionName]*Server {
--- a/internal/placement/server.go
+++ b/internal/placement/server.go
@@ -27,13 +27,15 @@
 
 // Server is the state of one server as this entry VM knows it.
 type Server struct {
-	member    Member
-	running   map[*Placement]struct{} // requests of this entry VM
-	warm      *warmObjects
-	coldUntil time.Time
-	coldRate  tokenBucket
-	health    health
-	notice    *notice // nil: the server said nothing
+	member     Member
+	running    map[*Placement]struct{} // requests of this entry VM
+	warm       *warmObjects
+	coldUntil  time.Time
+	coldRate   tokenBucket
+	senderRank int // of this entry VM among those that may send to the server while it is cold
+	rankEpoch  int // of the Chooser, in which senderRank was computed
+	health     health
+	notice     *notice // nil: the server said nothing
 
 	reportedAt     time.Time // time of the last report
 	othersLoad     float64   // requests of other entry VMs at the server, by the last report
