gateway: lines about servers name the entry behind them

The lines now have the start of the incarnation, the version up to which the copy is complete and, if the server is listed, the number (seq) and version of its entry. An entry whose seq is no whole number was not written by a server and names none.

--- a/internal/gateway/catalog.go
+++ b/internal/gateway/catalog.go
@@ -18,13 +18,19 @@
 	ConfigKey      string // key of the configuration
 	ServerPrefix   string // of the keys of servers' entries
 	DecodeConfig   func(data []byte) (*routing.Config, error)
-	DecodeServer   func(key string, data []byte) (placement.Member, error)
+	DecodeServer   func(key string, data []byte) (ServerEntry, error)
 	EvacuatedZone  func(key string) (zone steering.ZoneName, ok bool)
 	Directory      func(lookup LookupFunc) http.Handler
 	Readiness      func(ready func() bool) http.Handler
 	OpenStore      func(address string) kv.StaleReader
 }
 
+// ServerEntry is what a server wrote about itself to the store.
+type ServerEntry struct {
+	Member placement.Member
+	Seq    uint64 // number of this entry among those of the server's incarnation
+}
+
 // LookupFunc returns the entry VMs that a caller in a zone should use.
 type LookupFunc func(region steering.RegionName, zone steering.ZoneName) LookupResult
 
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -254,9 +254,9 @@
 type fakeServer struct {
 	Zone     string
 	Draining bool
-	Born     int64 // Unix seconds
-	Beat     int   // heartbeat, without meaning for the gateway
-	Broken   bool  // cannot be decoded
+	Born     int64  // Unix seconds
+	Beat     uint64 // number of the heartbeat
+	Broken   bool   // cannot be decoded
 }
 
 // unreadableEntryError reports an entry that a test made unreadable.
@@ -275,15 +275,15 @@
 			err := json.Unmarshal(data, &c)
 			return &routing.Config{Version: c.Version}, err
 		},
-		DecodeServer: func(key string, data []byte) (placement.Member, error) {
+		DecodeServer: func(key string, data []byte) (ServerEntry, error) {
 			var s fakeServer
 			if err := json.Unmarshal(data, &s); err != nil || s.Broken {
-				return placement.Member{}, &unreadableEntryError{}
+				return ServerEntry{}, &unreadableEntryError{}
 			}
-			return placement.Member{
+			return ServerEntry{Seq: s.Beat, Member: placement.Member{
 				ID: placement.ServerID(strings.TrimPrefix(key, "server/")), Service: "desk", Address: key,
 				Zone: steering.ZoneName(s.Zone), Slots: 4, Draining: s.Draining, Born: time.Unix(s.Born, 0),
-			}, nil
+			}}, nil
 		},
 		EvacuatedZone: func(key string) (steering.ZoneName, bool) {
 			zone, ok := strings.CutPrefix(key, "operator/evacuate/")
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -72,13 +72,13 @@
 // serverFingerprint hashes the entry of a server without its heartbeat. An entry that cannot be decoded names no server
 // and may be large: its content is removed, and all such entries of a key have the same hash.
 func (f *follower) serverFingerprint(e *kv.Entry) uint64 {
-	m, err := f.catalog.DecodeServer(e.Key, e.Value)
+	decoded, err := f.catalog.DecodeServer(e.Key, e.Value)
 	if err != nil {
 		f.recordUnreadable(e, err)
 		e.Value = nil
 		return xxhash.Sum64String(e.Key)
 	}
-	return xxhash.Sum64String(fmt.Sprintf("%s %+v", e.Key, m))
+	return xxhash.Sum64String(fmt.Sprintf("%s %+v", e.Key, decoded.Member))
 }
 
 // setSettings applies the deployment's zones and bounds.
--- a/internal/gateway/intake.go
+++ b/internal/gateway/intake.go
@@ -79,18 +79,21 @@
 	}
 	entries := f.servers.entries()
 	members := make([]placement.Member, 0, len(entries))
+	origins := make(map[placement.ServerID]logrus.Fields)
 	for i := range entries {
 		if len(entries[i].Value) == 0 {
 			continue // an entry that could not be decoded
 		}
-		if m, err := f.catalog.DecodeServer(entries[i].Key, entries[i].Value); err == nil {
-			members = append(members, m)
+		if s, err := f.catalog.DecodeServer(entries[i].Key, entries[i].Value); err == nil {
+			members = append(members, s.Member)
+			origins[s.Member.ID] = logrus.Fields{"seq": s.Seq, "entry_version": entries[i].Version}
 		}
 	}
 	for _, c := range f.registry.applyList(members, time.Now()) {
 		f.log.WithFields(logrus.Fields{
 			"server": c.member.ID, "service": c.member.Service, "zone": c.member.Zone, "cold_ms": c.member.ColdFor.Milliseconds(),
-		}).Info(c.event)
+			"born_ms": c.member.Born.UnixMilli(), "store_version": f.servers.version,
+		}).WithFields(origins[c.member.ID]).Info(c.event)
 	}
 	f.chooser.SetMembership(f.registry.membership())
 	if t := f.table.Load(); t != nil {
--- a/internal/gateway/sharing_test.go
+++ b/internal/gateway/sharing_test.go
@@ -151,7 +151,7 @@
 		const span = 10 * time.Second
 		before, staleBefore := fl.store.callCount(), fl.store.staleCallCount()
 		for range int(span / time.Second) {
-			fl.store.putJSON("server/a", fakeServer{Zone: "north-a", Born: 1, Beat: fl.store.callCount()})
+			fl.store.putJSON("server/a", fakeServer{Zone: "north-a", Born: 1, Beat: uint64(fl.store.callCount())})
 			time.Sleep(time.Second)
 		}
 		calls := fl.store.callCount() - before
@@ -297,7 +297,7 @@
 		const span = 6 * time.Second
 		before := fl.store.callCount()
 		for range int(span / time.Second) {
-			fl.store.putJSON("server/a", fakeServer{Zone: "north-a", Born: 1, Beat: fl.store.callCount()})
+			fl.store.putJSON("server/a", fakeServer{Zone: "north-a", Born: 1, Beat: uint64(fl.store.callCount())})
 			time.Sleep(time.Second)
 		}
 		if calls, maxCalls := fl.store.callCount()-before, int(span/defaultServerReadInterval)+7; calls > maxCalls {
