--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -54,6 +54,9 @@
 	x.ctx = ctx
 	defer x.discardLastResponse()
 	for {
+		if x.h.refusingRequests.Load() {
+			return x.respondStopping()
+		}
 		query := x.placementQuery()
 		to, refusal := x.h.opts.Chooser.Place(query, time.Now())
 		if refusal != nil {
@@ -163,6 +166,16 @@
 	return true
 }
 
+// respondStopping responds to a request that would be sent to a server although the process ends too soon to serve it:
+// its body arrived late, or a server refused it or failed.
+func (x *exchange) respondStopping() bool {
+	if x.mayHaveRun {
+		return x.respond(x.last)
+	}
+	x.writeFailure(http.StatusServiceUnavailable, ReasonStopping, x.h.retryAfter(0))
+	return true
+}
+
 // respond passes on the response of the last attempt, or a failure if there is none that may be passed on.
 func (x *exchange) respond(a *attempt) bool {
 	switch {
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -94,8 +94,9 @@
 // DisableKeepAlives makes every further response ask the caller to close the connection.
 func (h *Handler) DisableKeepAlives() { h.keepAlivesDisabled.Store(true) }
 
-// RefuseNewRequests refuses every further request with the promise that it did not run: the process ends too soon to
-// serve it.
+// RefuseNewRequests sends no further request to a server, since the process ends too soon to serve it: neither one that
+// comes now, nor one whose body is still arriving, nor one again. Those that did not run are refused with the promise
+// that they never will.
 func (h *Handler) RefuseNewRequests() { h.refusingRequests.Store(true) }
 
 // AbortInFlight ends the requests that are being handled. Their callers are told at once; a request that was sent to a
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -46,6 +46,10 @@
 		Headers: forward.Headers{RequestID: "Test-Id"}, Journal: discardJournal{}, Chooser: chooser,
 		Table: func() *routing.Table { return table },
 	})
+	return newTestVMWith(handler, chooser, settings)
+}
+
+func newTestVMWith(handler *forward.Handler, chooser *placement.Chooser, settings *Settings) *testVM {
 	_, stopAnnouncing := context.WithCancel(context.Background())
 	_, stop := context.WithCancel(context.Background())
 	vm := &testVM{listener: pipenet.Listen("vm:80")}
