--- a/internal/gateway/copy.go
+++ b/internal/gateway/copy.go
@@ -19,14 +19,14 @@
 	incarnation uint64 // of this copy; change numbers are valid within it
 	change      uint64 // number of the last change
 	rows        map[string]*copyRow
-	tombstones  int
+	tombstones  int        // rows of deleted keys
 	version     kv.Version // of the store, up to which the copy is complete
 	readAt      time.Time  // when the read that it reflects was requested; zero: it was never filled
 	digest      uint64     // sum of the fingerprints of the keys that exist; equal for copies that agree
 	// inspect returns a hash of the content of an entry that matters here, and the number that its writer gave it.
 	// Changes that keep the hash are not propagated. It may remove content of e that does not matter.
 	inspect func(e *kv.Entry) (fingerprint uint64, number writeNumber)
-	// onOutdated, if set, is called for an entry that a write left which was executed late.
+	// onOutdated, if set, is called for each entry whose write was executed late. latest is the number known before.
 	onOutdated func(e *kv.Entry, latest writeNumber)
 }
 
--- a/internal/placement/cold.go
+++ b/internal/placement/cold.go
@@ -21,8 +21,8 @@
 // their number while it changes.
 const coldBoundFraction = 0.8
 
-// senders returns how many entry VMs may send to a cold server that tolerates perSecond requests per second: in any
-// second each of them may use the token that it saved, and all of them what the rate adds.
+// senders returns how many entry VMs may send to a cold server that tolerates perSecond requests per second. In any
+// second each of them may use the token that it saved, and together they may use what the rate adds.
 func (b ColdBounds) senders(perSecond float64) int {
 	n := coldBoundFraction*(perSecond*b.Overage+b.Slack) - perSecond
 	if !(n >= 1) {
