--- a/review/rig2/store.go
+++ b/review/rig2/store.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/url"
 	"strings"
 	"sync"
 	"time"
@@ -23,6 +24,14 @@
 
 	mu     sync.Mutex
 	leases map[string]*lease
+	lag    time.Duration        // age of stale reads
+	lists  map[string][]listing // by query of a stale read, oldest first
+}
+
+// listing is a page as it was at a moment.
+type listing struct {
+	at   time.Time
+	body []byte
 }
 
 type lease struct {
@@ -42,11 +51,56 @@
 	return s, nil
 }
 
+// LagStaleReads lets reads of these prefixes that allow it be lag old.
+func (s *Store) LagStaleReads(lag time.Duration, prefixes ...string) {
+	s.mu.Lock()
+	s.lag, s.lists = lag, make(map[string][]listing)
+	s.mu.Unlock()
+	handler := s.Handler()
+	go func() {
+		for ; ; time.Sleep(50 * time.Millisecond) {
+			for _, prefix := range prefixes {
+				page := httptest.NewRecorder()
+				query := url.Values{"prefix": {prefix}}.Encode()
+				at := time.Now()
+				handler.ServeHTTP(page, httptest.NewRequest(http.MethodGet, "/azureflow/kv-range?"+query, nil))
+				s.mu.Lock()
+				s.lists[prefix] = append(s.lists[prefix], listing{at, page.Body.Bytes()})
+				s.mu.Unlock()
+			}
+		}
+	}()
+}
+
+// staleList returns the page that a stale read of r gets, nil if it gets the current one.
+func (s *Store) staleList(r *http.Request) []byte {
+	query := r.URL.Query()
+	if query.Get("allow_stale") != "1" || query.Get("after") != "" {
+		return nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	lists := s.lists[query.Get("prefix")]
+	for len(lists) > 1 && time.Since(lists[1].at) >= s.lag {
+		lists = lists[1:]
+	}
+	if len(lists) == 0 {
+		return nil
+	}
+	s.lists[query.Get("prefix")] = lists
+	return lists[0].body
+}
+
 // endLeases ends each lease that is not renewed in time.
 func (s *Store) endLeases(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		const path = "/azureflow/"
 		call, id, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, path), "/")
+		if page := s.staleList(r); call == "kv-range" && page != nil {
+			w.Header().Set("Content-Type", "application/json")
+			_, _ = w.Write(page)
+			return
+		}
 		if call != "kv-lease" && call != "kv-keep" && call != "kv-lease-end" {
 			next.ServeHTTP(w, r)
 			return
