--- a/review/rig2/caller.go
+++ b/review/rig2/caller.go
@@ -58,16 +58,16 @@
 	if object != "" {
 		req.AddCookie(&http.Cookie{Name: "X-Affinity-Key", Value: object})
 	}
-	l.Record.sent(id, l.Path, frontend)
+	l.Record.Sent(id, l.Path, frontend)
 	resp, err := client.Do(req)
 	if err != nil {
-		l.Record.answered(id, 0, false)
+		l.Record.Answered(id, 0, false)
 		return
 	}
 	defer func() { _ = resp.Body.Close() }()
 	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
-		l.Record.answered(id, 0, false)
+		l.Record.Answered(id, 0, false)
 		return
 	}
-	l.Record.answered(id, resp.StatusCode, resp.Header.Get("Server-Leaving") != "")
+	l.Record.Answered(id, resp.StatusCode, resp.Header.Get("Server-Leaving") != "")
 }
--- a/review/rig2/record.go
+++ b/review/rig2/record.go
@@ -50,14 +50,16 @@
 	return q
 }
 
-func (r *Record) sent(id, path, gateway string) {
+// Sent records that a caller sends a request.
+func (r *Record) Sent(id, path, gateway string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	q := r.request(id)
 	q.Path, q.Gateway, q.Sent = path, gateway, time.Now()
 }
 
-func (r *Record) answered(id string, status int, leaving bool) {
+// Answered records the answer to a request, complete at this moment; status 0 if the connection ended without one.
+func (r *Record) Answered(id string, status int, leaving bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	q := r.request(id)
--- a/review/rig2/server.go
+++ b/review/rig2/server.go
@@ -1,12 +1,14 @@
 package rig2
 
 import (
+	"bytes"
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -16,6 +18,7 @@
 type Server struct {
 	Entry   Entry
 	Work    time.Duration // of each request
+	Answer  int           // bytes of the answers on paths that end with /large
 	Record  *Record
 	Leaving atomic.Bool // it says so in its answers
 
@@ -109,6 +112,10 @@
 	<-s.slots
 	sum := sha256.Sum256(body)
 	answer := []byte(s.Entry.ID + " has run " + id + "\n")
+	if strings.HasSuffix(r.URL.Path, "/large") {
+		answer = bytes.Repeat(answer, s.Answer/len(answer)+1)[:s.Answer]
+		h.Set("Content-Length", fmt.Sprint(s.Answer))
+	}
 	h.Set("X-Response-Signature", hex.EncodeToString(sum[:4]))
 	_, _ = w.Write(answer)
 }
