--- a/review/10/main.go
+++ b/review/9/main.go
@@ -1,4 +1,4 @@
-// Command 10 shows for how long the directory names an entry VM that was killed.
+// Command 9 shows for how long the directory names an entry VM that was killed.
 package main
 
 import (
@@ -18,7 +18,7 @@
 	bound   = 7 * time.Second // stable_window_ms + 3 s
 )
 
-func main() { rig2.Main("review/10/record.txt", run) }
+func main() { rig2.Main("review/9/record.txt", run) }
 
 func run(w *rig2.World) (broken bool, err error) {
 	w.Store.LagStaleReads(staleBy, "azureflow/entry-vms/", "op/")
