routing, forward, placement: client accounts, their keys, homes and priority; downloads

Change: the platform's tenants are decoded into routing.Account; a table finds an account by key in one map lookup. The handler answers 401 with a problem body to a missing or unknown key, except without a key where the route allows it, replaces the key by the account's name towards servers, and hands the account to placement, which keeps to the homes of route and account. KeysConfirmed is the hook for revocation, not set yet. Routes of kind download are idempotent. Without accounts nothing changes.

--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -33,6 +33,9 @@
 	service    steering.ServiceName
 	objectHash uint64
 	body       *body
+	account    *routing.Account // nil: none
+	// usesAccounts is true if the configuration has client accounts, so that keys are not passed on.
+	usesAccounts bool
 
 	attempts      int  // those that may have reached a server
 	mayHaveRun    bool // the request may have run at a server
@@ -101,7 +104,7 @@
 func (x *exchange) placementQuery() *placement.Query {
 	now := time.Now()
 	return &placement.Query{
-		Route: x.route, Service: x.service, Object: x.objectHash,
+		Route: x.route, Account: x.account, Service: x.service, Object: x.objectHash,
 		TimeLeft: x.deadline.Sub(now), TargetLeft: x.lateAfter.Sub(now), Bytes: len(x.body.buffered),
 		Tried: x.triedServers, FirstAttempt: x.last == nil, Retry: x.attempts > 0, Random: rand.Float64(),
 	}
@@ -228,16 +231,32 @@
 // writeFailure responds with an empty body and a status that this entry VM chose.
 func (x *exchange) writeFailure(status int, reason Reason, retryAfter time.Duration) {
 	header := x.w.Header()
+	x.setFailureHeaders(header, retryAfter)
+	header["Content-Length"] = []string{"0"}
+	x.w.WriteHeader(status)
+	x.reportFinished(reason, status)
+}
+
+// writeProblem is like writeFailure with a body that describes the failure.
+func (x *exchange) writeProblem(status int, reason Reason, detail string, retryAfter time.Duration) {
+	header := x.w.Header()
+	x.setFailureHeaders(header, retryAfter)
+	body := problemBody(status, detail)
+	setProblemHeaders(header, body)
+	x.w.WriteHeader(status)
+	_, _ = x.w.Write(body) // an error means that the caller has disconnected
+	x.reportFinished(reason, status)
+}
+
+// setFailureHeaders sets the headers that all failures have.
+func (x *exchange) setFailureHeaders(header http.Header, retryAfter time.Duration) {
 	if x.id != "" {
 		header[http.CanonicalHeaderKey(x.h.opts.Headers.RequestID)] = []string{x.id}
 	}
 	if retryAfter > 0 {
 		header["Retry-After"] = []string{strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64)}
 	}
-	header["Content-Length"] = []string{"0"}
 	x.h.setConnectionClose(header)
-	x.w.WriteHeader(status)
-	x.reportFinished(reason, status)
 }
 
 // reportFinished reports to the journal how the request ended.
@@ -249,6 +268,9 @@
 	if x.route != nil {
 		finished.Route, finished.Kind = x.route.Name, x.route.Kind
 	}
+	if x.account != nil {
+		finished.Account = x.account.Name
+	}
 	if x.last != nil {
 		finished.LastPlacement = x.last.to
 	}
--- a/internal/forward/fakes_test.go
+++ b/internal/forward/fakes_test.go
@@ -29,7 +29,7 @@
 		return load, text == "full" || text == "free"
 	},
 	ParseCold: func(string) (time.Duration, bool) { return 0, false },
-	Leaving:   "Test-Leaving", ParseLeaving: func(text string) bool { return text == "1" },
+	Account:   "Test-Account", Leaving: "Test-Leaving", ParseLeaving: func(text string) bool { return text == "1" },
 }
 
 // script responds to the requests that reach one server, one connection at a time.
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -40,6 +40,8 @@
 	ReasonNoRoute            Reason = "no-route"
 	ReasonTimeout            Reason = "timeout"
 	ReasonStopping           Reason = "stopping" // the process stopped before it was served
+	ReasonUnknownKey         Reason = "unknown-key"
+	ReasonKeysUnconfirmed    Reason = "keys-unconfirmed" // a key may have been withdrawn without this entry VM knowing
 )
 
 // FinishedRequest describes a finished request, for the journal.
@@ -48,6 +50,7 @@
 	Route         string
 	Kind          routing.Kind
 	Service       steering.ServiceName
+	Account       routing.AccountName // empty: none
 	Version       routing.Version
 	Reason        Reason
 	Status        int
@@ -64,7 +67,7 @@
 	RequestDone(r *FinishedRequest)
 }
 
-// Options configure a Handler. All fields are required.
+// Options configure a Handler. All fields are required unless noted otherwise.
 type Options struct {
 	Headers Headers
 	Table   func() *routing.Table // returns the table in force, nil while there is none
@@ -72,6 +75,9 @@
 	Pool    *Pool
 	Journal Journal
 	Region  steering.RegionName // of this entry VM
+	// KeysConfirmed reports whether the keys of the table in force may be relied on, so that requests with keys may run.
+	// nil: they always may.
+	KeysConfirmed func() bool
 }
 
 // Handler serves the requests of callers. It is safe for concurrent use.
@@ -143,6 +149,10 @@
 		x.writeFailure(http.StatusNotFound, ReasonNoRoute, 0)
 		return
 	}
+	if reason := x.identify(table); reason != "" {
+		x.respondUnidentified(reason)
+		return
+	}
 	x.service = x.route.PickService(rand.Float64())
 	x.objectHash = hashObject(r, x.route, h.opts.Headers.AffinityCookie)
 	h.setDeadlines(x)
--- a/internal/forward/headers.go
+++ b/internal/forward/headers.go
@@ -20,6 +20,7 @@
 	Server         string // ID of the server that responds
 	Cold           string
 	Leaving        string // on a server's response: the server is leaving
+	Account        string // to a server: the name of the client account that the request's key belongs to
 	ParseLoad      func(text string) (load placement.Load, ok bool)
 	ParseCold      func(text string) (time.Duration, bool)
 	ParseLeaving   func(text string) bool
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -139,6 +139,7 @@
 		Header: make(http.Header, len(x.r.Header)+3),
 	}
 	httpheader.CopyEndToEnd(req.Header, x.r.Header)
+	x.setAccount(req.Header)
 	left := time.Until(x.deadline) - deadlineMargin
 	req.Header[http.CanonicalHeaderKey(names.Deadline)] = []string{strconv.FormatInt(max(1, left.Milliseconds()), 10)}
 	req.Header[http.CanonicalHeaderKey(names.ExpectServer)] = []string{string(p.Server)}
--- a/internal/gateway/journal.go
+++ b/internal/gateway/journal.go
@@ -84,6 +84,9 @@
 	}
 	fields := placementFields(d.LastPlacement)
 	fields["request"], fields["route"], fields["service"], fields["kind"] = d.RequestID, d.Route, d.Service, d.Kind.String()
+	if d.Account != "" {
+		fields["account"] = d.Account
+	}
 	fields["version"], fields["outcome"], fields["status"] = d.Version, d.Reason, d.Status
 	fields["took_ms"], fields["sendings"], fields["late"] = d.Took.Milliseconds(), d.Attempts, d.Late
 	if r := d.Refusal; r != nil {
--- a/internal/placement/chooser.go
+++ b/internal/placement/chooser.go
@@ -28,6 +28,7 @@
 // Query describes one request that is to be sent to a server.
 type Query struct {
 	Route        *routing.Route
+	Account      *routing.Account // nil: the request has none
 	Service      steering.ServiceName
 	Object       uint64        // hash of the object that the request concerns; 0: none
 	TimeLeft     time.Duration // until the final response is due
@@ -374,4 +375,9 @@
 	return time.Duration(math.Min(s, math.MaxInt32) * float64(time.Second))
 }
 
+// allows reports whether the request may be handled in region.
+func (q *Query) allows(region steering.RegionName) bool {
+	return q.Route.Allows(region) && q.Account.Allows(region)
+}
+
 func (q *Query) wasTried(id ServerID) bool { return slices.Contains(q.Tried, id) }
--- a/internal/placement/cost.go
+++ b/internal/placement/cost.go
@@ -220,7 +220,7 @@
 // isListedFor reports whether s may run the request by the registry and the configuration.
 func (c *Chooser) isListedFor(s *Server, q *Query) bool {
 	m := &s.member
-	return !m.Draining && !c.evacuated[m.Zone] && q.Route.Allows(m.Region) && !q.wasTried(m.ID)
+	return !m.Draining && !c.evacuated[m.Zone] && q.allows(m.Region) && !q.wasTried(m.ID)
 }
 
 // preferredServers returns the preferred server of q's object in each region: the one with the highest rendezvous
@@ -233,7 +233,7 @@
 	highest := make(map[steering.RegionName]uint64)
 	for _, s := range c.services[q.Service] {
 		m := &s.member
-		if s.isLeaving() || c.evacuated[m.Zone] || !q.Route.Allows(m.Region) {
+		if s.isLeaving() || c.evacuated[m.Zone] || !q.allows(m.Region) {
 			continue
 		}
 		if r := rendezvousScore(q.Object, m.ID); preferred[m.Region] == nil || r > highest[m.Region] {
--- a/internal/placement/home.go
+++ b/internal/placement/home.go
@@ -123,7 +123,7 @@
 	}
 	home, best := c.opts.Region, math.Inf(1)
 	for region, slots := range c.slots[q.Service] {
-		if region == c.opts.Region || !q.Route.Allows(region) {
+		if region == c.opts.Region || !q.allows(region) {
 			continue
 		}
 		// Weighted rendezvous hashing: each region gets objects in proportion to its slots.
--- a/internal/routing/config.go
+++ b/internal/routing/config.go
@@ -4,6 +4,7 @@
 package routing
 
 import (
+	"slices"
 	"time"
 
 	"github.com/azureflow/azureflow/internal/steering"
@@ -17,9 +18,10 @@
 
 // The kinds of route.
 const (
-	KindSafe   Kind = iota // may run more than once
-	KindUnsafe             // runs at most once for each request
-	KindUpload             // like KindUnsafe, with a large body
+	KindSafe     Kind = iota // may run more than once
+	KindUnsafe               // runs at most once for each request
+	KindUpload               // like KindUnsafe, with a large body
+	KindDownload             // like KindSafe, with a large response
 )
 
 // String returns the name of the kind in logs and metrics.
@@ -29,13 +31,15 @@
 		return "unsafe"
 	case KindUpload:
 		return "upload"
+	case KindDownload:
+		return "download"
 	default:
 		return "safe"
 	}
 }
 
 // Idempotent reports whether a request of this kind may run more than once.
-func (k Kind) Idempotent() bool { return k == KindSafe }
+func (k Kind) Idempotent() bool { return k == KindSafe || k == KindDownload }
 
 // Destination is one service of a route with its share of the requests.
 type Destination struct {
@@ -55,6 +59,7 @@
 	Priority       int           // 0 is the most urgent
 	Affinity       bool          // a server that handled the object recently is faster
 	AllowedRegions []steering.RegionName
+	AllowAnonymous bool          // requests need no key of a client account
 	Destinations   []Destination // at least one
 }
 
@@ -68,16 +73,11 @@
 }
 
 // Allows reports whether requests of the route may be handled in region.
-func (r *Route) Allows(region steering.RegionName) bool {
-	if len(r.AllowedRegions) == 0 {
-		return true
-	}
-	for _, allowed := range r.AllowedRegions {
-		if allowed == region {
-			return true
-		}
-	}
-	return false
+func (r *Route) Allows(region steering.RegionName) bool { return isAllowed(r.AllowedRegions, region) }
+
+// isAllowed reports whether regions, of which none means all, include region.
+func isAllowed(regions []steering.RegionName, region steering.RegionName) bool {
+	return len(regions) == 0 || slices.Contains(regions, region)
 }
 
 // Service describes the upstreams of one service.
@@ -103,4 +103,7 @@
 	Routes   []Route
 	Services []Service
 	Limits   Limits
+	// Accounts are the client accounts. If there are any, requests need the key of one, except on routes that allow
+	// anonymous requests.
+	Accounts []Account
 }
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -16,6 +16,8 @@
 	routesByHost map[string][]*Route // longest prefix first
 	routesByName map[string]*Route
 	services     map[steering.ServiceName]*Service
+	accounts     []*Account
+	accountByKey map[string]*Account
 }
 
 // NewTable returns the table of c, which must not change afterwards.
@@ -39,9 +41,30 @@
 	for i := range c.Services {
 		t.services[c.Services[i].Name] = &c.Services[i]
 	}
+	t.indexAccounts(c.Accounts)
 	return t
 }
 
+func (t *Table) indexAccounts(accounts []Account) {
+	t.accountByKey = make(map[string]*Account, len(accounts))
+	for i := range accounts {
+		account := &accounts[i]
+		t.accounts = append(t.accounts, account)
+		for _, key := range account.Keys {
+			t.accountByKey[key] = account
+		}
+	}
+}
+
+// HasAccounts reports whether requests need the key of a client account.
+func (t *Table) HasAccounts() bool { return len(t.accounts) > 0 }
+
+// Accounts returns the client accounts, which must not be changed.
+func (t *Table) Accounts() []*Account { return t.accounts }
+
+// AccountByKey returns the client account with the given key, or nil.
+func (t *Table) AccountByKey(key string) *Account { return t.accountByKey[key] }
+
 // Version returns the version of the configuration.
 func (t *Table) Version() Version { return t.version }
 
