--- /dev/null
+++ b/internal/admission/queue.go
@@ -0,0 +1,170 @@
+package admission
+
+import (
+	"container/heap"
+	"time"
+)
+
+const (
+	// maxWaiting bounds the waiting requests of a service. At a latency objective of a second it is what a VM that
+	// serves a few thousand requests a second can still place while they may wait.
+	maxWaiting = 512
+	// urgentTurns is how many requests of a more urgent priority are sent before one of a less urgent priority that
+	// waits, so that no kind of request is starved: it gets over a quarter of what the more urgent ones get.
+	urgentTurns = 3
+	// urgentWindow is how long a request shows that there are requests of its priority.
+	urgentWindow = 2 * time.Second
+)
+
+// Queue holds the waiting requests of one service. It is not safe for concurrent use.
+type Queue struct {
+	levels   []*level
+	limit    int // of waiting requests
+	waiting  int
+	sequence uint64
+	turns    int // of the most urgent waiting level since another one had one
+	seen     map[int]time.Time
+	shares   shares
+	returns  returns
+}
+
+// NewQueue returns an empty Queue.
+func NewQueue() *Queue {
+	return &Queue{limit: maxWaiting, seen: make(map[int]time.Time), shares: newShares()}
+}
+
+// Waiting returns the number of waiting requests.
+func (q *Queue) Waiting() int { return q.waiting }
+
+// RecordArrival records that a request came to the service.
+func (q *Queue) RecordArrival(t *Ticket, now time.Time) {
+	q.seen[t.Priority] = now
+}
+
+// WaitBounds returns the longest expected wait at a server with which the request may be sent there: if it can be in
+// time, and if it will be late. A negative bound is none.
+func (q *Queue) WaitBounds(t *Ticket, now time.Time) (inTime, late time.Duration) {
+	inTime, late = -1, share(t.Target, lateWaitShare)
+	if t.Returned {
+		late = -1
+	}
+	if q.isLessUrgent(t, now) || q.waiting > 0 && q.shares.isOver(t.Account) {
+		inTime = share(t.Target, yieldWaitShare)
+		late = share(t.Target, lateWaitShare)
+	}
+	return inTime, late
+}
+
+// isLessUrgent reports whether more urgent requests come to the service.
+func (q *Queue) isLessUrgent(t *Ticket, now time.Time) bool {
+	for priority, at := range q.seen {
+		if priority < t.Priority && now.Sub(at) < urgentWindow {
+			return true
+		}
+	}
+	return false
+}
+
+// Add makes a request wait. If the queue is full, the request that costs callers least gives way: displaced is that
+// request, which may be t itself, and nil if none gives way.
+func (q *Queue) Add(t *Ticket, now time.Time) (displaced *Ticket) {
+	q.sequence++
+	t.sequence, t.key = q.sequence, t.Work.Seconds()
+	if t.Account != nil {
+		t.key = q.shares.claim(t.Account, t.Work.Seconds(), now)
+	}
+	heap.Push(q.level(t.Priority), t)
+	q.waiting++
+	if q.waiting <= q.limit {
+		return nil
+	}
+	displaced = q.last()
+	q.Remove(displaced, now)
+	return displaced
+}
+
+// last returns the waiting ticket that gives way first.
+func (q *Queue) last() *Ticket {
+	for i := len(q.levels) - 1; ; i-- {
+		if l := q.levels[i]; len(l.tickets) > 0 {
+			return l.last()
+		}
+	}
+}
+
+// Remove removes a request that does not wait any longer and was not sent. It returns false if it does not wait.
+func (q *Queue) Remove(t *Ticket, now time.Time) bool {
+	if !q.remove(t) {
+		return false
+	}
+	if t.Account != nil {
+		q.shares.refund(t.Account, t.Work.Seconds(), now)
+	}
+	return true
+}
+
+// TryNext offers room to at most most waiting requests, in their order. try returns whether the request needs to wait
+// no longer: it was sent, or it must be refused. sent tells which.
+func (q *Queue) TryNext(most int, now time.Time, try func(t *Ticket) (done, sent bool)) {
+	var kept []*Ticket
+	for range most {
+		t := q.next()
+		if t == nil {
+			break
+		}
+		done, sent := try(t)
+		switch {
+		case !done:
+			q.remove(t)
+			kept = append(kept, t)
+		case sent:
+			q.countTurn(t)
+			q.remove(t)
+		default:
+			q.Remove(t, now)
+		}
+	}
+	for _, t := range kept {
+		heap.Push(q.level(t.Priority), t)
+		q.waiting++
+	}
+}
+
+// next returns the waiting request that goes first: of the most urgent priority, but each urgentTurns+1 of the next
+// less urgent one.
+func (q *Queue) next() *Ticket {
+	var first *Ticket
+	for _, l := range q.levels {
+		if len(l.tickets) == 0 {
+			continue
+		}
+		if first != nil {
+			return l.tickets[0]
+		}
+		if first = l.tickets[0]; q.turns < urgentTurns {
+			return first
+		}
+	}
+	return first
+}
+
+// countTurn counts that a waiting request of a priority is sent.
+func (q *Queue) countTurn(t *Ticket) {
+	for _, l := range q.levels {
+		if len(l.tickets) > 0 {
+			if l.priority == t.Priority {
+				q.turns++
+				return
+			}
+			break
+		}
+	}
+	q.turns = 0
+}
+
+// RecordSent records that a request was sent that did not wait.
+func (q *Queue) RecordSent(t *Ticket, now time.Time) {
+	if t.Account != nil {
+		q.shares.claim(t.Account, t.Work.Seconds(), now)
+	}
+}
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -43,6 +43,11 @@
 	triedServers  []placement.ServerID
 	last          *attempt
 	refusal       *placement.Refusal
+
+	ordersAdmission bool      // requests without room wait in order
+	returned        bool      // the caller was refused before and came back
+	callerDeadline  time.Time // the caller gives up; not before deadline
+	admission       AdmissionReport
 }
 
 // serve handles the request. It returns false if the response was cut off; the caller's connection must then be
@@ -55,17 +60,20 @@
 	defer cancel()
 	defer context.AfterFunc(x.h.abortCtx, cancel)()
 	x.ctx = ctx
+	x.ordersAdmission = table.OrdersAdmission()
 	defer x.discardLastResponse()
 	for {
 		if x.h.refusingRequests.Load() {
 			return x.respondStopping()
 		}
-		query := x.placementQuery()
-		to, refusal := x.h.opts.Chooser.Place(query, time.Now())
+		to, refusal := x.place()
 		if refusal != nil {
 			x.refusal = refusal
 			return x.respondRefusal(refusal)
 		}
+		if to == nil {
+			return x.respondBrokenOffWait()
+		}
 		x.discardLastResponse()
 		a := x.runAttempt(to)
 		x.finishAttempt(a)
@@ -100,9 +108,18 @@
 	}
 }
 
-// placementQuery returns the query for the server of the next attempt.
-func (x *exchange) placementQuery() *placement.Query {
+// place returns where to send the request next, or why it is refused. It returns neither if the request ended, or the
+// process began to stop, while it waited for room.
+func (x *exchange) place() (*placement.Placement, *placement.Refusal) {
+	if x.ordersAdmission {
+		return x.h.admissions.place(x)
+	}
 	now := time.Now()
+	return x.h.opts.Chooser.Place(x.placementQuery(now), now)
+}
+
+// placementQuery returns the query for the server of the next attempt.
+func (x *exchange) placementQuery(now time.Time) *placement.Query {
 	return &placement.Query{
 		Route: x.route, Account: x.account, Service: x.service, Object: x.objectHash,
 		TimeLeft: x.deadline.Sub(now), TargetLeft: x.lateAfter.Sub(now), Bytes: len(x.body.buffered),
@@ -124,6 +141,9 @@
 		x.mayHaveRun = true
 	}
 	effect := x.h.opts.Chooser.RecordResult(a.to, &a.result, time.Now())
+	if x.ordersAdmission {
+		x.h.admissions.recordEnded(x.service)
+	}
 	x.h.opts.Journal.AttemptDone(&Attempt{
 		RequestID: x.id, Service: x.service, Placement: a.to, Outcome: a.result.Outcome, Took: a.result.Latency,
 		Err: a.err, Status: a.status(), Effect: effect,
@@ -162,6 +182,9 @@
 		return x.respond(x.last)
 	}
 	retryAfter := x.h.retryAfter(r.RetryAfter)
+	if x.ordersAdmission && r.IsForRoom() {
+		retryAfter = r.RetryAfter // already spread over the callers
+	}
 	if r.Reason == placement.ReasonBackoff {
 		retryAfter = max(retryAfter, r.RetryAfter) // no server accepts a request before that
 	}
@@ -169,6 +192,15 @@
 	return true
 }
 
+// respondBrokenOffWait responds to a request that ended, or met the stop of the process, while it waited for room.
+func (x *exchange) respondBrokenOffWait() bool {
+	if x.r.Context().Err() != nil {
+		x.reportFinished(ReasonCallerDisconnected, 0)
+		return false
+	}
+	return x.respondStopping()
+}
+
 // respondStopping responds to a request that would be sent to a server although the process ends too soon to serve it:
 // its body arrived late, or a server refused it or failed.
 func (x *exchange) respondStopping() bool {
@@ -264,9 +296,10 @@
 	finished := &FinishedRequest{
 		RequestID: x.id, Reason: reason, Status: status, Took: time.Since(x.start), Attempts: x.attempts,
 		Version: x.version, Service: x.service, Refusal: x.refusal, Late: !x.lateAfter.IsZero() && time.Now().After(x.lateAfter),
+		OrdersAdmission: x.ordersAdmission, Admission: x.admission,
 	}
 	if x.route != nil {
-		finished.Route, finished.Kind = x.route.Name, x.route.Kind
+		finished.Route, finished.Kind, finished.Priority = x.route.Name, x.route.Kind, x.account.PriorityOn(x.route)
 	}
 	if x.account != nil {
 		finished.Account = x.account.Name
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -59,6 +59,10 @@
 	Attempts      int
 	LastPlacement *placement.Placement // nil if no server was tried
 	Refusal       *placement.Refusal   // nil if placement did not refuse it
+	Priority      int                  // 0 is the most urgent
+	// OrdersAdmission is true if requests without room wait in order; Admission then says what this did.
+	OrdersAdmission bool
+	Admission       AdmissionReport
 }
 
 // Journal receives the events of requests. Its methods must not block.
@@ -89,12 +93,15 @@
 	abort              context.CancelFunc
 	inFlight           atomic.Int64
 	deadlines          *deadlines
+	admissions         *admissions
 }
 
 // NewHandler returns a Handler.
 func NewHandler(opts Options) *Handler {
 	abortCtx, abort := context.WithCancel(context.Background())
-	return &Handler{opts: opts, abortCtx: abortCtx, abort: abort, deadlines: newDeadlines()}
+	return &Handler{
+		opts: opts, abortCtx: abortCtx, abort: abort, deadlines: newDeadlines(), admissions: newAdmissions(opts.Chooser),
+	}
 }
 
 // DisableKeepAlives makes every further response ask the caller to close the connection.
@@ -103,12 +110,18 @@
 // RefuseNewRequests sends no further request to a server, since the process ends too soon to serve it: neither one that
 // comes now, nor one whose body is still arriving, nor one again. Those that did not run are refused with the promise
 // that they never will.
-func (h *Handler) RefuseNewRequests() { h.refusingRequests.Store(true) }
+func (h *Handler) RefuseNewRequests() {
+	h.refusingRequests.Store(true)
+	h.admissions.close()
+}
 
 // AbortInFlight ends the requests that are being handled. Their callers are told at once; a request that was sent to a
 // server is reported as one that may have run.
 func (h *Handler) AbortInFlight() { h.abort() }
 
+// Waiting returns the number of requests that wait for room at a server.
+func (h *Handler) Waiting() int { return h.admissions.waiting() }
+
 // InFlight returns the number of requests that are being handled.
 func (h *Handler) InFlight() int64 { return h.inFlight.Load() }
 
@@ -175,6 +188,7 @@
 		deadline = time.Duration(ms * float64(time.Millisecond))
 	}
 	waited := h.deadlines.minWaited(x.route.Name, deadline, x.start)
+	x.returned, x.callerDeadline = waited > 0, x.start.Add(deadline)
 	timeout := deadline
 	if x.route.Timeout > 0 {
 		timeout = min(timeout, x.route.Timeout)
--- a/internal/placement/chooser.go
+++ b/internal/placement/chooser.go
@@ -38,6 +38,14 @@
 	FirstAttempt bool          // the request was not placed before and adds to the retry budget
 	Retry        bool          // a server received the request before, so that placing it spends retry budget
 	Random       float64       // uniform in [0, 1); decides what happens to a share of the requests
+	WaitBounds   *WaitBounds   // nil: requests are sent in the order of arrival
+}
+
+// WaitBounds are the longest expected waits for a slot with which a request may be sent to a server, so that others
+// find room there. Negative: no further bound.
+type WaitBounds struct {
+	InTime time.Duration // if the response is expected within the target latency
+	Late   time.Duration // otherwise
 }
 
 // Placement is the permission to send a request to a server. It ends with Chooser.RecordResult.
--- a/internal/placement/refusal.go
+++ b/internal/placement/refusal.go
@@ -35,6 +35,7 @@
 const (
 	BasisNone       Basis = ""           // the refusal has another reason, or there is none
 	BasisWait       Basis = "wait"       // with a free slot the request would be sent
+	BasisOrder      Basis = "order"      // the wait is left to requests that lose more by waiting
 	BasisRun        Basis = "run"        // the measured service time does not fit
 	BasisUnfinished Basis = "unfinished" // nothing was measured; a recent run did not end in as much time
 	BasisWaited     Basis = "waited"     // nothing was measured; responses that also waited took too long
@@ -89,11 +90,33 @@
 		return BasisTrial
 	case e.latencyForTargetCheck() > q.TargetLeft.Seconds() && e.wait > waitShare*q.Route.LatencyObjective().Seconds():
 		return BasisWait
+	case q.WaitBounds.areExceeded(e, q):
+		return BasisOrder
 	default:
 		return BasisNone
 	}
 }
 
+// areExceeded reports whether the wait is longer than b allows.
+func (b *WaitBounds) areExceeded(e *estimate, q *Query) bool {
+	if b == nil {
+		return false
+	}
+	bound := b.InTime
+	if e.latencyForTargetCheck() > q.TargetLeft.Seconds() {
+		bound = b.Late
+	}
+	return bound >= 0 && e.wait > bound.Seconds()
+}
+
+// IsForRoom reports whether the request was refused only because no server has room for it now.
+func (r *Refusal) IsForRoom() bool {
+	return r.Reason == ReasonNoCapacity && (r.Basis == BasisWait || r.Basis == BasisOrder)
+}
+
+// Work returns the expected time until the response if the server has room.
+func (r *Refusal) Work() time.Duration { return r.BestLatency - r.Wait }
+
 // exceededBasis returns which part of the supported time makes it longer than left, in seconds.
 func (e *estimate) exceededBasis(left float64) Basis {
 	switch {
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -11,13 +11,14 @@
 
 // Table looks up the routes and services of one configuration. It is immutable.
 type Table struct {
-	version      Version
-	limits       Limits
-	routesByHost map[string][]*Route // longest prefix first
-	routesByName map[string]*Route
-	services     map[steering.ServiceName]*Service
-	accounts     []*Account
-	accountByKey map[string]*Account
+	version         Version
+	limits          Limits
+	routesByHost    map[string][]*Route // longest prefix first
+	routesByName    map[string]*Route
+	services        map[steering.ServiceName]*Service
+	accounts        []*Account
+	accountByKey    map[string]*Account
+	ordersAdmission bool
 }
 
 // NewTable returns the table of c, which must not change afterwards.
@@ -29,8 +30,10 @@
 		routesByName: make(map[string]*Route, len(c.Routes)),
 		services:     make(map[steering.ServiceName]*Service, len(c.Services)),
 	}
+	t.ordersAdmission = len(c.Accounts) > 0
 	for i := range c.Routes {
 		r := &c.Routes[i]
+		t.ordersAdmission = t.ordersAdmission || r.Kind == KindDownload
 		host := strings.ToLower(r.Host)
 		t.routesByName[r.Name] = r
 		t.routesByHost[host] = append(t.routesByHost[host], r)
@@ -59,6 +62,10 @@
 // HasAccounts reports whether requests need the key of a client account.
 func (t *Table) HasAccounts() bool { return len(t.accounts) > 0 }
 
+// OrdersAdmission reports whether the configuration distinguishes callers, so that requests which find no room are
+// ordered by what it costs callers to wait: it has client accounts, or routes for large responses.
+func (t *Table) OrdersAdmission() bool { return t.ordersAdmission }
+
 // Accounts returns the client accounts, which must not be changed.
 func (t *Table) Accounts() []*Account { return t.accounts }
 
