admission: bounds on the wait at servers, checked after the choice of a server; metrics, log fields, simulation

Change: the choice is as before, the bound comes after it; half of the target for what can be in time, a quarter beside more urgent requests, a tenth for what will be late.

--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -41,18 +41,20 @@
 	q.seen[t.Priority] = now
 }
 
-// WaitBounds returns the longest expected wait at a server with which the request may be sent there: if it can be in
-// time, and if it will be late. A negative bound is none.
-func (q *Queue) WaitBounds(t *Ticket, now time.Time) (inTime, late time.Duration) {
-	inTime, late = -1, share(t.Target, lateWaitShare)
-	if t.Returned {
-		late = -1
-	}
+// Bounds are the longest expected waits for a slot with which a request may be sent to a server.
+type Bounds struct {
+	InTime time.Duration // if the response is expected within the target latency
+	Late   time.Duration // otherwise
+}
+
+// WaitBounds returns the bounds of a request. The requests of less urgent kinds, and of accounts that have much more
+// than others, leave part of the queues to the others.
+func (q *Queue) WaitBounds(t *Ticket, now time.Time) Bounds {
+	b := Bounds{InTime: share(t.Target, inTimeWaitShare), Late: share(t.Target, lateWaitShare)}
 	if q.isLessUrgent(t, now) || q.waiting > 0 && q.shares.isOver(t.Account) {
-		inTime = share(t.Target, yieldWaitShare)
-		late = share(t.Target, lateWaitShare)
+		b.InTime = share(t.Target, yieldWaitShare)
 	}
-	return inTime, late
+	return b
 }
 
 // isLessUrgent reports whether more urgent requests come to the service.
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -10,6 +10,9 @@
 
 var start = time.Unix(1000, 0)
 
+// yieldWait is the wait up to which a ticket that yields is sent.
+const yieldWait = time.Duration(yieldWaitShare * float64(time.Second))
+
 // ticket returns a ticket that can be in time.
 func ticket(priority int, work time.Duration) *Ticket {
 	return &Ticket{Priority: priority, Work: work, Target: time.Second, InTime: true}
@@ -120,10 +123,10 @@
 		add(flood)
 	}
 	last := add(small)
-	if inTime, _ := q.WaitBounds(last, start); inTime >= 0 {
+	if inTime := q.WaitBounds(last, start).InTime; inTime <= yieldWait {
 		t.Error("the small account yields")
 	}
-	if inTime, _ := q.WaitBounds(add(flood), start); inTime < 0 {
+	if inTime := q.WaitBounds(add(flood), start).InTime; inTime > yieldWait {
 		t.Error("the flooding account does not yield")
 	}
 	if order := drain(q); order[1] != last {
@@ -168,19 +171,18 @@
 	q := NewQueue()
 	urgent, other := ticket(0, 1), ticket(1, 1)
 	q.RecordArrival(other, start)
-	if inTime, late := q.WaitBounds(other, start); inTime >= 0 || late < 0 {
-		t.Errorf("bounds %v, %v alone", inTime, late)
+	if inTime := q.WaitBounds(other, start).InTime; inTime <= yieldWait {
+		t.Errorf("yields alone, to %v", inTime)
 	}
 	q.RecordArrival(urgent, start)
-	if inTime, _ := q.WaitBounds(other, start); inTime < 0 {
+	if inTime := q.WaitBounds(other, start).InTime; inTime > yieldWait {
 		t.Error("does not yield")
 	}
-	if inTime, _ := q.WaitBounds(other, start.Add(2*urgentWindow)); inTime >= 0 {
-		t.Error("yields to requests that came long ago")
+	if inTime := q.WaitBounds(urgent, start).InTime; inTime <= yieldWait {
+		t.Error("the urgent request yields")
 	}
-	other.Returned = true
-	if _, late := q.WaitBounds(other, start.Add(2*urgentWindow)); late >= 0 {
-		t.Error("a request that came back has no better place")
+	if inTime := q.WaitBounds(other, start.Add(2*urgentWindow)).InTime; inTime <= yieldWait {
+		t.Error("yields to requests that came long ago")
 	}
 }
 
--- a/internal/admission/ticket.go
+++ b/internal/admission/ticket.go
@@ -25,12 +25,14 @@
 	// holdShare is how long a request may wait at the gateway. Time that a refused caller lost here is missing when it
 	// returns, so a wait takes little of it.
 	holdShare = 0.125
-	// lateWaitShare is the wait at a server that a request which will be late in any case may add to. It covers the
-	// error of an estimated wait, so that no slot idles.
-	lateWaitShare = 0.1
-	// yieldWaitShare is the wait at a server that a request may add to while more urgent ones come to the service, so
-	// that these find a queue in which they can still be in time.
+	// inTimeWaitShare is the longest wait at a server that a request may add to: together with its run the response is
+	// still in time, and so are those of the requests that come after it.
+	inTimeWaitShare = 0.5
+	// yieldWaitShare is the same while more urgent requests come to the service, so that these find shorter queues.
 	yieldWaitShare = 0.25
+	// lateWaitShare is the same for a request that will be late: it may only take room that is free. The share covers
+	// the error of an estimated wait, so that no slot idles.
+	lateWaitShare = 0.1
 )
 
 // HoldUntil returns how long a request that arrived at now may wait at the gateway. A response must still be possible
--- a/internal/forward/admission.go
+++ b/internal/forward/admission.go
@@ -134,8 +134,7 @@
 	}
 	s.queue.Remove(&w.ticket, now)
 	if brokenOff {
-		a.finish(s, w)
-		w.refusal = nil
+		a.breakOff(s, w)
 		return
 	}
 	a.refuse(s, w, now)
@@ -146,8 +145,8 @@
 	query := w.x.placementQuery(now)
 	query.FirstAttempt = query.FirstAttempt && !w.counted
 	w.counted = true
-	inTime, late := s.queue.WaitBounds(&w.ticket, now)
-	query.WaitBounds = &placement.WaitBounds{InTime: inTime, Late: late}
+	bounds := placement.WaitBounds(s.queue.WaitBounds(&w.ticket, now))
+	query.WaitBounds = &bounds
 	w.placement, w.refusal = a.chooser.Place(query, now)
 	if w.refusal == nil {
 		w.ticket.Work = w.placement.ExpectedLatency - w.placement.Wait
@@ -162,6 +161,10 @@
 func (a *admissions) offerRoom(s *serviceAdmission, now time.Time) {
 	s.queue.TryNext(maxOffers, now, func(t *admission.Ticket) (done, sent bool) {
 		w := s.waiters[t]
+		if w.x.ctx.Err() != nil {
+			a.breakOff(s, w) // it ended, and is about to leave the queue by itself
+			return true, false
+		}
 		work := t.Work
 		if done = a.tryPlace(s, w, now); done {
 			a.finish(s, w)
@@ -177,6 +180,12 @@
 	a.finish(s, w)
 }
 
+// breakOff ends the wait of a request without a decision. Callers hold a.mu.
+func (a *admissions) breakOff(s *serviceAdmission, w *waiter) {
+	w.refusal = nil
+	a.finish(s, w)
+}
+
 // finish ends the wait of a request. Callers hold a.mu.
 func (a *admissions) finish(s *serviceAdmission, w *waiter) {
 	delete(s.waiters, &w.ticket)
@@ -218,8 +227,7 @@
 	for _, s := range a.services {
 		for t, w := range s.waiters {
 			s.queue.Remove(t, now)
-			a.finish(s, w)
-			w.refusal = nil
+			a.breakOff(s, w)
 		}
 	}
 }
--- a/internal/gateway/journal.go
+++ b/internal/gateway/journal.go
@@ -89,6 +89,10 @@
 	}
 	fields["version"], fields["outcome"], fields["status"] = d.Version, d.Reason, d.Status
 	fields["took_ms"], fields["sendings"], fields["late"] = d.Took.Milliseconds(), d.Attempts, d.Late
+	if d.OrdersAdmission {
+		fields["priority"], fields["waited_ms"] = d.Priority, d.Admission.Waited.Milliseconds()
+		fields["position"], fields["displaced"] = d.Admission.Position, d.Admission.Displaced
+	}
 	if r := d.Refusal; r != nil {
 		fields["refusal"], fields["basis"], fields["best_server"], fields["best_ms"] = r.Reason, r.Basis, r.Server, r.BestLatency.Milliseconds()
 		fields["best_wait_ms"], fields["left_ms"], fields["on_time_ms"] = r.Wait.Milliseconds(), r.TimeLeft.Milliseconds(), r.TargetLeft.Milliseconds()
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -18,6 +19,8 @@
 	trials          *prometheus.CounterVec
 	coldAttempts    *prometheus.CounterVec
 	notices         *prometheus.CounterVec
+	waits           *prometheus.HistogramVec
+	unadmitted      *prometheus.CounterVec
 	ignoredEntries  prometheus.Counter
 	outdatedEntries prometheus.Counter
 
@@ -56,6 +59,15 @@
 			Namespace: "azureflow", Name: "gateway_server_notices_total",
 			Help: "Responses in which a server started to leave, or asked for a pause.",
 		}, []string{"service", "notice"}),
+		waits: auto.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: "azureflow", Name: "gateway_admission_wait_seconds",
+			Help:    "Time that requests without room waited at this VM, by whether they were sent to a server then.",
+			Buckets: []float64{0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1},
+		}, []string{"service", "outcome"}),
+		unadmitted: auto.NewCounterVec(prometheus.CounterOpts{
+			Namespace: "azureflow", Name: "gateway_admission_refusals_total",
+			Help: "Requests refused while requests without room are ordered, by reason and priority; displaced: for another request.",
+		}, []string{"service", "reason", "priority"}),
 		ignoredEntries: auto.NewCounter(prometheus.CounterOpts{
 			Namespace: "azureflow", Name: "gateway_ignored_entries_total",
 			Help: "Versions of entries among those of the servers that describe no usable server.",
@@ -90,11 +102,30 @@
 	if r := d.Refusal; r != nil && d.Attempts == 0 {
 		m.refusals.WithLabelValues(string(d.Service), string(r.Reason), string(r.Basis)).Inc()
 	}
+	if d.OrdersAdmission {
+		m.recordAdmission(d)
+	}
 	if d.Status >= 200 && d.Status < 300 {
 		m.requestSeconds.WithLabelValues(string(d.Service), d.Kind.String()).Observe(d.Took.Seconds())
 	}
 }
 
+// recordAdmission counts what the order of requests without room did with one.
+func (m *Metrics) recordAdmission(d *forward.FinishedRequest) {
+	outcome := "sent"
+	if r := d.Refusal; r != nil && d.Attempts == 0 {
+		outcome = "refused"
+		reason := string(r.Reason)
+		if d.Admission.Displaced {
+			reason = "displaced"
+		}
+		m.unadmitted.WithLabelValues(string(d.Service), reason, strconv.Itoa(d.Priority)).Inc()
+	}
+	if d.Admission.Waited > 0 {
+		m.waits.WithLabelValues(string(d.Service), outcome).Observe(d.Admission.Waited.Seconds())
+	}
+}
+
 func (m *Metrics) recordAttempt(s *forward.Attempt) {
 	m.attempts.WithLabelValues(string(s.Service), string(s.Placement.Region), s.Outcome.String()).Inc()
 	if s.Effect.StartedLeaving {
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -5,6 +5,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/azureflow/azureflow/internal/forward"
 	"github.com/azureflow/azureflow/internal/placement"
 )
 
@@ -13,6 +14,7 @@
 	follower *follower
 	presence *presence
 	chooser  *placement.Chooser
+	handler  *forward.Handler
 
 	servers     *prometheus.Desc
 	inFlight    *prometheus.Desc
@@ -22,16 +24,17 @@
 	age         *prometheus.Desc
 	version     *prometheus.Desc
 	routes      *prometheus.Desc
+	waiting     *prometheus.Desc
 }
 
 var _ prometheus.Collector = (*stateCollector)(nil)
 
-func newStateCollector(f *follower, p *presence, c *placement.Chooser) *stateCollector {
+func newStateCollector(f *follower, p *presence, c *placement.Chooser, h *forward.Handler) *stateCollector {
 	desc := func(name, help string, labels ...string) *prometheus.Desc {
 		return prometheus.NewDesc(prometheus.BuildFQName("azureflow", "gateway", name), help, labels, nil)
 	}
 	return &stateCollector{
-		follower: f, presence: p, chooser: c,
+		follower: f, presence: p, chooser: c, handler: h,
 		servers:     desc("servers", "Servers by what is believed of them.", "service", "state"),
 		inFlight:    desc("requests_in_flight", "Requests of this entry VM at servers.", "service"),
 		utilization: desc("slots_taken_ratio", "Part of the slots in this region that is taken.", "service"),
@@ -40,12 +43,13 @@
 		age:         desc("store_copy_age_seconds", "Time since the read that a copy of the store reflects.", "copy"),
 		version:     desc("configuration_version", "Version of the configuration in force, 0 if none is."),
 		routes:      desc("routes", "Routes that requests came for, by whether any was answered.", "state"),
+		waiting:     desc("requests_waiting", "Requests that wait at this VM for room at a server."),
 	}
 }
 
 // Describe implements prometheus.Collector.
 func (s *stateCollector) Describe(to chan<- *prometheus.Desc) {
-	for _, d := range []*prometheus.Desc{s.servers, s.inFlight, s.utilization, s.budget, s.peers, s.age, s.version, s.routes} {
+	for _, d := range []*prometheus.Desc{s.servers, s.inFlight, s.utilization, s.budget, s.peers, s.age, s.version, s.routes, s.waiting} {
 		to <- d
 	}
 }
@@ -70,6 +74,7 @@
 	routes := s.chooser.RouteCounts()
 	gauge(s.routes, float64(routes.Served), "answered")
 	gauge(s.routes, float64(routes.Unserved), "unanswered")
+	gauge(s.waiting, float64(s.handler.Waiting()))
 	gauge(s.peers, float64(len(s.presence.others())))
 	servers, operator := s.follower.readTimes()
 	for copied, readAt := range map[string]time.Time{"servers": servers, "operator": operator} {
--- a/internal/gateway/state_test.go
+++ b/internal/gateway/state_test.go
@@ -8,13 +8,16 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/azureflow/azureflow/internal/forward"
 )
 
 func TestStateIsScraped(t *testing.T) {
 	withFollower(t, func(t *testing.T, store *fakeStore, f *follower) {
 		registry := prometheus.NewRegistry()
+		handler := forward.NewHandler(forward.Options{Chooser: f.chooser})
 		p := newPresence(store, testSettings("one"), f.chooser, discardLog())
-		if err := registry.Register(newStateCollector(f, p, f.chooser)); err != nil {
+		if err := registry.Register(newStateCollector(f, p, f.chooser, handler)); err != nil {
 			t.Fatal(err)
 		}
 		page := httptest.NewRecorder()
@@ -30,6 +33,7 @@
 			`azureflow_gateway_entry_vms 0`,
 			`azureflow_gateway_routes{state="answered"} 0`,
 			`azureflow_gateway_routes{state="unanswered"} 0`,
+			`azureflow_gateway_requests_waiting 0`,
 		} {
 			if !strings.Contains(page.Body.String(), want) {
 				t.Errorf("metrics page lacks %s", want)
--- a/internal/placement/chooser.go
+++ b/internal/placement/chooser.go
@@ -42,7 +42,7 @@
 }
 
 // WaitBounds are the longest expected waits for a slot with which a request may be sent to a server, so that others
-// find room there. Negative: no further bound.
+// find room there.
 type WaitBounds struct {
 	InTime time.Duration // if the response is expected within the target latency
 	Late   time.Duration // otherwise
@@ -230,6 +230,9 @@
 		return nil, c.noServerRefusal(q, candidates, now)
 	}
 	basis := best.refusalBasis(q)
+	if basis == BasisNone && q.WaitBounds.areExceeded(&best, q) {
+		basis = BasisOrder
+	}
 	switch {
 	case basis != BasisNone:
 		return nil, best.noCapacityRefusal(q, basis, candidates, now)
--- /dev/null
+++ b/internal/placement/overload_test.go
@@ -0,0 +1,195 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/azureflow/azureflow/internal/admission"
+	"github.com/azureflow/azureflow/internal/routing"
+)
+
+// Too little room: requests of kinds, and of client accounts, that differ in urgency and demand. Each load is replayed
+// in the order of arrival, as where the configuration does not distinguish callers, and with ordered admission.
+
+// simGate is the admission of an entry VM in the simulation, as internal/forward does it.
+type simGate struct {
+	s       *simulation
+	queue   *admission.Queue
+	waiting map[*admission.Ticket]*simRequest
+}
+
+func (s *simulation) useGates() {
+	for range s.regions {
+		s.gates = append(s.gates, &simGate{s: s, queue: admission.NewQueue(), waiting: make(map[*admission.Ticket]*simRequest)})
+	}
+}
+
+func (g *simGate) enter(r *simRequest) {
+	t := &admission.Ticket{
+		Priority: r.query.Account.PriorityOn(r.query.Route), Account: r.query.Account, Target: simTarget, Returned: r.returned,
+	}
+	g.queue.RecordArrival(t, g.s.now)
+	if g.queue.Waiting() > 0 {
+		g.offerRoom()
+	}
+	refusal := g.tryPlace(t, r)
+	switch {
+	case refusal == nil:
+		g.queue.RecordSent(t, g.s.now)
+		return
+	case !refusal.IsForRoom():
+		g.s.refuse(r, refusal.RetryAfter)
+		return
+	}
+	g.waiting[t] = r
+	if displaced := g.queue.Add(t, g.s.now); displaced != nil {
+		g.refuse(displaced)
+	}
+	g.s.at(t.HoldUntil(g.s.now, r.arrived.Add(g.s.route.Timeout)), func() {
+		if g.queue.Remove(t, g.s.now) {
+			g.refuse(t)
+		}
+	})
+}
+
+// tryPlace sends the request, or returns why it cannot be sent.
+func (g *simGate) tryPlace(t *admission.Ticket, r *simRequest) *Refusal {
+	bounds := WaitBounds(g.queue.WaitBounds(t, g.s.now))
+	r.query.WaitBounds = &bounds
+	p, refusal := g.s.place(r)
+	r.query.FirstAttempt = false
+	if refusal != nil {
+		t.Work, t.InTime = refusal.Work(), refusal.Work() <= r.query.TargetLeft
+		return refusal
+	}
+	t.Work = p.ExpectedLatency - p.Wait
+	g.s.send(r, p)
+	return nil
+}
+
+func (g *simGate) refuse(t *admission.Ticket) {
+	r := g.waiting[t]
+	delete(g.waiting, t)
+	g.s.refuse(r, g.queue.RetryAfter(t, r.arrived.Add(g.s.route.Timeout).Sub(g.s.now), g.s.now))
+}
+
+func (g *simGate) recordEnded() {
+	g.queue.RecordEnded(g.s.now)
+	g.offerRoom()
+}
+
+func (g *simGate) offerRoom() {
+	g.queue.TryNext(2, g.s.now, func(t *admission.Ticket) (done, sent bool) {
+		r, work := g.waiting[t], t.Work
+		refusal := g.tryPlace(t, r)
+		t.Work = work
+		if refusal != nil && refusal.IsForRoom() {
+			return false, false
+		}
+		delete(g.waiting, t)
+		if refusal != nil {
+			g.s.refuse(r, refusal.RetryAfter)
+		}
+		return true, refusal == nil
+	})
+}
+
+// credit returns the share of the requests that were served, a late response counting a fifth as in the users' tables.
+func (c *simCount) credit() float64 {
+	return (float64(c.onTime) + 0.2*float64(c.late)) / float64(max(c.requests, 1))
+}
+
+// servedShare returns the share of the requests that got a response.
+func (c *simCount) servedShare() float64 {
+	return float64(c.onTime+c.late) / float64(max(c.requests, 1))
+}
+
+// kindLoad generates requests of a kind for callers of all regions.
+type kindLoad struct {
+	name    string
+	route   *routing.Route
+	account *routing.Account
+	rate    func(time.Duration) float64 // requests per second in each region
+}
+
+// runOverload replays loads at the servers of two regions with two entry VMs each, over three seeds, and returns the
+// counts by kind, and of all.
+func runOverload(ordered bool, span time.Duration, prepare func(*simulation), loads ...kindLoad) (map[string]*simCount, simCount) {
+	kinds := make(map[string]*simCount)
+	var all simCount
+	for seed := range uint64(3) {
+		s := newSimulation(seed, 4, 4)
+		s.callersStay = true
+		prepare(s)
+		s.useChoosers()
+		if ordered {
+			s.useGates()
+		}
+		for i := range 2 {
+			for _, l := range loads {
+				s.loadKind(i, span, l)
+			}
+		}
+		s.run()
+		for name, c := range s.kinds {
+			if kinds[name] == nil {
+				kinds[name] = &simCount{}
+			}
+			kinds[name].add(c)
+			all.add(c)
+		}
+	}
+	return kinds, all
+}
+
+func (c *simCount) add(o *simCount) {
+	c.requests += o.requests
+	c.onTime += o.onTime
+	c.late += o.late
+	c.refused += o.refused
+}
+
+// loadKind is like load for the requests of a kind.
+func (s *simulation) loadKind(i int, span time.Duration, l kindLoad) {
+	start, region := s.now, simRegion(i)
+	var next func()
+	next = func() {
+		elapsed := s.now.Sub(start)
+		if elapsed >= span {
+			return
+		}
+		const objects = 60 // of the callers of a region
+		s.startRequestOf(&simRequest{home: region, entry: 2*i + s.rng.IntN(2), arrived: s.now, kind: l.name, query: Query{
+			Route: l.route, Account: l.account, Service: "desk", FirstAttempt: true,
+			Object: xxhash.Sum64String(fmt.Sprintf("%s %d", region, s.rng.IntN(objects))),
+		}})
+		gap := s.rng.ExpFloat64() / max(l.rate(elapsed), 0.1)
+		s.at(s.now.Add(time.Duration(gap*float64(time.Second))), next)
+	}
+	s.at(start, next)
+}
+
+// kindRoute returns a route of a priority.
+func kindRoute(name string, priority int) *routing.Route {
+	return &routing.Route{
+		Name: name, Affinity: true, TargetLatency: simTarget, Timeout: 2500 * time.Millisecond, MaxAttempts: 2, Priority: priority,
+		Destinations: []routing.Destination{{Service: "desk", Weight: 1}},
+	}
+}
+
+func noChange(*simulation) {}
+
+func TestOverloadTrial(t *testing.T) {
+	for _, x := range []float64{0.8, 1.2, 1.5, 2, 3} {
+		rate := x * 100 // servers of a region handle some 200 a second with all objects warm
+		for _, ordered := range []bool{false, true} {
+			kinds, all := runOverload(ordered, 10*time.Second, noChange,
+				kindLoad{"urgent", kindRoute("urgent", 0), nil, steady(rate)}, kindLoad{"other", kindRoute("other", 1), nil, steady(rate)})
+			t.Logf("x%.1f ordered %v: credit %.3f served %.3f; urgent %.3f/%.3f other %.3f/%.3f", x, ordered, all.credit(), all.servedShare(),
+				kinds["urgent"].credit(), kinds["urgent"].servedShare(), kinds["other"].credit(), kinds["other"].servedShare())
+		}
+	}
+}
--- a/internal/placement/refusal.go
+++ b/internal/placement/refusal.go
@@ -90,23 +90,25 @@
 		return BasisTrial
 	case e.latencyForTargetCheck() > q.TargetLeft.Seconds() && e.wait > waitShare*q.Route.LatencyObjective().Seconds():
 		return BasisWait
-	case q.WaitBounds.areExceeded(e, q):
-		return BasisOrder
 	default:
 		return BasisNone
 	}
 }
 
+// inTimeMargin is the part of the time until the target that an expected response in time may take: by an estimate that
+// hits the target exactly, half of the responses are late.
+const inTimeMargin = 0.85
+
 // areExceeded reports whether the wait is longer than b allows.
 func (b *WaitBounds) areExceeded(e *estimate, q *Query) bool {
 	if b == nil {
 		return false
 	}
 	bound := b.InTime
-	if e.latencyForTargetCheck() > q.TargetLeft.Seconds() {
+	if e.latencyForTargetCheck() > inTimeMargin*q.TargetLeft.Seconds() {
 		bound = b.Late
 	}
-	return bound >= 0 && e.wait > bound.Seconds()
+	return e.wait > bound.Seconds()
 }
 
 // IsForRoom reports whether the request was refused only because no server has room for it now.
--- a/internal/placement/simulation_test.go
+++ b/internal/placement/simulation_test.go
@@ -40,6 +40,8 @@
 	placement *Placement
 	server    *simServer
 	attempts  int
+	kind      string // whose requests are counted together; empty: none
+	returned  bool   // its caller was refused before
 }
 
 // simPolicy decides where the requests of one entry VM go.
@@ -70,6 +72,9 @@
 	remoteDelay time.Duration // one way between regions
 	counts      map[steering.RegionName]*simCount
 	windows     map[steering.RegionName][]simCount // of two seconds each
+	kinds       map[string]*simCount
+	gates       []*simGate // of the entry VMs; none: requests are placed in the order of arrival
+	callersStay bool       // a refused caller returns once
 }
 
 type simEvent struct {
@@ -111,6 +116,7 @@
 		now: time.Unix(1000, 0), rng: rand.New(rand.NewPCG(seed, 1)), servers: make(map[ServerID]*simServer),
 		warm: 120 * time.Millisecond, cold: 350 * time.Millisecond, remoteDelay: 35 * time.Millisecond,
 		counts: make(map[steering.RegionName]*simCount), windows: make(map[steering.RegionName][]simCount),
+		kinds: make(map[string]*simCount),
 		route: &routing.Route{
 			Name: "lookup", Affinity: true, TargetLatency: simTarget, Timeout: 2500 * time.Millisecond, MaxAttempts: 2,
 			Destinations: []routing.Destination{{Service: "desk", Weight: 1}},
@@ -189,12 +195,28 @@
 func (s *simulation) startRequest(region steering.RegionName, entry int) {
 	const objects = 60 // of the callers of a region
 	object := xxhash.Sum64String(fmt.Sprintf("%s %d", region, s.rng.IntN(objects)))
-	s.count(region, func(c *simCount) { c.requests++ })
-	s.sendAttempt(&simRequest{home: region, entry: entry, arrived: s.now, query: Query{
+	s.startRequestOf(&simRequest{home: region, entry: entry, arrived: s.now, query: Query{
 		Route: s.route, Service: "desk", Object: object, FirstAttempt: true, Bytes: 0,
 	}})
 }
 
+func (s *simulation) startRequestOf(r *simRequest) {
+	s.countEnd(r, func(c *simCount) { c.requests++ })
+	s.sendAttempt(r)
+}
+
+// countEnd counts the end of a request, or its beginning.
+func (s *simulation) countEnd(r *simRequest, add func(*simCount)) {
+	s.count(r.home, add)
+	if r.kind == "" {
+		return
+	}
+	if s.kinds[r.kind] == nil {
+		s.kinds[r.kind] = &simCount{}
+	}
+	add(s.kinds[r.kind])
+}
+
 func (s *simulation) count(region steering.RegionName, add func(*simCount)) {
 	add(s.counts[region])
 	index := int(s.now.Sub(time.Unix(1000, 0)) / (2 * time.Second))
@@ -206,14 +228,38 @@
 
 // sendAttempt places a request and sends it to its server.
 func (s *simulation) sendAttempt(r *simRequest) {
+	if s.gates != nil {
+		s.gates[r.entry].enter(r)
+		return
+	}
+	p, refusal := s.place(r)
+	if refusal != nil {
+		s.refuse(r, refusal.RetryAfter)
+		return
+	}
+	s.send(r, p)
+}
+
+// place asks the policy of the entry VM.
+func (s *simulation) place(r *simRequest) (*Placement, *Refusal) {
 	elapsed := s.now.Sub(r.arrived)
 	r.query.TimeLeft, r.query.TargetLeft = s.route.Timeout-elapsed, simTarget-elapsed
 	r.query.Random = s.rng.Float64()
-	p, refusal := s.policies[r.entry].Place(&r.query, s.now)
-	if refusal != nil {
-		s.count(r.home, func(c *simCount) { c.refused++ })
+	return s.policies[r.entry].Place(&r.query, s.now)
+}
+
+// refuse refuses a request, whose caller may return once.
+func (s *simulation) refuse(r *simRequest, after time.Duration) {
+	if !s.callersStay || r.returned || s.now.Add(after).After(r.arrived.Add(s.route.Timeout)) {
+		s.countEnd(r, func(c *simCount) { c.refused++ })
 		return
 	}
+	again := &simRequest{query: r.query, home: r.home, entry: r.entry, arrived: r.arrived, kind: r.kind, returned: true}
+	again.query.FirstAttempt, again.query.Retry, again.query.Tried = true, false, nil
+	s.at(s.now.Add(after), func() { s.sendAttempt(again) })
+}
+
+func (s *simulation) send(r *simRequest, p *Placement) {
 	r.placement, r.server, r.attempts = p, s.servers[p.Server], r.attempts+1
 	delay := time.Millisecond
 	if r.server.member.Region != s.regions[r.entry] {
@@ -289,11 +335,14 @@
 			result.Load = nil
 		}
 		s.policies[r.entry].RecordResult(r.placement, result, s.now)
+		if s.gates != nil {
+			s.gates[r.entry].recordEnded()
+		}
 		if o != OutcomeSuccess {
 			s.retry(r, o, result)
 			return
 		}
-		s.count(r.home, func(c *simCount) {
+		s.countEnd(r, func(c *simCount) {
 			if s.now.Sub(r.arrived) <= simTarget {
 				c.onTime++
 			} else {
@@ -307,7 +356,7 @@
 func (s *simulation) retry(r *simRequest, o Outcome, result *Result) {
 	const maxAttempts = 3
 	if r.attempts >= maxAttempts {
-		s.count(r.home, func(c *simCount) { c.refused++ })
+		s.countEnd(r, func(c *simCount) { c.refused++ })
 		return
 	}
 	if !result.IsTransientShed() {
