--- a/internal/forward/admission.go
+++ b/internal/forward/admission.go
@@ -70,9 +70,11 @@
 // place returns where to send the request, or why it is refused. It waits if there is no room now and may be in time.
 // It returns neither if the wait was broken off, since the request ended or the process stops.
 func (a *admissions) place(x *exchange) (*placement.Placement, *placement.Refusal) {
-	w := &waiter{x: x, arrived: time.Now(), ready: make(chan struct{}), ticket: admission.Ticket{
-		Priority: x.account.PriorityOn(x.route), Account: x.account, Target: x.route.LatencyObjective(), Returned: x.returned,
-	}}
+	w := &waiter{x: x, arrived: time.Now(), ready: make(chan struct{})}
+	w.ticket = admission.Ticket{
+		Priority: x.account.PriorityOn(x.route), Account: x.account, Returned: x.returned,
+		Target: min(x.route.LatencyObjective(), x.deadline.Sub(x.start)),
+	}
 	until, done := a.enter(w)
 	if !done {
 		a.wait(w, until)
--- a/internal/placement/cost.go
+++ b/internal/placement/cost.go
@@ -16,6 +16,8 @@
 	byteCostBetweenRegions = 2.6e-6
 	// Utilization of a region's slots below which it is sent requests that the neighboring regions have no capacity for.
 	freeCapacityThreshold = 0.4
+	// Utilization of a region's slots from which a wait is a lack of room rather than the queue of single servers.
+	fullThreshold = 0.9
 	// A cold run holds a slot for longer, and its object displaces another one. The time that a warm server saves counts
 	// this many times: on idle servers, and in addition where all slots are in use.
 	duplicateWeightIdle     = 1.0
@@ -42,6 +44,7 @@
 	supportedService float64 // seconds of service that recent evidence supports
 	wouldBeRefused   bool    // the response would come too late for the request to be sent
 	hasFreeCapacity  bool    // its region has free capacity for cold work
+	isRegionFull     bool    // hardly a slot of its region is free
 }
 
 // expectedLatency returns the expected seconds until the response.
@@ -103,6 +106,7 @@
 		}
 		e.wouldBeRefused = e.refusalBasis(q) != BasisNone
 		e.hasFreeCapacity = utilization[s.member.Region] < freeCapacityThreshold
+		e.isRegionFull = utilization[s.member.Region] >= fullThreshold
 		if best.server == nil || e.isBetterThan(&best) {
 			best = e
 		}
--- a/internal/placement/overload_test.go
+++ b/internal/placement/overload_test.go
@@ -182,14 +182,126 @@
 
 func noChange(*simulation) {}
 
-func TestOverloadTrial(t *testing.T) {
-	for _, x := range []float64{0.8, 1.2, 1.5, 2, 3} {
-		rate := x * 100 // servers of a region handle some 200 a second with all objects warm
-		for _, ordered := range []bool{false, true} {
-			kinds, all := runOverload(ordered, 10*time.Second, noChange,
-				kindLoad{"urgent", kindRoute("urgent", 0), nil, steady(rate)}, kindLoad{"other", kindRoute("other", 1), nil, steady(rate)})
-			t.Logf("x%.1f ordered %v: credit %.3f served %.3f; urgent %.3f/%.3f other %.3f/%.3f", x, ordered, all.credit(), all.servedShare(),
-				kinds["urgent"].credit(), kinds["urgent"].servedShare(), kinds["other"].credit(), kinds["other"].servedShare())
+const overloadSpan = 10 * time.Second
+
+// overloadRate is what the servers of a region handle with all objects warm: 4 servers with 6 slots, 120 ms each.
+const overloadRate = 200
+
+// Two kinds of request of the same size at 1.2 to 3 times what the servers can handle.
+func TestOverloadOfTwoKinds(t *testing.T) {
+	for _, x := range []float64{1.2, 1.5, 2, 3} {
+		half := steady(x * overloadRate / 2)
+		loads := []kindLoad{{"urgent", kindRoute("urgent", 0), nil, half}, {"other", kindRoute("other", 1), nil, half}}
+		before, beforeAll := runOverload(false, overloadSpan, noChange, loads...)
+		after, all := runOverload(true, overloadSpan, noChange, loads...)
+		t.Logf("%.1f: credit %.3f, ordered %.3f; urgent %.3f, %.3f; other %.3f, %.3f; served %.3f, %.3f", x, beforeAll.credit(), all.credit(),
+			before["urgent"].credit(), after["urgent"].credit(), before["other"].credit(), after["other"].credit(),
+			beforeAll.servedShare(), all.servedShare())
+		if all.credit() < beforeAll.credit() || after["urgent"].credit() < before["urgent"].credit() {
+			t.Errorf("%.1f: ordered admission serves callers worse", x)
+		}
+		if after["urgent"].credit() < after["other"].credit() {
+			t.Errorf("%.1f: the urgent kind is served worse than the other", x)
+		}
+		// The required bound on a kind that is starved.
+		if after["other"].servedShare() < all.servedShare()/4 {
+			t.Errorf("%.1f: the other kind is served less than a quarter as often as all", x)
+		}
+	}
+}
+
+// The less urgent kind comes in a burst of four times its rate: it pays for it, not the urgent kind.
+func TestBurstOfTheLessUrgentKind(t *testing.T) {
+	burst := func(at time.Duration) float64 {
+		if at > 3*time.Second && at < 7*time.Second {
+			return 400
+		}
+		return 100
+	}
+	loads := []kindLoad{{"urgent", kindRoute("urgent", 0), nil, steady(60)}, {"other", kindRoute("other", 1), nil, burst}}
+	before, beforeAll := runOverload(false, overloadSpan, noChange, loads...)
+	after, all := runOverload(true, overloadSpan, noChange, loads...)
+	t.Logf("credit %.3f, ordered %.3f; urgent %.3f, %.3f; other %.3f, %.3f", beforeAll.credit(), all.credit(),
+		before["urgent"].credit(), after["urgent"].credit(), before["other"].credit(), after["other"].credit())
+	if all.credit() < beforeAll.credit() || after["urgent"].credit() < 0.8 {
+		t.Error("the burst costs the urgent kind")
+	}
+}
+
+// One of five accounts sends six times its quota: the others keep what they had, and it gets about its part.
+func TestFloodOfOneAccount(t *testing.T) {
+	const accounts, quota = 5, 36
+	var loads []kindLoad
+	route := kindRoute("lookup", 0)
+	for i := range accounts {
+		name, rate := fmt.Sprint(i), float64(quota)
+		if i == 0 {
+			name, rate = "flood", 6*quota
+		}
+		loads = append(loads, kindLoad{name, route, &routing.Account{Name: routing.AccountName(name), Rate: quota}, steady(rate)})
+	}
+	before, _ := runOverload(false, overloadSpan, noChange, loads...)
+	after, _ := runOverload(true, overloadSpan, noChange, loads...)
+	worst, served := 1.0, 0.0
+	for i := 1; i < accounts; i++ {
+		name := fmt.Sprint(i)
+		t.Logf("%s: credit %.3f, ordered %.3f", name, before[name].credit(), after[name].credit())
+		worst, served = min(worst, after[name].credit()), served+after[name].servedShare()/(accounts-1)
+		if after[name].credit() < before[name].credit() {
+			t.Errorf("account %s, inside its quota, is served worse", name)
+		}
+	}
+	t.Logf("flood: credit %.3f, ordered %.3f", before["flood"].credit(), after["flood"].credit())
+	if after["flood"].credit() > worst {
+		t.Error("the flooding account is served better than one inside its quota")
+	}
+	if 6*after["flood"].servedShare() < served/4 {
+		t.Error("the flooding account gets less than a quarter of what the others get of their quotas")
+	}
+}
+
+// Servers of different speed, and fewer in one region than in the other.
+func TestOverloadOfUnevenServers(t *testing.T) {
+	uneven := func(s *simulation) {
+		for i, slowness := range []float64{1, 2, 0.7, 3} {
+			s.servers[ServerID(fmt.Sprintf("r0-%d", i))].slowness = slowness
 		}
+		delete(s.servers, "r1-2")
+		delete(s.servers, "r1-3")
+	}
+	half := steady(overloadRate / 2)
+	loads := []kindLoad{{"urgent", kindRoute("urgent", 0), nil, half}, {"other", kindRoute("other", 1), nil, half}}
+	before, beforeAll := runOverload(false, overloadSpan, uneven, loads...)
+	after, all := runOverload(true, overloadSpan, uneven, loads...)
+	t.Logf("credit %.3f, ordered %.3f; urgent %.3f, %.3f; other %.3f, %.3f", beforeAll.credit(), all.credit(),
+		before["urgent"].credit(), after["urgent"].credit(), before["other"].credit(), after["other"].credit())
+	if all.credit() < beforeAll.credit() || after["urgent"].credit() < before["urgent"].credit() {
+		t.Error("ordered admission serves callers worse")
+	}
+}
+
+// Half of the servers of a region are lost under load, and are no longer listed two seconds later: what waited is
+// placed elsewhere or refused, and nothing is left waiting.
+func TestServersLostWhileRequestsWait(t *testing.T) {
+	lose := func(s *simulation) {
+		s.at(s.now.Add(4*time.Second), func() {
+			s.servers["r0-0"].dead, s.servers["r0-1"].dead = true, true
+		})
+		s.at(s.now.Add(6*time.Second), func() {
+			for _, p := range s.policies {
+				p.(*Chooser).SetMembership(s.membership())
+			}
+		})
+	}
+	half := steady(overloadRate / 2)
+	loads := []kindLoad{{"urgent", kindRoute("urgent", 0), nil, half}, {"other", kindRoute("other", 1), nil, half}}
+	before, beforeAll := runOverload(false, overloadSpan, lose, loads...)
+	after, all := runOverload(true, overloadSpan, lose, loads...)
+	t.Logf("credit %.3f, ordered %.3f; urgent %.3f, %.3f", beforeAll.credit(), all.credit(), before["urgent"].credit(), after["urgent"].credit())
+	if all.credit() < beforeAll.credit() || after["urgent"].credit() < before["urgent"].credit() {
+		t.Error("ordered admission serves callers worse")
+	}
+	if ended := all.onTime + all.late + all.refused; ended != all.requests {
+		t.Errorf("%d of %d requests ended", ended, all.requests)
 	}
 }
--- a/internal/placement/refusal.go
+++ b/internal/placement/refusal.go
@@ -99,13 +99,14 @@
 // hits the target exactly, half of the responses are late.
 const inTimeMargin = 0.85
 
-// areExceeded reports whether the wait is longer than b allows.
+// areExceeded reports whether the wait is longer than b allows. Where the region has free slots, the wait is for a server
+// that suits the request, and takes no room from others.
 func (b *WaitBounds) areExceeded(e *estimate, q *Query) bool {
-	if b == nil {
+	if b == nil || !e.isRegionFull {
 		return false
 	}
 	bound := b.InTime
-	if e.latencyForTargetCheck() > inTimeMargin*q.TargetLeft.Seconds() {
+	if e.latencyForTargetCheck() > inTimeMargin*min(q.TargetLeft, q.TimeLeft).Seconds() {
 		bound = b.Late
 	}
 	return e.wait > bound.Seconds()
