admission: callers return at the rate at which room comes free beside new requests

Change: the schedule of returns takes what requests that end leave over after new ones, a tenth at least, up to half of the time that the caller has left.

--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -39,6 +39,7 @@
 // RecordArrival records that a request came to the service.
 func (q *Queue) RecordArrival(t *Ticket, now time.Time) {
 	q.seen[t.Priority] = now
+	q.returns.recordArrival(t, now)
 }
 
 // Bounds are the longest expected waits for a slot with which a request may be sent to a server.
