--- a/internal/forward/admission_test.go
+++ b/internal/forward/admission_test.go
@@ -127,6 +127,32 @@
 	})
 }
 
+// An urgent request takes the place of a less urgent one when the queue is full. That one is refused at once, with a
+// time at which to return.
+func TestUrgentRequestDisplacesLessUrgentOne(t *testing.T) {
+	withFullServer(t, true, 5*time.Second, func(t *testing.T, env *testEnv) {
+		const limit = 512 // of the waiting requests of a service
+		for range limit {
+			env.serveAsync(t.Context())
+		}
+		if n := env.handler.Waiting(); n != limit {
+			t.Fatalf("%d wait", n)
+		}
+		urgent := newRequest("GET", urgentPath, "")
+		urgent.Header.Set("Test-Deadline", "9000")
+		go env.serve(urgent)
+		synctest.Wait()
+		env.mu.Lock()
+		defer env.mu.Unlock()
+		if n := env.handler.Waiting(); n != limit || len(env.finished) != 1 {
+			t.Fatalf("%d wait and %d were refused, want one refused for the urgent one", n, len(env.finished))
+		}
+		if f := env.finished[0]; f.Status != 503 || f.Priority != 1 || !f.Admission.Displaced || f.Took != 0 || f.Refusal.RetryAfter <= 0 {
+			t.Errorf("reported %+v", f)
+		}
+	})
+}
+
 // A wait ends at once, and nothing is sent to a server, if the caller leaves, the process stops or the servers are gone.
 func TestWaitEndsAtOnce(t *testing.T) {
 	for _, test := range []struct {
--- a/internal/placement/refusal_test.go
+++ b/internal/placement/refusal_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/azureflow/azureflow/internal/routing"
 )
 
 // A refusal for lack of capacity names its basis, so that its log line is not mistaken for another one.
@@ -61,3 +63,36 @@
 		})
 	}
 }
+
+// Bounds on the wait hold where the region's slots are full, and only for requests that have them.
+func TestWaitBoundsHoldWhereSlotsAreFull(t *testing.T) {
+	bounds := &WaitBounds{InTime: 50 * time.Millisecond, Late: 10 * time.Millisecond}
+	for _, test := range []struct {
+		name    string
+		running int // at each server, of 6 slots
+		bounds  *WaitBounds
+		want    Basis
+	}{
+		{"no bounds", 8, nil, BasisNone},
+		{"free slots", 5, bounds, BasisNone},
+		{"full", 8, bounds, BasisOrder},
+	} {
+		c := NewChooser(Options{Region: "r"})
+		c.SetMembership(&Membership{Members: []Member{{ID: "a", Service: "desk", Slots: 6, Region: "r"}, {ID: "b", Service: "desk", Slots: 6, Region: "r"}}})
+		now := time.Unix(1000, 0)
+		for _, s := range c.servers {
+			s.applyReport(Load{Running: test.running, Slots: 6, Slowness: 1}, now)
+		}
+		route := &routing.Route{Name: "lookup", TargetLatency: time.Second}
+		_, refusal := c.Place(&Query{
+			Route: route, Service: "desk", TimeLeft: 5 * time.Second, TargetLeft: time.Second, FirstAttempt: true, WaitBounds: test.bounds,
+		}, now)
+		basis := BasisNone
+		if refusal != nil {
+			basis = refusal.Basis
+		}
+		if basis != test.want || refusal != nil && !refusal.IsForRoom() {
+			t.Errorf("%s: basis %q, want %q", test.name, basis, test.want)
+		}
+	}
+}
--- a/internal/routing/table_test.go
+++ b/internal/routing/table_test.go
@@ -52,3 +52,20 @@
 		t.Errorf("difference from no table %+v, want all 3 routes as added", got)
 	}
 }
+
+func TestAdmissionIsOrderedWhereCallersAreDistinguished(t *testing.T) {
+	plain := []Route{{Name: "lookup"}, {Name: "upload", Kind: KindUpload, Priority: 2}}
+	download := append([]Route{{Name: "maps", Kind: KindDownload}}, plain...)
+	for _, test := range []struct {
+		config *Config
+		want   bool
+	}{
+		{&Config{Routes: plain}, false},
+		{&Config{Routes: download}, true},
+		{&Config{Routes: plain, Accounts: []Account{{Name: "one"}}}, true},
+	} {
+		if got := NewTable(test.config).OrdersAdmission(); got != test.want {
+			t.Errorf("%+v: %v, want %v", test.config, got, test.want)
+		}
+	}
+}
