--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -204,7 +204,7 @@
 		}
 		within, last := 0, time.Duration(0)
 		for range 200 {
-			after := q.RetryAfter(ticket(1, 100*time.Millisecond), 3*time.Second, now)
+			after := q.RetryAfter(ticket(1, 100*time.Millisecond), 0, 3*time.Second, now)
 			if after < MinRetryAfter || after > 1450*time.Millisecond {
 				t.Fatalf("retry after %v, want time for another attempt", after)
 			}
@@ -219,6 +219,16 @@
 	}
 }
 
+// A caller that can still be served in time is asked to return in time for that.
+func TestReturnInTime(t *testing.T) {
+	q := NewQueue()
+	for range 20 { // without any room, one a second
+		if after := q.RetryAfter(ticket(1, time.Second), 3*time.Second, 10*time.Second, start); after > time.Second {
+			t.Fatalf("retry after %v, too late for a response within 3 s that takes 1 s", after)
+		}
+	}
+}
+
 func TestHoldLeavesTimeForTheResponse(t *testing.T) {
 	x := ticket(1, 400*time.Millisecond)
 	if got := x.HoldUntil(start, start.Add(time.Minute)); got != start.Add(125*time.Millisecond) {
--- a/internal/admission/returns.go
+++ b/internal/admission/returns.go
@@ -54,14 +54,20 @@
 }
 
 // RetryAfter returns when the caller of a refused request may return: callers are spread over the time in which room
-// for them comes free. The caller gives up after left, so it is asked to return while there is time for another wait.
-func (q *Queue) RetryAfter(t *Ticket, left time.Duration, now time.Time) time.Duration {
+// for them comes free. A response is late after targetLeft, and the caller gives up after left: it is asked to return
+// while there is time for another wait before the first of these that is worth another attempt. Within t.Work the slots
+// are not given out anew, so that it would meet the same requests.
+func (q *Queue) RetryAfter(t *Ticket, targetLeft, left time.Duration, now time.Time) time.Duration {
 	r := &q.returns
 	if earliest := now.Add(MinRetryAfter); r.nextVisit.Before(earliest) {
 		r.nextVisit = earliest
 	}
+	latest := (targetLeft - t.Work) / 2
+	if latest < max(t.Work, MinRetryAfter) {
+		latest = max(MinRetryAfter, (left-t.Work)/2)
+	}
 	after := r.nextVisit.Sub(now)
-	if latest := max(MinRetryAfter, (left-t.Work)/2); after > latest {
+	if after > latest {
 		return latest // the schedule is full until then
 	}
 	r.nextVisit = r.nextVisit.Add(time.Duration(float64(time.Second) / r.roomPerSecond(now)))
--- a/internal/forward/admission.go
+++ b/internal/forward/admission.go
@@ -178,7 +178,7 @@
 
 // refuse refuses a request for which there is no room. Callers hold a.mu.
 func (a *admissions) refuse(s *serviceAdmission, w *waiter, now time.Time) {
-	w.refusal.RetryAfter = s.queue.RetryAfter(&w.ticket, w.x.callerDeadline.Sub(now), now)
+	w.refusal.RetryAfter = s.queue.RetryAfter(&w.ticket, w.x.lateAfter.Sub(now), w.x.callerDeadline.Sub(now), now)
 	a.finish(s, w)
 }
 
--- a/internal/placement/overload_test.go
+++ b/internal/placement/overload_test.go
@@ -73,7 +73,8 @@
 func (g *simGate) refuse(t *admission.Ticket) {
 	r := g.waiting[t]
 	delete(g.waiting, t)
-	g.s.refuse(r, g.queue.RetryAfter(t, r.arrived.Add(g.s.route.Timeout).Sub(g.s.now), g.s.now))
+	elapsed := g.s.now.Sub(r.arrived)
+	g.s.refuse(r, g.queue.RetryAfter(t, simTarget-elapsed, g.s.route.Timeout-elapsed, g.s.now))
 }
 
 func (g *simGate) recordEnded() {
