admission: a kind that is hardly sent any more does not yield

Cause: by reading: less urgent requests leave the longer waits to urgent ones without a bound, turns help only those that wait. Change: a kind that is sent half as often as all no longer yields.

--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -12,8 +12,6 @@
 	// urgentTurns is how many requests of a more urgent priority are sent before one of a less urgent priority that
 	// waits, so that no kind of request is starved: it gets over a quarter of what the more urgent ones get.
 	urgentTurns = 3
-	// urgentWindow is how long a request shows that there are requests of its priority.
-	urgentWindow = 2 * time.Second
 )
 
 // Queue holds the waiting requests of one service. It is not safe for concurrent use.
@@ -23,14 +21,14 @@
 	waiting  int
 	sequence uint64
 	turns    int // of the most urgent waiting level since another one had one
-	seen     map[int]time.Time
+	kinds    kinds
 	shares   shares
 	returns  returns
 }
 
 // NewQueue returns an empty Queue.
 func NewQueue() *Queue {
-	return &Queue{limit: maxWaiting, seen: make(map[int]time.Time), shares: newShares()}
+	return &Queue{limit: maxWaiting, kinds: newKinds(), shares: newShares()}
 }
 
 // Waiting returns the number of waiting requests.
@@ -38,7 +36,7 @@
 
 // RecordArrival records that a request came to the service.
 func (q *Queue) RecordArrival(t *Ticket, now time.Time) {
-	q.seen[t.Priority] = now
+	q.kinds.recordArrival(t.Priority, now)
 	q.returns.recordArrival(t, now)
 }
 
@@ -52,22 +50,12 @@
 // than others, leave part of the queues to the others.
 func (q *Queue) WaitBounds(t *Ticket, now time.Time) Bounds {
 	b := Bounds{InTime: share(t.Target, inTimeWaitShare), Late: share(t.Target, lateWaitShare)}
-	if q.isLessUrgent(t, now) || q.waiting > 0 && q.shares.isOver(t.Account) {
+	if q.kinds.yields(t.Priority, now) || q.waiting > 0 && q.shares.isOver(t.Account) {
 		b.InTime = share(t.Target, yieldWaitShare)
 	}
 	return b
 }
 
-// isLessUrgent reports whether more urgent requests come to the service.
-func (q *Queue) isLessUrgent(t *Ticket, now time.Time) bool {
-	for priority, at := range q.seen {
-		if priority < t.Priority && now.Sub(at) < urgentWindow {
-			return true
-		}
-	}
-	return false
-}
-
 // Add makes a request wait. If the queue is full, the request that costs callers least gives way: displaced is that
 // request, which may be t itself, and nil if none gives way.
 func (q *Queue) Add(t *Ticket, now time.Time) (displaced *Ticket) {
@@ -122,6 +110,7 @@
 			kept = append(kept, t)
 		case sent:
 			q.countTurn(t)
+			q.kinds.recordSent(t.Priority, now)
 			q.remove(t)
 		default:
 			q.Remove(t, now)
@@ -167,6 +156,7 @@
 
 // RecordSent records that a request was sent that did not wait.
 func (q *Queue) RecordSent(t *Ticket, now time.Time) {
+	q.kinds.recordSent(t.Priority, now)
 	if t.Account != nil {
 		q.shares.claim(t.Account, t.Work.Seconds(), now)
 	}
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -181,11 +181,33 @@
 	if inTime := q.WaitBounds(urgent, start).InTime; inTime <= yieldWait {
 		t.Error("the urgent request yields")
 	}
-	if inTime := q.WaitBounds(other, start.Add(2*urgentWindow)).InTime; inTime <= yieldWait {
+	if inTime := q.WaitBounds(other, start.Add(2*kindHalfLife)).InTime; inTime <= yieldWait {
 		t.Error("yields to requests that came long ago")
 	}
 }
 
+// Requests of a kind that is hardly sent any more, since more urgent ones take the room, yield no longer.
+func TestStarvedKindDoesNotYield(t *testing.T) {
+	q := NewQueue()
+	urgent, other := ticket(0, 1), ticket(1, 1)
+	for i := range 40 {
+		q.RecordArrival(urgent, start)
+		q.RecordArrival(other, start)
+		if i%2 == 0 {
+			q.RecordSent(urgent, start)
+		}
+	}
+	if inTime := q.WaitBounds(other, start).InTime; inTime <= yieldWait {
+		t.Error("none was sent, and it yields")
+	}
+	for range 15 {
+		q.RecordSent(other, start)
+	}
+	if inTime := q.WaitBounds(other, start).InTime; inTime > yieldWait {
+		t.Error("it is sent nearly as often as the urgent kind, and does not yield")
+	}
+}
+
 // Callers of a burst that is refused at once return at the rate at which room comes free beside new requests, while
 // they still wait.
 func TestReturnsAreSpread(t *testing.T) {
--- a/internal/admission/ticket.go
+++ b/internal/admission/ticket.go
@@ -10,7 +10,7 @@
 type Ticket struct {
 	Priority int              // 0 is the most urgent
 	Account  *routing.Account // nil: none
-	Target   time.Duration    // latency objective of its route
+	Target   time.Duration    // latency objective of its route, or the time that it has if that is less
 	Returned bool             // its caller was refused before and came back
 	InTime   bool             // a response within the latency objective is still possible
 	Work     time.Duration    // that a server needs for it, with the round trip
--- a/internal/forward/admission.go
+++ b/internal/forward/admission.go
@@ -73,7 +73,10 @@
 	w := &waiter{x: x, arrived: time.Now(), ready: make(chan struct{})}
 	w.ticket = admission.Ticket{
 		Priority: x.account.PriorityOn(x.route), Account: x.account, Returned: x.returned,
-		Target: min(x.route.LatencyObjective(), x.deadline.Sub(x.start)),
+		Target: x.deadline.Sub(x.start),
+	}
+	if objective := x.route.LatencyObjective(); objective > 0 {
+		w.ticket.Target = min(w.ticket.Target, objective)
 	}
 	until, done := a.enter(w)
 	if !done {
@@ -90,7 +93,9 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	s, now := a.service(w.x.service), w.arrived
-	s.queue.RecordArrival(&w.ticket, now)
+	if w.x.last == nil {
+		s.queue.RecordArrival(&w.ticket, now)
+	}
 	if s.queue.Waiting() > 0 {
 		a.offerRoom(s, now) // those that waited go first
 	}
--- a/internal/placement/overload_test.go
+++ b/internal/placement/overload_test.go
@@ -211,6 +211,24 @@
 	}
 }
 
+// The urgent kind alone has twice the room: the other one is not starved by it. The required bound is a quarter of the
+// share of all requests that are served.
+func TestUrgentKindDoesNotStarveTheOther(t *testing.T) {
+	loads := []kindLoad{
+		{"urgent", kindRoute("urgent", 0), nil, steady(2 * overloadRate)}, {"other", kindRoute("other", 1), nil, steady(0.3 * overloadRate)},
+	}
+	before, beforeAll := runOverload(false, overloadSpan, noChange, loads...)
+	after, all := runOverload(true, overloadSpan, noChange, loads...)
+	t.Logf("served %.3f, ordered %.3f; urgent %.3f, %.3f; other %.3f, %.3f", beforeAll.servedShare(), all.servedShare(),
+		before["urgent"].servedShare(), after["urgent"].servedShare(), before["other"].servedShare(), after["other"].servedShare())
+	if after["other"].servedShare() < all.servedShare()/4 {
+		t.Error("the other kind is starved")
+	}
+	if all.credit() < beforeAll.credit() {
+		t.Error("ordered admission serves callers worse")
+	}
+}
+
 // The less urgent kind comes in a burst of four times its rate: it pays for it, not the urgent kind.
 func TestBurstOfTheLessUrgentKind(t *testing.T) {
 	burst := func(at time.Duration) float64 {
