forward: a response without a length that is reset during an upload is not complete; invalid statuses are no responses

A reset is reported to one call on the socket only. A status from 000 to 099 was taken for an interim response, and what came after it on the connection was passed on; 600 to 999 were passed on as they came.

Change: an unframed response is complete only once its request has been written completely. Statuses outside 100 to 599 are an InvalidStatusError: 502, the connection is closed. The reference daemon refuses unframed responses and statuses below 200 already; now also those above 599.

Chunked bodies without their last chunk and bodies cut short of their length were refused before and still are (TestResponsesThatEndEarlyAreNotComplete).

--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"errors"
 	"io"
 	"math"
@@ -24,6 +25,7 @@
 	buffered []byte // the body, or its beginning
 	complete bool   // buffered is the complete body
 	conn     *conn
+	written  *requestWrite // of the request
 }
 
 // readResponse reads the response to the request with id from c. Responses to other requests are skipped. One without
@@ -57,8 +59,8 @@
 	return nil, &InvalidResponseError{Address: address, Problem: "only responses to other requests arrived"}
 }
 
-// readFinalHead reads the head of the next response that is not an interim one. Errors: *HeadTooLargeError, those of
-// reading.
+// readFinalHead reads the head of the next response that is not an interim one. Errors: *HeadTooLargeError,
+// *InvalidStatusError, those of reading.
 func readFinalHead(c *conn, req *http.Request) (*http.Response, error) {
 	c.bounded.left = maxHeadBytes
 	defer func() { c.bounded.left = math.MaxInt64 }()
@@ -67,12 +69,21 @@
 		if err != nil {
 			return nil, err
 		}
+		if !isValidStatus(response.StatusCode) {
+			return nil, &InvalidStatusError{Status: response.StatusCode}
+		}
 		if response.StatusCode >= http.StatusOK || response.StatusCode == http.StatusSwitchingProtocols {
 			return response, nil
 		}
 	}
 }
 
+// isValidStatus reports whether a response can have the status (RFC 9110, section 15). net/http reads any three digits.
+func isValidStatus(status int) bool { return status >= http.StatusContinue && status < maxStatus }
+
+// maxStatus is the first number above those of the five classes of status.
+const maxStatus = 600
+
 // bufferBody reads up to bufferedResponseBytes of a response's body.
 func bufferBody(r *http.Response) (buffered []byte, complete bool, err error) {
 	if r.Request.Method == http.MethodHead {
@@ -121,11 +132,25 @@
 	}
 }
 
+// isUnframed reports whether only the end of the connection ends the body.
+func (resp *serverResponse) isUnframed() bool {
+	return resp.http.ContentLength < 0 && len(resp.http.TransferEncoding) == 0
+}
+
+// awaitFraming returns an error if the end of an unframed body may be a reset. The system reports a reset to one call
+// only: to a write of the request, if one is under way, and reads then just find the end of the stream.
+// Errors: that of writing the request, that of ctx.
+func (resp *serverResponse) awaitFraming(ctx context.Context) error {
+	if !resp.isUnframed() {
+		return nil
+	}
+	return resp.written.await(ctx)
+}
+
 // isReusable reports whether the connection can carry another request.
 func (resp *serverResponse) isReusable() bool {
 	r := resp.http
-	isFramed := r.ContentLength >= 0 || len(r.TransferEncoding) > 0
-	return resp.complete && isFramed && !r.Close && resp.conn.reader.Buffered() == 0 && len(resp.conn.refused) < maxRefusedIDs
+	return resp.complete && !resp.isUnframed() && !r.Close && resp.conn.reader.Buffered() == 0 && len(resp.conn.refused) < maxRefusedIDs
 }
 
 // reportsNotRun reports whether the server says that it did not run the request.
--- a/internal/forward/errors.go
+++ b/internal/forward/errors.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"time"
 )
 
@@ -32,6 +33,12 @@
 // Unwrap returns the cause.
 func (e *IncompleteResponseError) Unwrap() error { return e.Cause }
 
+// InvalidStatusError reports a response with a status that no response can have.
+type InvalidStatusError struct{ Status int }
+
+// Error implements error.
+func (e *InvalidStatusError) Error() string { return "invalid status " + strconv.Itoa(e.Status) }
+
 // HeadTooLargeError reports that the head of a server's response exceeds the limit.
 type HeadTooLargeError struct{ Limit int64 }
 
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -217,6 +217,9 @@
 	if err == nil && !resp.complete {
 		stop := resp.conn.interruptOn(x.ctx)
 		_, err = io.Copy(x.w, resp.http.Body)
+		if err == nil {
+			err = resp.awaitFraming(x.ctx)
+		}
 		stop()
 		_ = resp.conn.raw.Close()
 	}
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -8,7 +8,6 @@
 	"net/url"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/azureflow/azureflow/internal/httpheader"
@@ -30,13 +29,13 @@
 	notRun         bool // the request certainly did not run at that server and never will
 	mayHaveArrived bool // the request may have reached the server
 	reused         bool
-	written        atomic.Bool // the complete request was written
+	written        requestWrite
 	result         placement.Result
 }
 
 // runAttempt sends the request to the server of p and reads the response.
 func (x *exchange) runAttempt(p *placement.Placement) *attempt {
-	a := &attempt{to: p}
+	a := &attempt{to: p, written: newRequestWrite()}
 	start := time.Now()
 	a.response, a.err = x.roundTrip(p, a)
 	a.result.Latency = time.Since(start)
@@ -52,6 +51,9 @@
 	a.mayHaveArrived = true
 	stop := c.interruptOn(x.ctx)
 	resp, err := x.exchangeOn(c, a)
+	if err == nil && resp.complete {
+		err = resp.awaitFraming(x.ctx)
+	}
 	if !stop() && err == nil && !resp.complete {
 		err = context.Cause(x.ctx)
 	}
@@ -70,7 +72,7 @@
 	if resp.reportsNotRun(&x.h.opts.Headers) {
 		c.refused = append(c.refused, x.id)
 	}
-	if resp.isReusable() && a.written.Load() && x.ctx.Err() == nil {
+	if resp.isReusable() && a.written.isComplete() && x.ctx.Err() == nil {
 		x.h.opts.Pool.release(p.Server, c)
 	} else {
 		_ = c.raw.Close()
@@ -109,17 +111,54 @@
 func (x *exchange) exchangeOn(c *conn, a *attempt) (*serverResponse, error) {
 	req := x.outgoingRequest(a.to)
 	if x.body.rest == nil && len(x.body.buffered) <= inlineBodyBytes {
-		if err := writeRequest(c, req); err != nil {
+		err := writeRequest(c, req)
+		a.written.end(err)
+		if err != nil {
 			return nil, err
 		}
-		a.written.Store(true)
 	} else {
-		go func() {
-			// A failed write shows as a connection without a response.
-			a.written.Store(writeRequest(c, req) == nil)
-		}()
+		// A failed write shows as a connection without a response.
+		go func() { a.written.end(writeRequest(c, req)) }()
+	}
+	resp, err := readResponse(c, a.to.Address, x.id, &x.h.opts.Headers, req)
+	if resp != nil {
+		resp.written = &a.written
+	}
+	return resp, err
+}
+
+// requestWrite is the writing of a request to a server, beside which its response may be read.
+type requestWrite struct {
+	ended chan struct{} // closed by end
+	err   error         // of the writing; valid once ended is closed
+}
+
+func newRequestWrite() requestWrite { return requestWrite{ended: make(chan struct{})} }
+
+// end records that the writing ended. It is called once.
+func (w *requestWrite) end(err error) {
+	w.err = err
+	close(w.ended)
+}
+
+// isComplete reports whether the complete request has been written.
+func (w *requestWrite) isComplete() bool {
+	select {
+	case <-w.ended:
+		return w.err == nil
+	default:
+		return false
+	}
+}
+
+// await waits until the writing ends. Errors: that of the writing, that of ctx.
+func (w *requestWrite) await(ctx context.Context) error {
+	select {
+	case <-w.ended:
+		return w.err
+	case <-ctx.Done():
+		return context.Cause(ctx)
 	}
-	return readResponse(c, a.to.Address, x.id, &x.h.opts.Headers, req)
 }
 
 func writeRequest(c *conn, req *http.Request) error {
--- a/internal/request/send.go
+++ b/internal/request/send.go
@@ -203,7 +203,7 @@
 		return nil, x.rejectResponse(a, FailureReset, false, &MismatchedResponseError{Sent: string(a.id), Echoed: echo})
 	}
 	status := a.response.StatusCode
-	if status < http.StatusOK {
+	if status < http.StatusOK || status > maxStatus {
 		a.closeConn()
 		return nil, x.rejectResponse(a, FailureServer, false, &StatusError{Status: status})
 	}
@@ -226,6 +226,9 @@
 	return a, nil
 }
 
+// maxStatus is the highest status that a response can have (RFC 9110, section 15).
+const maxStatus = 599
+
 // isUnframed reports whether r is an HTTP/1 response whose body is delimited only by the end of its connection.
 func isUnframed(r *http.Response) bool {
 	return r.ProtoMajor == 1 && r.ContentLength < 0 && len(r.TransferEncoding) == 0 && r.Body != http.NoBody
