gateway, forward, platform: keys of client accounts need a recent confirmation where revocation is bounded

Cause: KeysConfirmed was a hook that nothing set: an entry VM that is cut off ran requests with withdrawn keys for ever.

Change: each entry VM knows the age of its last sound confirmation of the operator's keys: its own linearizable read, counted from its request, or a peer's with the age that the peer tells, counted from the call, if the copies agree. Ages count the time in which the VM was suspended. Requests with keys stop a tenth before the bound; anonymous ones go on. Where the bound is set, the region's reader reads linearizably in place of the stale read, a peer without a recent confirmation does not replace own reads, and a newest configuration that cannot be decoded confirms nothing.

--- a/internal/forward/account.go
+++ b/internal/forward/account.go
@@ -37,7 +37,7 @@
 	if ok && key == "" && x.route.AllowAnonymous {
 		return ""
 	}
-	if !x.h.keysConfirmed() {
+	if !x.keysConfirmed {
 		return ReasonKeysUnconfirmed
 	}
 	if ok {
@@ -49,9 +49,6 @@
 	return ""
 }
 
-// keysConfirmed reports whether the keys of the table in force may be relied on.
-func (h *Handler) keysConfirmed() bool { return h.opts.KeysConfirmed == nil || h.opts.KeysConfirmed() }
-
 // respondUnidentified refuses a request whose client account is not known.
 func (x *exchange) respondUnidentified(reason Reason) {
 	if reason == ReasonKeysUnconfirmed {
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -20,20 +20,21 @@
 
 // exchange is one request of a caller from its arrival to the end of its response.
 type exchange struct {
-	h          *Handler
-	w          http.ResponseWriter
-	r          *http.Request
-	start      time.Time
-	deadline   time.Time // the final response is due
-	lateAfter  time.Time // a response after this moment counts as late
-	ctx        context.Context
-	id         string
-	version    routing.Version
-	route      *routing.Route
-	service    steering.ServiceName
-	objectHash uint64
-	body       *body
-	account    *routing.Account // nil: none
+	h             *Handler
+	w             http.ResponseWriter
+	r             *http.Request
+	start         time.Time
+	deadline      time.Time // the final response is due
+	lateAfter     time.Time // a response after this moment counts as late
+	ctx           context.Context
+	id            string
+	version       routing.Version
+	route         *routing.Route
+	service       steering.ServiceName
+	objectHash    uint64
+	body          *body
+	account       *routing.Account // nil: none
+	keysConfirmed bool             // the keys of the configuration may be relied on
 	// usesAccounts is true if the configuration has client accounts, so that keys are not passed on.
 	usesAccounts bool
 
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -75,8 +75,8 @@
 	Pool    *Pool
 	Journal Journal
 	Region  steering.RegionName // of this entry VM
-	// KeysConfirmed reports whether the keys of the table in force may be relied on, so that requests with keys may run.
-	// nil: they always may.
+	// KeysConfirmed reports whether the keys of the table that Table returns after it may be relied on, so that requests
+	// with keys may run. nil: they always may.
 	KeysConfirmed func() bool
 }
 
@@ -137,6 +137,8 @@
 		x.writeFailure(http.StatusServiceUnavailable, ReasonStopping, h.retryAfter(0))
 		return
 	}
+	// Before the table is loaded, so that the table is not older than the confirmation.
+	x.keysConfirmed = h.opts.KeysConfirmed == nil || h.opts.KeysConfirmed()
 	table := h.opts.Table()
 	if table == nil {
 		x.writeFailure(http.StatusServiceUnavailable, ReasonNoConfiguration, h.retryAfter(0))
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -35,6 +35,10 @@
 	intervals atomic.Pointer[intervals]
 	table     atomic.Pointer[routing.Table]
 
+	confirmation  *confirmation // of the operator's keys
+	configRefused atomic.Bool   // the newest configuration could not be decoded, so that an older one is in force
+	keysRefused   atomic.Bool   // requests with keys are refused, by the last log line about it
+
 	mu                 sync.Mutex // guards the fields below
 	registry           *registry
 	operator           *storeCopy
@@ -57,6 +61,7 @@
 		operator:       newStoreCopy(inspectValue),
 		unreadableKeys: make(map[string]bool),
 		failingReads:   make(map[string]bool),
+		confirmation:   newConfirmation(s.Bounds.Revoke),
 	}
 	f.servers = newStoreCopy(f.inspectServer)
 	f.servers.onOutdated = f.recordOutdated
@@ -86,6 +91,7 @@
 // setSettings applies the deployment's zones and bounds.
 func (f *follower) setSettings(s *Settings) {
 	f.intervals.Store(newIntervals(&s.Bounds))
+	f.confirmation.bound.Store(int64(s.Bounds.Revoke))
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.registry.zones = s.Zones
@@ -142,7 +148,7 @@
 func (f *follower) watchOperator(ctx context.Context) {
 	waits := newRetryWaits()
 	for f.awaitOwnReads(ctx) {
-		version, _, err := f.listKeys(ctx, readOperatorList, f.catalog.OperatorPrefix, f.updateOperator)
+		version, err := f.readOperator(ctx)
 		if err != nil {
 			_ = clock.Sleep(ctx, waits.NextBackOff())
 			continue
@@ -202,10 +208,14 @@
 	return entries, next, err
 }
 
-// pollOperator reads the operator's keys by stale reads, in case the watch has stalled, while no peer's copy replaces
-// own reads.
+// pollOperator reads the operator's keys, in case the watch has stalled, while no peer's copy replaces own reads. Stale
+// reads are cheaper, but confirm no keys of client accounts.
 func (f *follower) pollOperator(ctx context.Context) {
 	for clock.Sleep(ctx, f.intervals.Load().configReadInterval) == nil && f.awaitOwnReads(ctx) {
+		if f.confirmation.isRequired() {
+			_, _ = f.readOperator(ctx) // logged
+			continue
+		}
 		entries, version, err := f.store.ListStale(ctx, f.catalog.OperatorPrefix)
 		f.logReadOutcome(readOperatorStale, err)
 		if err == nil {
--- a/internal/gateway/intake.go
+++ b/internal/gateway/intake.go
@@ -43,6 +43,7 @@
 	f.configStoreVersion = e.Version
 	log := f.log.WithFields(logrus.Fields{"store_version": e.Version})
 	config, err := f.catalog.DecodeConfig(e.Value)
+	f.configRefused.Store(err != nil)
 	if err != nil {
 		log.WithFields(logrus.Fields{"error": err.Error()}).Warn("configuration ignored")
 		return
--- a/internal/gateway/module.go
+++ b/internal/gateway/module.go
@@ -73,6 +73,7 @@
 ) *forward.Handler {
 	return forward.NewHandler(forward.Options{
 		Headers: c.Headers, Table: f.Table, Chooser: chooser, Pool: pool, Journal: j, Region: s.Region,
+		KeysConfirmed: f.keysConfirmed,
 	})
 }
 
--- a/internal/gateway/pace.go
+++ b/internal/gateway/pace.go
@@ -19,6 +19,15 @@
 
 	listMaxAge = 3 * time.Second // of the list of entry VMs, which the reader reads each presenceReadInterval
 
+	// Where withdrawn keys are bounded, the operator's keys are read this often within the bound, so that two reads in a
+	// row may fail at the reader before any entry VM refuses keys.
+	confirmationReads = 5
+	// A peer's confirmation replaces own reads up to this part of the bound. What is left suffices for an own read, which
+	// begins within peerCopyValidity, to fail once and to be repeated.
+	confirmationMaxAge = 0.45
+
+	minConfirmationInterval = 200 * time.Millisecond // so that the store is not called without a pause
+
 	minScale = 0.25 // of the default intervals; below it the store would be called without a pause
 )
 
@@ -32,6 +41,7 @@
 	operatorWait       time.Duration // time limit of one watch of the operator's keys
 	configReadInterval time.Duration // between two stale reads of these
 	operatorMaxAge     time.Duration // age up to which a peer's copy of these replaces own reads
+	confirmationMaxAge time.Duration // age up to which a peer's confirmation of these does; 0: none is needed
 }
 
 // newIntervals returns the intervals that keep b.
@@ -39,7 +49,7 @@
 	drain := scaleOf(b.Drain, defaultDrain)
 	config := min(scaleOf(b.ConfigApply, defaultConfig), scaleOf(b.Evacuate, defaultConfig))
 	share := scaled(defaultShareInterval, drain)
-	return &intervals{
+	i := &intervals{
 		serverReadInterval: scaled(defaultServerReadInterval, drain),
 		serverWait:         scaled(defaultServerWait, drain),
 		shareInterval:      share,
@@ -48,7 +58,12 @@
 		operatorWait:       scaled(defaultOperatorWait, config),
 		configReadInterval: scaled(defaultConfigReadInterval, config),
 		operatorMaxAge:     scaled(defaultOperatorMaxAge, config),
+		confirmationMaxAge: scaled(b.Revoke, confirmationMaxAge),
+	}
+	if b.Revoke > 0 {
+		i.configReadInterval = max(minConfirmationInterval, min(i.configReadInterval, b.Revoke/confirmationReads))
 	}
+	return i
 }
 
 // scaleOf returns the factor, at most 1, by which a bound scales the default intervals. A bound of 0 is not set.
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -38,6 +38,7 @@
 	Drain            time.Duration // after which a leaving server gets no new requests
 	ConfigApply      time.Duration // after which a configuration is in force
 	Evacuate         time.Duration // after which an evacuated zone gets no new requests
+	Revoke           time.Duration // after which a withdrawn key runs nowhere, also while cut off; 0: no such bound
 	Grace            time.Duration // from the request to stop to the kill
 	RetryBudgetRatio float64       // attempts beyond the first for each request to a service
 	RetryBudgetSlack float64       // attempts beyond that in a window
--- a/internal/gateway/sharing.go
+++ b/internal/gateway/sharing.go
@@ -77,6 +77,7 @@
 		Servers:  copyUpdate(f.servers, r.GetServers(), now),
 		Operator: copyUpdate(f.operator, r.GetOperator(), now),
 	}
+	reply.Operator.ConfirmedAgeMs = f.confirmation.describe()
 	reply.ListedVms = s.presence.listUpdate(r.GetListedVms(), now)
 	if r.GetEntryVms() {
 		reply.EntryVms = toListedVMs(s.presence.servingVMs())
@@ -141,7 +142,7 @@
 		return
 	}
 	s.recordReader(reader, false)
-	if s.follower.hasFreshServers(time.Now()) {
+	if s.follower.hasFreshServers(time.Now()) && s.follower.hasFreshConfirmation() {
 		return
 	}
 	if other := s.nextFallback(reader); other != "" {
@@ -202,7 +203,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	requestedAt := time.Now()
+	requestedAt, askedAt := time.Now(), s.follower.confirmation.now()
 	var reply *peer.FetchStoreReply
 	err := s.pool.Call(ctx, address, func(c peer.DRPCPeerClient) (err error) {
 		reply, err = c.FetchStore(ctx, request)
@@ -214,9 +215,11 @@
 		return false
 	}
 	s.applyReply(address, reply, requestedAt)
+	s.follower.adoptConfirmation(reply.GetOperator(), askedAt)
 	intervals := s.follower.intervals.Load()
 	return isYounger(reply.GetServers(), intervals.shareMaxAge) &&
-		isYounger(reply.GetOperator(), intervals.operatorMaxAge) && isYounger(reply.GetListedVms(), listMaxAge)
+		isYounger(reply.GetOperator(), intervals.operatorMaxAge) && isYounger(reply.GetListedVms(), listMaxAge) &&
+		isConfirming(reply.GetOperator(), intervals.confirmationMaxAge)
 }
 
 // isYounger reports whether a peer has the copy m, and read the store for it less than limit ago.
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -20,6 +20,7 @@
 	budget      *prometheus.Desc
 	peers       *prometheus.Desc
 	age         *prometheus.Desc
+	confirmed   *prometheus.Desc
 	version     *prometheus.Desc
 	routes      *prometheus.Desc
 }
@@ -38,14 +39,16 @@
 		budget:      desc("retry_budget_sendings", "Sendings beyond the first that are allowed now.", "service"),
 		peers:       desc("entry_vms", "Other entry VMs that are listed."),
 		age:         desc("store_copy_age_seconds", "Time since the read that a copy of the store reflects.", "copy"),
-		version:     desc("configuration_version", "Version of the configuration in force, 0 if none is."),
-		routes:      desc("routes", "Routes that requests came for, by whether any was answered.", "state"),
+		confirmed: desc("keys_confirmed_age_seconds",
+			"Time since the read that confirmed the keys of client accounts, where withdrawn ones are bounded."),
+		version: desc("configuration_version", "Version of the configuration in force, 0 if none is."),
+		routes:  desc("routes", "Routes that requests came for, by whether any was answered.", "state"),
 	}
 }
 
 // Describe implements prometheus.Collector.
 func (s *stateCollector) Describe(to chan<- *prometheus.Desc) {
-	for _, d := range []*prometheus.Desc{s.servers, s.inFlight, s.utilization, s.budget, s.peers, s.age, s.version, s.routes} {
+	for _, d := range []*prometheus.Desc{s.servers, s.inFlight, s.utilization, s.budget, s.peers, s.age, s.confirmed, s.version, s.routes} {
 		to <- d
 	}
 }
@@ -77,6 +80,9 @@
 			gauge(s.age, now.Sub(readAt).Seconds(), copied)
 		}
 	}
+	if age, ok := s.follower.confirmation.age(); ok && s.follower.confirmation.isRequired() {
+		gauge(s.confirmed, age.Seconds())
+	}
 	version := 0.0
 	if t := s.follower.Table(); t != nil {
 		version = float64(t.Version())
--- a/internal/routing/config.go
+++ b/internal/routing/config.go
@@ -103,7 +103,8 @@
 	Routes   []Route
 	Services []Service
 	Limits   Limits
-	// Accounts are the client accounts. If there are any, requests need the key of one, except on routes that allow
-	// anonymous requests.
-	Accounts []Account
+	// RequiresKeys says that requests need the key of one of Accounts, except on routes that allow anonymous requests. It
+	// may hold without any account: then no key is known.
+	RequiresKeys bool
+	Accounts     []Account // client accounts
 }
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -16,6 +16,7 @@
 	routesByHost map[string][]*Route // longest prefix first
 	routesByName map[string]*Route
 	services     map[steering.ServiceName]*Service
+	requiresKeys bool
 	accounts     []*Account
 	accountByKey map[string]*Account
 }
@@ -41,12 +42,17 @@
 	for i := range c.Services {
 		t.services[c.Services[i].Name] = &c.Services[i]
 	}
+	t.requiresKeys = c.RequiresKeys || len(c.Accounts) > 0
 	t.indexAccounts(c.Accounts)
 	return t
 }
 
 func (t *Table) indexAccounts(accounts []Account) {
-	t.accountByKey = make(map[string]*Account, len(accounts))
+	keys := 0
+	for i := range accounts {
+		keys += len(accounts[i].Keys)
+	}
+	t.accounts, t.accountByKey = make([]*Account, 0, len(accounts)), make(map[string]*Account, keys)
 	for i := range accounts {
 		account := &accounts[i]
 		t.accounts = append(t.accounts, account)
@@ -56,8 +62,8 @@
 	}
 }
 
-// HasAccounts reports whether requests need the key of a client account.
-func (t *Table) HasAccounts() bool { return len(t.accounts) > 0 }
+// HasAccounts reports whether requests need the key of a client account, except on routes that allow anonymous requests.
+func (t *Table) HasAccounts() bool { return t.requiresKeys }
 
 // Accounts returns the client accounts, which must not be changed.
 func (t *Table) Accounts() []*Account { return t.accounts }
