--- a/internal/gateway/config_test.go
+++ b/internal/gateway/config_test.go
@@ -131,7 +131,7 @@
 			defer func() { cancel(); time.Sleep(time.Minute); synctest.Wait() }()
 			o := &faultScenario{
 				ctx: ctx,
-				fl:  startFleet(ctx, t, 0, "vm-1", "vm-2", "vm-3", "vm-4"), random: rand.New(rand.NewPCG(seed, 1)), version: 1,
+				fl:  startFleet(ctx, t, Bounds{}, "vm-1", "vm-2", "vm-3", "vm-4"), random: rand.New(rand.NewPCG(seed, 1)), version: 1,
 				lastSeen: make(map[string]routing.Version),
 			}
 			time.Sleep(3 * time.Second)
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -99,11 +99,12 @@
 // storeLink is the connection of one entry VM to the store, which can be cut.
 type storeLink struct {
 	*fakeStore
-	isCut atomic.Bool
+	isCut     atomic.Bool
+	listsFail atomic.Bool // linearizable reads fail, others do not
 }
 
 func (s *storeLink) List(ctx context.Context, prefix string) ([]kv.Entry, kv.Version, error) {
-	if s.isCut.Load() {
+	if s.isCut.Load() || s.listsFail.Load() {
 		return nil, 0, &kv.UnavailableError{Op: "test", Cause: &unreadableEntryError{}}
 	}
 	return s.fakeStore.List(ctx, prefix)
@@ -275,16 +276,30 @@
 func (*unreadableEntryError) Error() string { return "unreadable entry" }
 
 // fakeConfig is the configuration in the tests' own format.
-type fakeConfig struct{ Version routing.Version }
+type fakeConfig struct {
+	Version routing.Version
+	Keys    []string // of a client account; none: requests need no key
+}
+
+func decodeFakeConfig(data []byte) (*routing.Config, error) {
+	var c fakeConfig
+	if err := json.Unmarshal(data, &c); err != nil || len(c.Keys) == 0 {
+		return &routing.Config{Version: c.Version}, err
+	}
+	to := []routing.Destination{{Service: "desk", Weight: 1}}
+	return &routing.Config{
+		Version: c.Version, Accounts: []routing.Account{{Name: "desk", Keys: c.Keys}},
+		Routes: []routing.Route{
+			{Name: "open", Host: "desk.example", Prefix: "/open/", AllowAnonymous: true, Destinations: to},
+			{Name: "closed", Host: "desk.example", Prefix: "/", Destinations: to},
+		},
+	}, nil
+}
 
 func testCatalog() *Catalog {
 	return &Catalog{
 		OperatorPrefix: "operator/", ConfigKey: "operator/config", ServerPrefix: "server/",
-		DecodeConfig: func(data []byte) (*routing.Config, error) {
-			var c fakeConfig
-			err := json.Unmarshal(data, &c)
-			return &routing.Config{Version: c.Version}, err
-		},
+		DecodeConfig: decodeFakeConfig,
 		DecodeServer: func(key string, data []byte) (ServerEntry, error) {
 			var s fakeServer
 			if err := json.Unmarshal(data, &s); err != nil || s.Broken {
--- a/internal/gateway/sharing_test.go
+++ b/internal/gateway/sharing_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -24,6 +25,8 @@
 	seeds     []string              // if not nil, entry VMs that start know only these
 	links     map[string]*storeLink // by entry VM
 	followers map[string]*follower  // of the current process, or of the last one
+	startedAt time.Time
+	suspended atomic.Int64 // time in which the VMs were suspended, nanoseconds
 
 	mu     sync.Mutex
 	shares map[string]*sharing
@@ -32,19 +35,20 @@
 	stops  map[string]context.CancelFunc
 }
 
-// startFleet starts the entry VMs called names, each of which knows all others. drain is the time after which a leaving
-// server gets no requests, 0 for that of the test settings.
-func startFleet(ctx context.Context, t *testing.T, drain time.Duration, names ...string) *fleet {
+// startFleet starts the entry VMs called names, each of which knows all others. Of bounds, Drain (0: that of the test
+// settings) and Revoke apply.
+func startFleet(ctx context.Context, t *testing.T, bounds Bounds, names ...string) *fleet {
 	fl := &fleet{
 		store: newFakeStore(), bounds: testSettings("").Bounds, names: names, links: make(map[string]*storeLink),
 		followers: make(map[string]*follower), shares: make(map[string]*sharing), calls: make(map[string]int),
-		down: make(map[string]bool), stops: make(map[string]context.CancelFunc),
+		down: make(map[string]bool), stops: make(map[string]context.CancelFunc), startedAt: time.Now(),
 	}
 	fl.store.putJSON("operator/config", fakeConfig{Version: 1})
 	fl.store.putJSON("server/a", fakeServer{Zone: "north-a", Born: 1})
-	if drain != 0 {
-		fl.bounds.Drain = drain
+	if bounds.Drain != 0 {
+		fl.bounds.Drain = bounds.Drain
 	}
+	fl.bounds.Revoke = bounds.Revoke
 	for _, name := range names {
 		fl.links[name] = &storeLink{fakeStore: fl.store}
 		fl.store.putJSON(presencePrefix+name, fl.record(name))
@@ -59,6 +63,10 @@
 func (fl *fleet) startVM(ctx context.Context, t *testing.T, name string) {
 	f := newTestFollower(t, fl.links[name], name)
 	f.intervals.Store(newIntervals(&fl.bounds))
+	f.confirmation.bound.Store(int64(fl.bounds.Revoke))
+	f.confirmation.now = func() moment {
+		return moment{at: time.Now(), sinceBoot: time.Hour + time.Since(fl.startedAt) + time.Duration(fl.suspended.Load())}
+	}
 	p := fl.presenceOf(f, name)
 	s := newSharing(f, p, &Settings{Seeds: fl.seeds}, f.log, peer.NewPool(fl.dial), NewMetrics(prometheus.NewRegistry()))
 	own, stop := context.WithCancel(ctx)
@@ -68,6 +76,9 @@
 	delete(fl.down, name)
 	fl.mu.Unlock()
 	go f.watchOperator(own)
+	if fl.bounds.Revoke > 0 {
+		go f.pollOperator(own)
+	}
 	go f.pollServers(own)
 	go p.pollList(own, f.awaitOwnReads)
 	go s.run(own)
@@ -137,10 +148,14 @@
 }
 
 func withFleetAndDrain(t *testing.T, drain time.Duration, test func(t *testing.T, fl *fleet), names ...string) {
+	withFleetAndBounds(t, Bounds{Drain: drain}, test, names...)
+}
+
+func withFleetAndBounds(t *testing.T, bounds Bounds, test func(t *testing.T, fl *fleet), names ...string) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
 		defer func() { cancel(); time.Sleep(time.Minute); synctest.Wait() }()
-		fl := startFleet(ctx, t, drain, names...)
+		fl := startFleet(ctx, t, bounds, names...)
 		time.Sleep(3 * time.Second)
 		test(t, fl)
 	})
