gateway: a read that confirms keys is repeated soon after one failure; benchmarks; no key in any output

Cause: after one timed-out read of the region's reader its confirmation was 3 s old before the next one, over the age up to which peers rely on it: all VMs of the region would have read for themselves. Change: the first failure in a row is followed by a read after retryFirst; peers rely on confirmations up to half of the bound.

--- a/internal/forward/account_test.go
+++ b/internal/forward/account_test.go
@@ -23,8 +23,10 @@
 	routes := testRoutes()
 	open := routes[0]
 	open.Name, open.Prefix, open.AllowAnonymous = "open", "/open/", true
+	near := routes[0]
+	near.Name, near.Prefix, near.AllowedRegions = "near", "/near/", []steering.RegionName{"near"}
 	env.table = routing.NewTable(&routing.Config{
-		Version: 2, Routes: append(routes, open), Limits: routing.Limits{BodyBytes: 1 << 21},
+		Version: 2, Routes: append(routes, open, near), Limits: routing.Limits{BodyBytes: 1 << 21},
 		Accounts: []routing.Account{
 			{Name: accountName, Keys: []string{deskKey, deskKey2}},
 			{Name: "far", Keys: []string{farKey}, AllowedRegions: []steering.RegionName{"far"}},
@@ -94,6 +96,73 @@
 	})
 }
 
+// A server in the home that turns requests away, fails or is gone makes no server elsewhere get them, and homes of route
+// and account that have no region in common leave no server at all.
+func TestHomesOfClientAccountsBindOnRetries(t *testing.T) {
+	failure := respondRaw("HTTP/1.1 500 Internal Server Error\r\nTest-Id: ID\r\nTest-Signature: s\r\nContent-Length: 0\r\n\r\n")
+	for _, test := range []struct {
+		name     string
+		home     script
+		gone     bool
+		path     string
+		requests int // that reach the server in the home
+	}{
+		{"turned away", respondRaw(shedResponse), false, "/safe/x", 1},
+		{"turned away, unsafe", respondRaw(shedResponse), false, "/unsafe/x", 1},
+		{"failed", failure, false, "/safe/x", 1},
+		{"gone", respondOK, true, "/safe/x", 0},
+		{"no common home", respondOK, false, "/near/x", 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			withTestEnv(t, []script{respondOK, test.home}, func(t *testing.T, env *testEnv) {
+				withAccounts(env)
+				env.servers[1].refuseDials = test.gone
+				r := newRequest("GET", test.path, "")
+				r.Header.Set("Authorization", "Bearer "+farKey)
+				resp, _ := env.serve(r)
+				if near, home := env.servers[0].requestCount(), env.servers[1].requestCount(); near != 0 || home != test.requests {
+					t.Errorf("%d requests outside the home, %d in it", near, home)
+				}
+				if resp.Code < http.StatusInternalServerError {
+					t.Errorf("status %d", resp.Code)
+				}
+			})
+		})
+	}
+}
+
+// A configuration that comes while the confirmation is checked is the one whose keys are confirmed.
+func TestKeysAreThoseOfTheConfirmedTable(t *testing.T) {
+	withTestEnv(t, []script{respondOK}, func(t *testing.T, env *testEnv) {
+		withAccounts(env)
+		env.handler.opts.KeysConfirmed = func() bool {
+			env.table = routing.NewTable(&routing.Config{Version: 3, Routes: testRoutes(), RequiresKeys: true})
+			return true
+		}
+		r := newRequest("GET", "/safe/x", "")
+		r.Header.Set("Authorization", "Bearer "+deskKey)
+		if resp, _ := env.serve(r); resp.Code != http.StatusUnauthorized || env.servers[0].requestCount() != 0 {
+			t.Errorf("status %d, %d requests ran by a key that the configuration in force lacks", resp.Code, env.servers[0].requestCount())
+		}
+	})
+}
+
+// A caller cannot have the account's name removed by naming its header as one of the connection.
+func TestConnectionHeaderDoesNotRemoveTheAccount(t *testing.T) {
+	withTestEnv(t, []script{respondOK}, func(t *testing.T, env *testEnv) {
+		withAccounts(env)
+		r := newRequest("GET", "/safe/x", "")
+		r.Header.Set("Authorization", "Bearer "+deskKey)
+		r.Header.Set("Connection", "Test-Account, Authorization")
+		r.Header["Test-Account"] = []string{"forged", "twice"}
+		resp, _ := env.serve(r)
+		header := env.servers[0].requests[0].Header
+		if resp.Code != 200 || len(header["Test-Account"]) != 1 || header.Get("Test-Account") != accountName || header["Authorization"] != nil {
+			t.Errorf("status %d, a server was told %v", resp.Code, header)
+		}
+	})
+}
+
 // Without client accounts in the configuration, headers are passed on as the caller sent them.
 func TestWithoutClientAccountsHeadersArePassedOn(t *testing.T) {
 	withTestEnv(t, []script{respondOK}, func(t *testing.T, env *testEnv) {
--- a/internal/gateway/confirmation.go
+++ b/internal/gateway/confirmation.go
@@ -118,6 +118,16 @@
 	return uint32(min(age.Milliseconds()+1, math.MaxUint32))
 }
 
+// operatorPause returns the time until the next read of the operator's keys after some failures in a row. A single failure
+// is followed by a read soon, so that the confirmation does not get old enough for peers to read for themselves; in an
+// outage watchOperator repeats reads.
+func (f *follower) operatorPause(failures int) time.Duration {
+	if failures == 1 {
+		return retryFirst
+	}
+	return f.intervals.Load().configReadInterval
+}
+
 // confirmedAge returns the age that a peer told of its confirmation; ok is false if it has none.
 func confirmedAge(m *peer.StoreCopy) (age time.Duration, ok bool) {
 	return time.Duration(m.GetConfirmedAgeMs()) * time.Millisecond, m.GetConfirmedAgeMs() > 0
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -100,11 +100,17 @@
 type storeLink struct {
 	*fakeStore
 	isCut     atomic.Bool
-	listsFail atomic.Bool // linearizable reads fail, others do not
+	listsFail atomic.Bool  // linearizable reads time out, others succeed
+	lists     atomic.Int64 // linearizable reads that were begun
 }
 
 func (s *storeLink) List(ctx context.Context, prefix string) ([]kv.Entry, kv.Version, error) {
-	if s.isCut.Load() || s.listsFail.Load() {
+	s.lists.Add(1)
+	if s.listsFail.Load() {
+		time.Sleep(time.Second) // the time limit of the platform's client
+		return nil, 0, &kv.UnavailableError{Op: "test", Cause: &unreadableEntryError{}}
+	}
+	if s.isCut.Load() {
 		return nil, 0, &kv.UnavailableError{Op: "test", Cause: &unreadableEntryError{}}
 	}
 	return s.fakeStore.List(ctx, prefix)
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -211,9 +211,14 @@
 // pollOperator reads the operator's keys, in case the watch has stalled, while no peer's copy replaces own reads. Stale
 // reads are cheaper, but confirm no keys of client accounts.
 func (f *follower) pollOperator(ctx context.Context) {
-	for clock.Sleep(ctx, f.intervals.Load().configReadInterval) == nil && f.awaitOwnReads(ctx) {
+	failures := 0 // in a row
+	for clock.Sleep(ctx, f.operatorPause(failures)) == nil && f.awaitOwnReads(ctx) {
 		if f.confirmation.isRequired() {
-			_, _ = f.readOperator(ctx) // logged
+			if _, err := f.readOperator(ctx); err != nil {
+				failures++
+			} else {
+				failures = 0
+			}
 			continue
 		}
 		entries, version, err := f.store.ListStale(ctx, f.catalog.OperatorPrefix)
--- a/internal/gateway/pace.go
+++ b/internal/gateway/pace.go
@@ -19,12 +19,11 @@
 
 	listMaxAge = 3 * time.Second // of the list of entry VMs, which the reader reads each presenceReadInterval
 
-	// Where withdrawn keys are bounded, the operator's keys are read this often within the bound, so that two reads in a
-	// row may fail at the reader before any entry VM refuses keys.
-	confirmationReads = 5
-	// A peer's confirmation replaces own reads up to this part of the bound. What is left suffices for an own read, which
-	// begins within peerCopyValidity, to fail once and to be repeated.
-	confirmationMaxAge = 0.45
+	// Where withdrawn keys are bounded, the operator's keys are read this often within the bound. A peer's confirmation
+	// replaces own reads up to a part of the bound: one read of the reader may time out and be repeated within it, and
+	// what is left suffices for an own read, which begins within peerCopyValidity.
+	confirmationReads  = 5
+	confirmationMaxAge = 0.5
 
 	minConfirmationInterval = 200 * time.Millisecond // so that the store is not called without a pause
 
--- a/internal/gateway/presence_test.go
+++ b/internal/gateway/presence_test.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -206,3 +208,28 @@
 		t.Errorf("%d requests at once to a cold server, want some and at most %v", sent, limit)
 	}
 }
+
+// A caller is sent to its own region whatever the widths of links, as long as an entry VM serves there: a request whose
+// route or account is tied to regions must not enter through another one.
+func TestLookupStaysInTheCallersRegion(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	zones := map[steering.ZoneName]steering.RegionName{"north-a": "north", "north-b": "north", "south-a": "south", "south-b": "south"}
+	names := slices.Sorted(maps.Keys(zones))
+	for range 200 {
+		records, regionOf := make(map[string]presenceRecord), map[string]steering.RegionName{"self:1": "north"}
+		for i := range random.IntN(8) {
+			zone, name := names[random.IntN(len(names))], fmt.Sprint("vm-", i)
+			records[name] = presenceRecord{Zone: zone, Region: zones[zone], Requests: name + ":1", Peer: name, LinkMbit: float64(10 * random.IntN(20))}
+			regionOf[name+":1"] = zones[zone]
+		}
+		p := testPresence(t, records)
+		for zone, region := range zones {
+			servesRegion := slices.Contains(slices.Collect(maps.Values(regionOf)), region)
+			for _, address := range p.Lookup(region, zone).Addresses {
+				if servesRegion && regionOf[address] != region {
+					t.Fatalf("a caller in %s is sent to %s in %s by %+v", zone, address, regionOf[address], records)
+				}
+			}
+		}
+	}
+}
--- a/internal/gateway/revocation_test.go
+++ b/internal/gateway/revocation_test.go
@@ -196,6 +196,25 @@
 	}, "vm-1", "vm-2", "vm-3")
 }
 
+// One read of the region's reader that times out does not make the others read for themselves.
+func TestOneFailedReadIsRepeatedBeforeOthersRead(t *testing.T) {
+	for offset := time.Duration(0); offset < time.Second; offset += 200 * time.Millisecond {
+		withRevocation(t, func(t *testing.T, r *revocation) {
+			time.Sleep(offset)
+			reader, before := r.links["vm-1"], r.links["vm-2"].lists.Load()+r.links["vm-3"].lists.Load()
+			reader.listsFail.Store(true)
+			for begun := reader.lists.Load(); reader.lists.Load() == begun; {
+				time.Sleep(10 * time.Millisecond)
+			}
+			reader.listsFail.Store(false)
+			r.watch(t, 2*revokeBound, always)
+			if n := r.links["vm-2"].lists.Load() + r.links["vm-3"].lists.Load() - before; n != 0 {
+				t.Errorf("%d reads by others than the reader", n)
+			}
+		}, "vm-1", "vm-2", "vm-3")
+	}
+}
+
 // A VM is suspended, which its steady clock does not count. It must not run keys by what it knew before.
 func TestSuspendedVMRunsNoKeysOnWaking(t *testing.T) {
 	withRevocation(t, func(t *testing.T, r *revocation) {
@@ -308,3 +327,15 @@
 		}
 	})
 }
+
+// BenchmarkKeysConfirmed measures what the check adds to each request.
+func BenchmarkKeysConfirmed(b *testing.B) {
+	c := newConfirmation(time.Hour)
+	c.record(c.now())
+	b.ReportAllocs()
+	for b.Loop() {
+		if !c.allowsKeys() {
+			b.Fatal("unconfirmed")
+		}
+	}
+}
