--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -34,6 +34,8 @@
 	objectHash uint64
 	body       *body
 	account    *routing.Account // nil: none
+	// permittedUntil is when the permission that was taken from the account's quota expires; zero: none was taken.
+	permittedUntil time.Time
 	// usesAccounts is true if the configuration has client accounts, so that keys are not passed on.
 	usesAccounts bool
 
@@ -55,6 +57,10 @@
 	defer cancel()
 	defer context.AfterFunc(x.h.abortCtx, cancel)()
 	x.ctx = ctx
+	if ok, retryAfter := x.takeQuota(); !ok {
+		return x.respondOverQuota(retryAfter)
+	}
+	defer x.returnQuota()
 	defer x.discardLastResponse()
 	for {
 		if x.h.refusingRequests.Load() {
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -41,6 +41,7 @@
 	ReasonTimeout            Reason = "timeout"
 	ReasonStopping           Reason = "stopping" // the process stopped before it was served
 	ReasonUnknownKey         Reason = "unknown-key"
+	ReasonOverQuota          Reason = "over-quota"
 	ReasonKeysUnconfirmed    Reason = "keys-unconfirmed" // a key may have been withdrawn without this entry VM knowing
 )
 
@@ -78,6 +79,7 @@
 	// KeysConfirmed reports whether the keys of the table in force may be relied on, so that requests with keys may run.
 	// nil: they always may.
 	KeysConfirmed func() bool
+	Quotas        Quotas // nil: requests of client accounts have no limit
 }
 
 // Handler serves the requests of callers. It is safe for concurrent use.
--- a/internal/gateway/presence.go
+++ b/internal/gateway/presence.go
@@ -49,6 +49,8 @@
 	canServe  atomic.Bool                      // this VM can serve requests
 	isLeaving atomic.Bool
 	lease     kv.LeaseID // owned by the loop that renews it
+	listing   atomic.Pointer[listing]
+	relisted  chan struct{} // holds a value after listing was replaced
 
 	mu   sync.Mutex // guards list
 	list *storeCopy // of the entry VMs' entries
@@ -59,7 +61,7 @@
 	p := &presence{
 		store: store, name: s.Name, chooser: chooser, log: log, lookupTTL: defaultTTL,
 		leaseTTL: max(presenceTTL, s.MinLeaseTTL),
-		list:     newStoreCopy(inspectValue),
+		list:     newStoreCopy(inspectValue), relisted: make(chan struct{}, 1),
 		self: presenceRecord{
 			Zone: s.Zone, Region: s.Region, Requests: s.Listen.Requests,
 			Peer:     s.Listen.Peer,
@@ -95,35 +97,42 @@
 
 // renewLease renews the lease, or acquires a new one and lists this entry VM under it.
 func (p *presence) renewLease(ctx context.Context) error {
+	sentAt := time.Now()
 	if p.lease != 0 {
 		err := p.store.KeepAlive(ctx, p.lease)
 		if _, expired := err.(*kv.LeaseExpiredError); !expired {
+			if err == nil {
+				p.listing.Load().extend(sentAt, p.leaseTTL)
+			}
 			return err
 		}
+		sentAt = time.Now()
 	}
 	lease, err := p.store.Grant(ctx, p.leaseTTL)
 	if err != nil {
 		return err
 	}
-	if err := p.writeRecord(ctx, lease.ID); err != nil {
+	version, err := p.writeRecord(ctx, lease.ID)
+	if err != nil {
 		return err
 	}
 	p.lease = lease.ID
+	p.recordListing(version, sentAt)
 	return nil
 }
 
-func (p *presence) writeRecord(ctx context.Context, lease kv.LeaseID) error {
+// writeRecord writes the entry of this VM under a lease and returns its version.
+func (p *presence) writeRecord(ctx context.Context, lease kv.LeaseID) (kv.Version, error) {
 	value, err := json.Marshal(p.self)
 	if err != nil {
-		return err
+		return 0, err
 	}
-	_, err = p.store.CompareAndSwap(ctx, presencePrefix+p.name, 0, value, lease)
+	version, err := p.store.CompareAndSwap(ctx, presencePrefix+p.name, 0, value, lease)
 	conflict, ok := err.(*kv.ConflictError)
 	if !ok {
-		return err
+		return version, err
 	}
-	_, err = p.store.CompareAndSwap(ctx, presencePrefix+p.name, conflict.Current, value, lease)
-	return err
+	return p.store.CompareAndSwap(ctx, presencePrefix+p.name, conflict.Current, value, lease)
 }
 
 // pollList reads the list of entry VMs until ctx ends. awaitOwnReads waits while a peer's copy replaces own reads, and
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/azureflow/azureflow/internal/placement"
+	"github.com/azureflow/azureflow/internal/quota"
 	"github.com/azureflow/azureflow/internal/steering"
 )
 
@@ -43,6 +44,7 @@
 	RetryBudgetSlack float64       // attempts beyond that in a window
 	DirectoryTTL     time.Duration
 	Cold             placement.ColdBounds // of the requests that a cold server may get in one second
+	Quota            quota.Bounds         // of the requests of a client account with a limit
 	MaxShift         float64              // change of the share of requests in other regions, per 2 s
 }
 
