--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -48,6 +48,7 @@
 	handler  *forward.Handler
 	pool     *forward.Pool
 	sharing  *sharing
+	quotas   *quotas
 	store    *countedStore
 	registry *prometheus.Registry
 	log      logrus.FieldLogger
@@ -69,6 +70,7 @@
 	d.loops.Go(func() { d.follower.pollServers(ctx) })
 	d.loops.Go(func() { d.announceWhenReady(announceCtx) })
 	d.loops.Go(func() { d.presence.pollList(ctx, d.follower.awaitOwnReads) })
+	d.loops.Go(func() { d.quotas.serve(ctx) })
 	d.loops.Go(func() { d.sweepPool(ctx) })
 	d.loops.Go(func() { d.store.run(ctx) })
 	d.loops.Go(func() { d.watchSettings(ctx) })
@@ -99,6 +101,7 @@
 		}
 	}
 	d.presence.canServe.Store(true)
+	d.quotas.useIfLimited(d.follower.Table())
 	d.presence.keepListed(ctx)
 }
 
@@ -137,6 +140,7 @@
 		current = *s
 		d.presence.chooser.SetOptions(s.placementOptions())
 		d.follower.setSettings(s)
+		d.quotas.bounds.Store(&s.Bounds.Quota)
 		d.log.Info("settings reloaded")
 	}
 }
--- a/internal/gateway/listing.go
+++ b/internal/gateway/listing.go
@@ -11,6 +11,7 @@
 type listing struct {
 	version kv.Version                // of the entry; later lists contain it while the lease is valid
 	at      time.Time                 // when the entry was certainly written
+	ttl     time.Duration             // of the lease
 	until   atomic.Pointer[time.Time] // until then the lease is certainly valid
 }
 
@@ -19,15 +20,15 @@
 const leaseMarginPart = 20
 
 // extend records that the lease was granted or renewed by a call that was sent at sentAt.
-func (l *listing) extend(sentAt time.Time, ttl time.Duration) {
-	until := sentAt.Add(ttl - ttl/leaseMarginPart)
+func (l *listing) extend(sentAt time.Time) {
+	until := sentAt.Add(l.ttl - l.ttl/leaseMarginPart)
 	l.until.Store(&until)
 }
 
 // recordListing records that this VM was listed anew, under a lease that was requested at requestedAt.
-func (p *presence) recordListing(version kv.Version, requestedAt time.Time) {
-	l := &listing{version: version, at: time.Now()}
-	l.extend(requestedAt, p.leaseTTL)
+func (p *presence) recordListing(version kv.Version, requestedAt time.Time, ttl time.Duration) {
+	l := &listing{version: version, at: time.Now(), ttl: ttl}
+	l.extend(requestedAt)
 	p.listing.Store(l)
 	select {
 	case p.relisted <- struct{}{}:
--- a/internal/gateway/module.go
+++ b/internal/gateway/module.go
@@ -34,8 +34,9 @@
 		fx.Provide(
 			provideLogger, provideCountedStore, provideStore, provideChooser, newFollower, newPresence, newSharing, prometheus.NewRegistry,
 			provideMetrics, newStateCollector, newJournal, providePeers, providePool, provideHandler, provideDaemon,
+			newQuotaMetrics, newQuotas,
 		),
-		fx.Invoke(registerState, newDaemon),
+		fx.Invoke(registerState, registerQuotas, newDaemon),
 		fx.StopTimeout(opts.Settings.StopTimeout()),
 	)
 }
@@ -69,18 +70,21 @@
 }
 
 func provideHandler(
-	s *Settings, c *Catalog, f *follower, chooser *placement.Chooser, pool *forward.Pool, j *journal,
+	s *Settings, c *Catalog, f *follower, chooser *placement.Chooser, pool *forward.Pool, j *journal, q *quotas,
 ) *forward.Handler {
 	return forward.NewHandler(forward.Options{
 		Headers: c.Headers, Table: f.Table, Chooser: chooser, Pool: pool, Journal: j, Region: s.Region,
+		Quotas: q,
 	})
 }
 
 func provideDaemon(
 	opts Options, s *Settings, c *Catalog, f *follower, p *presence, h *forward.Handler, pool *forward.Pool, sharing *sharing,
-	store *countedStore, registry *prometheus.Registry, log logrus.FieldLogger,
+	store *countedStore, registry *prometheus.Registry, log logrus.FieldLogger, q *quotas,
 ) *daemon {
+	sharing.quotaHome = q.home
 	return &daemon{
-		opts: opts, settings: s, catalog: c, follower: f, presence: p, handler: h, pool: pool, sharing: sharing, store: store, registry: registry, log: log,
+		quotas: q,
+		opts:   opts, settings: s, catalog: c, follower: f, presence: p, handler: h, pool: pool, sharing: sharing, store: store, registry: registry, log: log,
 	}
 }
--- a/internal/gateway/presence.go
+++ b/internal/gateway/presence.go
@@ -102,7 +102,7 @@
 		err := p.store.KeepAlive(ctx, p.lease)
 		if _, expired := err.(*kv.LeaseExpiredError); !expired {
 			if err == nil {
-				p.listing.Load().extend(sentAt, p.leaseTTL)
+				p.listing.Load().extend(sentAt)
 			}
 			return err
 		}
@@ -117,7 +117,7 @@
 		return err
 	}
 	p.lease = lease.ID
-	p.recordListing(version, sentAt)
+	p.recordListing(version, sentAt, lease.TTL)
 	return nil
 }
 
@@ -178,6 +178,13 @@
 
 // applyList replaces the known other entry VMs by the store's list.
 func (p *presence) applyList(entries []kv.Entry) {
+	listed := p.decodeList(entries)
+	p.otherVMs.Store(&listed)
+	p.updatePeerCounts()
+}
+
+// decodeList returns the other entry VMs among the entries of the store's list.
+func (p *presence) decodeList(entries []kv.Entry) []presenceRecord {
 	listed := make([]presenceRecord, 0, len(entries))
 	for _, e := range entries {
 		var r presenceRecord
@@ -187,9 +194,7 @@
 		}
 		listed = append(listed, r)
 	}
-	listed = p.withoutSelf(listed)
-	p.otherVMs.Store(&listed)
-	p.updatePeerCounts()
+	return p.withoutSelf(listed)
 }
 
 // adoptPeerList uses the entry VMs that a peer knows, unless the store has listed them already. It reports whether it
--- a/internal/gateway/sharing.go
+++ b/internal/gateway/sharing.go
@@ -30,12 +30,13 @@
 type sharing struct {
 	peer.DRPCPeerUnimplementedServer
 
-	follower *follower
-	presence *presence
-	pool     *peer.Pool
-	seeds    []string // peer addresses
-	log      logrus.FieldLogger
-	metrics  *Metrics
+	follower  *follower
+	presence  *presence
+	pool      *peer.Pool
+	quotaHome *quotaHome // set before calls are served
+	seeds     []string   // peer addresses
+	log       logrus.FieldLogger
+	metrics   *Metrics
 
 	mu            sync.Mutex
 	positions     map[string]*peer.FetchStoreRequest // by peer address: how far its copies are applied
--- a/internal/quota/role.go
+++ b/internal/quota/role.go
@@ -35,6 +35,7 @@
 	adopted   []adoption
 	members   []VM
 	changedAt time.Time // last change of members
+	changes   uint64    // of members
 	joinedAt  time.Time // zero: this VM has not joined
 	homes     map[Shard]string
 }
@@ -57,6 +58,15 @@
 	r.update(now)
 }
 
+// ConfirmList records that the list that was applied last is that of a later version, too.
+func (r *Role) ConfirmList(version uint64, readAt, now time.Time) {
+	isNewer := version > r.version
+	r.version, r.readAt = version, readAt
+	if isNewer && len(r.adopted) > 0 {
+		r.update(now)
+	}
+}
+
 // Adopt counts vm among the entry VMs from now on; lists contain it from version on.
 func (r *Role) Adopt(vm VM, version uint64, now time.Time) {
 	r.adopted = slices.DeleteFunc(r.adopted, func(a adoption) bool { return a.vm.Address == vm.Address })
@@ -80,10 +90,14 @@
 	slices.SortFunc(members, func(a, b VM) int { return cmp.Compare(a.Address, b.Address) })
 	if !slices.Equal(members, r.members) {
 		r.members, r.changedAt = members, now
+		r.changes++
 		clear(r.homes)
 	}
 }
 
+// Changes returns how often the entry VMs have changed.
+func (r *Role) Changes() uint64 { return r.changes }
+
 // Leave ends the right to grant tokens: the VM is not listed, or listed anew and has not joined.
 func (r *Role) Leave() { r.joinedAt = time.Time{} }
 
