--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -15,7 +16,12 @@
 )
 
 const (
-	quotaWaitLimit = 300 * time.Millisecond // of a request for a token: an ask to a near home, then one to others
+	// quotaWaitLimit bounds the wait of a request for a token. Homes that can be reached answer sooner; while some cannot,
+	// it bridges the time that a restarted VM needs to be a home again.
+	quotaWaitLimit = 700 * time.Millisecond
+	maxQuotaWaits  = 64 // requests of an account that wait for tokens at one VM
+	// Times after which a refused request returns while homes cannot be reached.
+	partialRetryAfter, partialRetrySpread = 500 * time.Millisecond, 500 * time.Millisecond
 	// refusalHold is the time after an answer without tokens in which further requests are refused at once. It bounds the
 	// asks of an account that sends many times its rate.
 	refusalHold    = 100 * time.Millisecond
@@ -134,7 +140,7 @@
 			return quotaAnswer{expiry: expiry, ok: true}, nil
 		}
 	}
-	if now.Before(h.refuseUntil) {
+	if now.Before(h.refuseUntil) || len(h.waiting) >= maxQuotaWaits {
 		return q.refusal(h, now), nil
 	}
 	wait := make(chan quotaAnswer, 1)
@@ -260,5 +266,8 @@
 		}
 		clear(q.refused)
 	}
+	if h.round != nil && h.round.isPartial {
+		return quotaAnswer{retryAfter: partialRetryAfter + rand.N(partialRetrySpread)}
+	}
 	return quotaAnswer{retryAfter: h.purse.RetryAfter(h.account.Rate, now)}
 }
--- a/internal/gateway/quota_asker.go
+++ b/internal/gateway/quota_asker.go
@@ -18,11 +18,18 @@
 	homePause = 400 * time.Millisecond
 )
 
-// quotaAsk asks for tokens of a shard. done receives what was granted, 0 if the home cannot be reached.
+// quotaAsk asks for tokens of a shard.
 type quotaAsk struct {
 	shard  quota.Shard
 	tokens int
-	done   func(granted int, expiry time.Time)
+	done   func(quotaGrant)
+}
+
+// quotaGrant is the answer to an ask. The zero value is that of a home that cannot be reached or may not grant tokens.
+type quotaGrant struct {
+	tokens  int
+	expiry  time.Time
+	isValid bool
 }
 
 // quotaAsker sends asks to homes, those to the same home together and one call at a time.
@@ -61,7 +68,7 @@
 		a.homes[home] = o
 	}
 	if time.Now().Before(o.pauseEnd) {
-		go ask.done(0, time.Time{})
+		go ask.done(quotaGrant{})
 		return
 	}
 	o.asks = append(o.asks, ask)
@@ -117,12 +124,12 @@
 	cancel()
 	a.metrics.asks.WithLabelValues(callOutcome(err)).Inc()
 	for i, ask := range asks {
-		granted, expiry := 0, time.Time{}
-		if grants := reply.GetGrants(); err == nil && i < len(grants) {
-			granted = int(grants[i].GetTokens())
-			expiry = requestedAt.Add(time.Duration(grants[i].GetLifeMs()) * time.Millisecond)
+		var grant quotaGrant
+		if grants := reply.GetGrants(); err == nil && i < len(grants) && grants[i].GetLifeMs() > 0 {
+			grant.tokens, grant.isValid = int(grants[i].GetTokens()), true
+			grant.expiry = requestedAt.Add(time.Duration(grants[i].GetLifeMs()) * time.Millisecond)
 		}
-		ask.done(granted, expiry)
+		ask.done(grant)
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/internal/gateway/quota_home.go
+++ b/internal/gateway/quota_home.go
@@ -18,7 +18,7 @@
 
 const (
 	joinCallTimeout  = peerCallTimeout
-	joinCallsAtOnce  = 16 // bounds the connections that a start opens
+	joinCallsAtOnce  = 64 // bounds the connections that a start opens at a time
 	joinRetry        = 200 * time.Millisecond
 	joinListRetry    = 300 * time.Millisecond
 	ledgerSweepEvery = 30 * time.Second
@@ -231,12 +231,14 @@
 }
 
 // listVMs reads which other VMs are listed now. The read is not a stale one: of two VMs that join at the same time, one
-// finds the other.
+// finds the other. The role knows the list before the VM joins.
 func (h *quotaHome) listVMs(ctx context.Context) (addresses []string, version kv.Version, err error) {
+	requestedAt := time.Now()
 	entries, version, err := h.presence.store.List(ctx, presencePrefix)
 	if err != nil {
 		return nil, 0, err
 	}
+	h.presence.updateList(func(c *storeCopy) bool { return c.applyList(entries, version, requestedAt) })
 	for _, r := range h.presence.decodeList(entries) {
 		if r.Peer != "" {
 			addresses = append(addresses, r.Peer)
--- a/internal/gateway/quota_round.go
+++ b/internal/gateway/quota_round.go
@@ -19,12 +19,13 @@
 // quotaRound is one round of asks for tokens of an account: of the homes in this VM's region, then, if these give too
 // few, of the others.
 type quotaRound struct {
-	homes    [quota.Shards]string
-	near     [quota.Shards]bool
-	askedFar bool
-	isShort  [2]bool // homes gave less than was asked for: those in the region, the others
-	pending  int     // asks without an answer
-	hedge    *time.Timer
+	homes     [quota.Shards]string
+	near      [quota.Shards]bool
+	askedFar  bool
+	isShort   [2]bool // homes gave less than was asked for: those in the region, the others
+	isPartial bool    // a home could not be reached, or may not grant tokens
+	pending   int     // asks without an answer
+	hedge     *time.Timer
 }
 
 // startRound asks for tokens. isUrgent says that a request waits. The caller holds q.mu.
@@ -88,28 +89,32 @@
 		shard := quota.Shard{Account: h.account.Name, Index: i}
 		if r.homes[i] == q.home.self.Address {
 			granted, life := q.home.grant(shard, r.homes[i], part)
-			h.purse.Deposit(granted, now.Add(life), now)
-			r.isShort[stage] = r.isShort[stage] || granted < part
+			q.applyGrant(h, r, stage, part, quotaGrant{tokens: granted, expiry: now.Add(life), isValid: life > 0}, now)
 			continue
 		}
 		r.pending++
-		q.asker.enqueue(r.homes[i], isUrgent, &quotaAsk{shard: shard, tokens: part, done: func(granted int, expiry time.Time) {
+		q.asker.enqueue(r.homes[i], isUrgent, &quotaAsk{shard: shard, tokens: part, done: func(g quotaGrant) {
 			q.mu.Lock()
 			defer q.mu.Unlock()
 			now := time.Now()
-			h.purse.Deposit(granted, expiry, now)
+			r.pending--
+			q.applyGrant(h, r, stage, part, g, now)
 			q.answerWaiting(h, now)
-			r.isShort[stage] = r.isShort[stage] || granted < part
-			if r.pending--; h.round == r {
-				q.finishStage(h, r, now)
-			}
+			q.finishStage(h, r, now)
 		}})
 	}
 	q.answerWaiting(h, now)
 }
 
+// applyGrant records the answer to an ask for tokens. The caller holds q.mu.
+func (q *quotas) applyGrant(h *quotaHolder, r *quotaRound, stage, asked int, g quotaGrant, now time.Time) {
+	h.purse.Deposit(g.tokens, g.expiry, now)
+	r.isShort[stage] = r.isShort[stage] || g.tokens < asked
+	r.isPartial = r.isPartial || !g.isValid
+}
+
 // finishStage goes on with a round once all asks are answered. If the homes gave less than was wanted, it asks the other
-// homes; if these were asked, it refuses the requests that wait. The caller holds q.mu.
+// homes; if these were asked, it refuses the requests that wait, or asks again if not all homes could answer. The caller holds q.mu.
 func (q *quotas) finishStage(h *quotaHolder, r *quotaRound, now time.Time) {
 	if h.round != r || r.pending > 0 {
 		return
@@ -124,6 +129,8 @@
 	}
 	h.round = nil
 	switch isEmpty := r.askedFar && r.isShort[stageFar]; {
+	case isWaiting && isEmpty && r.isPartial:
+		q.repeatRound(h, r)
 	case isWaiting && isEmpty:
 		h.refuseUntil = now.Add(refusalHold)
 		q.refuseWaiting(h, now)
@@ -133,3 +140,18 @@
 		h.nextRoundAt = now.Add(refusalHold)
 	}
 }
+
+// repeatRound asks again later. The caller holds q.mu.
+func (q *quotas) repeatRound(h *quotaHolder, r *quotaRound) {
+	h.round = r
+	r.pending++
+	time.AfterFunc(refusalHold, func() {
+		q.mu.Lock()
+		defer q.mu.Unlock()
+		now := time.Now()
+		h.round = nil
+		if len(h.waiting) > 0 {
+			q.startRound(h, true, now)
+		}
+	})
+}
--- a/internal/quota/terms.go
+++ b/internal/quota/terms.go
@@ -24,8 +24,10 @@
 
 // Parts of what the bounds allow beyond the quota. The rest covers requests that run again after a lost answer.
 const (
-	lifePart  = 0.5  // for tokens that are granted in one window and used in the next
-	burstPart = 0.25 // for buckets that are larger than their part of the burst, since demand is not the same at all shards
+	lifePart = 0.5 // at most, for tokens that are granted in one window and used in the next
+	// usedPart is for these tokens and for buckets that are larger than their part of the burst: demand is not the same at
+	// all shards, and a fraction of a token permits no request.
+	usedPart = 0.75
 )
 
 // Terms are the limits of one shard of an account.
@@ -47,10 +49,10 @@
 		b = defaultBounds
 	}
 	beyond := b.Overage*(rate*b.Window.Seconds()+burst) + b.Slack
-	life := min(maxLife.Seconds(), lifePart*beyond/rate)
+	life := max(minLife.Seconds(), min(maxLife.Seconds(), lifePart*beyond/rate))
 	return Terms{
 		Rate:  rate / Shards,
-		Burst: max(1, (burst+burstPart*beyond)/Shards), // below 1 it would never hold a token
-		Life:  max(minLife, time.Duration(life*float64(time.Second))),
+		Burst: max(1, (burst+max(0, usedPart*beyond-rate*life))/Shards), // below 1 it would never hold a token
+		Life:  time.Duration(life * float64(time.Second)),
 	}
 }
