--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -240,7 +240,9 @@
 		return 0, &kv.ConflictError{Key: key, Expected: expect, Current: current.Version}
 	}
 	s.writeEntry(kv.Entry{Key: key, Value: value})
-	return expect + 1, nil
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.items[key].Version, nil
 }
 
 func (s *fakeStore) Delete(context.Context, string, kv.Version) error { return nil }
--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -56,8 +56,9 @@
 	round   *quotaRound        // of asks, nil: none
 	usedAt  time.Time
 
-	refuseUntil time.Time // until then requests without a token are refused at once
-	nextRoundAt time.Time // not before then tokens are asked for ahead of need
+	partialUntil time.Time // until then a round in which not all homes answered counts as the last one
+	refuseUntil  time.Time // until then requests without a token are refused at once
+	nextRoundAt  time.Time // not before then tokens are asked for ahead of need
 }
 
 // quotaAnswer ends the wait of a request.
@@ -266,7 +267,7 @@
 		}
 		clear(q.refused)
 	}
-	if h.round != nil && h.round.isPartial {
+	if now.Before(h.partialUntil) {
 		return quotaAnswer{retryAfter: partialRetryAfter + rand.N(partialRetrySpread)}
 	}
 	return quotaAnswer{retryAfter: h.purse.RetryAfter(h.account.Rate, now)}
--- a/internal/gateway/quota_round.go
+++ b/internal/gateway/quota_round.go
@@ -144,6 +144,7 @@
 // repeatRound asks again later. The caller holds q.mu.
 func (q *quotas) repeatRound(h *quotaHolder, r *quotaRound) {
 	h.round = r
+	h.partialUntil = time.Now().Add(quotaWaitLimit)
 	r.pending++
 	time.AfterFunc(refusalHold, func() {
 		q.mu.Lock()
