--- a/internal/gateway/secrecy_test.go
+++ b/internal/gateway/secrecy_test.go
@@ -108,7 +108,6 @@
 		go f.pollOperator(ctx)
 		go f.pollServers(ctx)
 		p := newPresence(store, settings, chooser, log)
-		registry.MustRegister(newStateCollector(f, p, chooser))
 
 		pool := forward.NewPool(func(context.Context, string) (net.Conn, error) {
 			clientSide, serverSide := net.Pipe()
@@ -119,6 +118,7 @@
 			Headers: secrecyHeaders, Table: f.Table, Chooser: chooser, Pool: pool, Journal: newJournal(log, metrics),
 			Region: "north", KeysConfirmed: f.keysConfirmed,
 		})
+		registry.MustRegister(newStateCollector(f, p, chooser, handler))
 		listener := pipenet.Listen("vm:80")
 		server := httpserver.New(listener, httpserver.Options{Handler: handler, RunsAhead: handler.IsIdempotent, Log: log})
 		go func() { _ = server.Serve() }()
--- a/internal/placement/refusal.go
+++ b/internal/placement/refusal.go
@@ -35,6 +35,7 @@
 const (
 	BasisNone       Basis = ""           // the refusal has another reason, or there is none
 	BasisWait       Basis = "wait"       // with a free slot the request would be sent
+	BasisOrder      Basis = "order"      // the wait is left to requests that lose more by waiting
 	BasisRun        Basis = "run"        // the measured service time does not fit
 	BasisUnfinished Basis = "unfinished" // nothing was measured; a recent run did not end in as much time
 	BasisWaited     Basis = "waited"     // nothing was measured; responses that also waited took too long
@@ -94,6 +95,31 @@
 	}
 }
 
+// inTimeMargin is the part of the time until the target that an expected response in time may take: by an estimate that
+// hits the target exactly, half of the responses are late.
+const inTimeMargin = 0.85
+
+// areExceeded reports whether the wait is longer than b allows. Where the region has free slots, the wait is for a server
+// that suits the request, and takes no room from others.
+func (b *WaitBounds) areExceeded(e *estimate, q *Query) bool {
+	if b == nil || !e.isRegionFull {
+		return false
+	}
+	bound := b.InTime
+	if e.latencyForTargetCheck() > inTimeMargin*min(q.TargetLeft, q.TimeLeft).Seconds() {
+		bound = b.Late
+	}
+	return e.wait > bound.Seconds()
+}
+
+// IsForRoom reports whether the request was refused only because no server has room for it now.
+func (r *Refusal) IsForRoom() bool {
+	return r.Reason == ReasonNoCapacity && (r.Basis == BasisWait || r.Basis == BasisOrder)
+}
+
+// Work returns the expected time until the response if the server has room.
+func (r *Refusal) Work() time.Duration { return r.BestLatency - r.Wait }
+
 // exceededBasis returns which part of the supported time makes it longer than left, in seconds.
 func (e *estimate) exceededBasis(left float64) Basis {
 	switch {
