--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -20,20 +20,23 @@
 
 // exchange is one request of a caller from its arrival to the end of its response.
 type exchange struct {
-	h          *Handler
-	w          http.ResponseWriter
-	r          *http.Request
-	start      time.Time
-	deadline   time.Time // the final response is due
-	lateAfter  time.Time // a response after this moment counts as late
-	ctx        context.Context
-	id         string
-	version    routing.Version
-	route      *routing.Route
-	service    steering.ServiceName
-	objectHash uint64
-	body       *body
-	account    *routing.Account // nil: none
+	h             *Handler
+	w             http.ResponseWriter
+	r             *http.Request
+	start         time.Time
+	deadline      time.Time // the final response is due
+	lateAfter     time.Time // a response after this moment counts as late
+	ctx           context.Context
+	id            string
+	version       routing.Version
+	route         *routing.Route
+	service       steering.ServiceName
+	objectHash    uint64
+	body          *body
+	account       *routing.Account // nil: none
+	keysConfirmed bool             // the keys of the configuration may be relied on
+	// permittedUntil is when the permission that was taken from the account's quota expires; zero: none was taken.
+	permittedUntil time.Time
 	// usesAccounts is true if the configuration has client accounts, so that keys are not passed on.
 	usesAccounts bool
 
@@ -60,6 +63,10 @@
 	defer cancel()
 	defer context.AfterFunc(x.h.abortCtx, cancel)()
 	x.ctx = ctx
+	if ok, retryAfter := x.takeQuota(); !ok {
+		return x.respondOverQuota(retryAfter)
+	}
+	defer x.returnQuota()
 	x.ordersAdmission = table.OrdersAdmission()
 	defer x.discardLastResponse()
 	for {
@@ -249,6 +256,9 @@
 	if err == nil && !resp.complete {
 		stop := resp.conn.interruptOn(x.ctx)
 		_, err = io.Copy(x.w, resp.http.Body)
+		if err == nil {
+			err = resp.awaitFraming(x.ctx)
+		}
 		stop()
 		_ = resp.conn.raw.Close()
 	}
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -41,6 +41,7 @@
 	ReasonTimeout            Reason = "timeout"
 	ReasonStopping           Reason = "stopping" // the process stopped before it was served
 	ReasonUnknownKey         Reason = "unknown-key"
+	ReasonOverQuota          Reason = "over-quota"
 	ReasonKeysUnconfirmed    Reason = "keys-unconfirmed" // a key may have been withdrawn without this entry VM knowing
 )
 
@@ -79,9 +80,10 @@
 	Pool    *Pool
 	Journal Journal
 	Region  steering.RegionName // of this entry VM
-	// KeysConfirmed reports whether the keys of the table in force may be relied on, so that requests with keys may run.
-	// nil: they always may.
+	// KeysConfirmed reports whether the keys of the table that Table returns after it may be relied on, so that requests
+	// with keys may run. nil: they always may.
 	KeysConfirmed func() bool
+	Quotas        Quotas // nil: requests of client accounts have no limit
 }
 
 // Handler serves the requests of callers. It is safe for concurrent use.
@@ -150,6 +152,8 @@
 		x.writeFailure(http.StatusServiceUnavailable, ReasonStopping, h.retryAfter(0))
 		return
 	}
+	// Before the table is loaded, so that the table is not older than the confirmation.
+	x.keysConfirmed = h.opts.KeysConfirmed == nil || h.opts.KeysConfirmed()
 	table := h.opts.Table()
 	if table == nil {
 		x.writeFailure(http.StatusServiceUnavailable, ReasonNoConfiguration, h.retryAfter(0))
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/azureflow/azureflow/internal/placement"
+	"github.com/azureflow/azureflow/internal/quota"
 	"github.com/azureflow/azureflow/internal/steering"
 )
 
@@ -38,11 +39,13 @@
 	Drain            time.Duration // after which a leaving server gets no new requests
 	ConfigApply      time.Duration // after which a configuration is in force
 	Evacuate         time.Duration // after which an evacuated zone gets no new requests
+	Revoke           time.Duration // after which a withdrawn key runs nowhere, also while cut off; 0: no such bound
 	Grace            time.Duration // from the request to stop to the kill
 	RetryBudgetRatio float64       // attempts beyond the first for each request to a service
 	RetryBudgetSlack float64       // attempts beyond that in a window
 	DirectoryTTL     time.Duration
 	Cold             placement.ColdBounds // of the requests that a cold server may get in one second
+	Quota            quota.Bounds         // of the requests of a client account with a limit
 	MaxShift         float64              // change of the share of requests in other regions, per 2 s
 }
 
