--- a/internal/forward/account.go
+++ b/internal/forward/account.go
@@ -43,10 +43,14 @@
 	if ok {
 		x.account = table.AccountByKey(key)
 	}
-	if x.account == nil {
+	switch {
+	case x.account != nil:
+		return ""
+	case ok && key == "":
+		return ReasonNoKey
+	default:
 		return ReasonUnknownKey
 	}
-	return ""
 }
 
 // respondUnidentified refuses a request whose client account is not known.
--- a/internal/forward/account_test.go
+++ b/internal/forward/account_test.go
@@ -64,6 +64,13 @@
 					t.Fatalf("status %d, want %d", resp.Code, test.status)
 				}
 				if test.status == http.StatusUnauthorized {
+					want := ReasonUnknownKey
+					if test.authorization == "" {
+						want = ReasonNoKey
+					}
+					if got := env.finished[0].Reason; got != want {
+						t.Errorf("reason %s, want %s", got, want)
+					}
 					if n := env.servers[0].requestCount() + env.servers[1].requestCount(); n != 0 {
 						t.Errorf("%d requests reached servers", n)
 					}
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -39,8 +39,9 @@
 	ReasonNoConfiguration    Reason = "no-configuration"
 	ReasonNoRoute            Reason = "no-route"
 	ReasonTimeout            Reason = "timeout"
-	ReasonStopping           Reason = "stopping" // the process stopped before it was served
-	ReasonUnknownKey         Reason = "unknown-key"
+	ReasonStopping           Reason = "stopping"         // the process stopped before it was served
+	ReasonNoKey              Reason = "no-key"           // on a route that needs one
+	ReasonUnknownKey         Reason = "unknown-key"      // or an Authorization header that holds none
 	ReasonKeysUnconfirmed    Reason = "keys-unconfirmed" // a key may have been withdrawn without this entry VM knowing
 )
 
--- a/internal/gateway/intake.go
+++ b/internal/gateway/intake.go
@@ -58,7 +58,7 @@
 	f.chooser.SetTable(table)
 	difference := table.DiffFrom(old)
 	log.WithFields(logrus.Fields{
-		"version": config.Version, "routes": len(config.Routes), "routes_added": difference.Added,
+		"version": config.Version, "routes": len(config.Routes), "accounts": len(config.Accounts), "routes_added": difference.Added,
 		"routes_changed": difference.Changed, "routes_removed": difference.Removed,
 	}).Info("configuration in force")
 }
