--- a/internal/contract/ledger.go
+++ b/internal/contract/ledger.go
@@ -109,12 +109,12 @@
 		}
 	}
 	if l.member {
-		return FairShares(total, append(members, l.want))[len(members)]
+		return fairShares(total, append(members, l.want))[len(members)]
 	}
-	for _, share := range FairShares(total, members) {
+	for _, share := range fairShares(total, members) {
 		total -= share
 	}
-	return FairShares(total, append(others, l.want))[len(others)]
+	return fairShares(total, append(others, l.want))[len(others)]
 }
 
 func (g *ledger) grantsOf(id holderID) *holderGrants {
--- a/internal/contract/need.go
+++ b/internal/contract/need.go
@@ -53,8 +53,8 @@
 	return float64(max(peak*growthFactor, peak+minGrowth))
 }
 
-// FairShares divides total among wants by max-min fairness: each gets its want up to a common level.
-func FairShares(total int64, wants []int64) []int64 {
+// fairShares divides total among wants by max-min fairness: each gets its want up to a common level.
+func fairShares(total int64, wants []int64) []int64 {
 	order := make([]int, len(wants))
 	for i := range order {
 		order[i] = i
--- a/internal/gateway/quota_home.go
+++ b/internal/gateway/quota_home.go
@@ -91,8 +91,8 @@
 		h.role.Leave()
 		h.ledger.Clear()
 	}
-	if changes := h.role.Changes(); changes != h.changes {
-		h.changes = changes
+	if joins := h.role.Joins(); joins != h.joins {
+		h.joins = joins
 		h.ledger.RemoveUnless(h.role.IsHome)
 	}
 }
--- a/internal/quota/home.go
+++ b/internal/quota/home.go
@@ -23,38 +23,66 @@
 	Index   int // from 0, below Shards
 }
 
-// HomeOf returns the address of the VM that is the home of s, "" if there are no VMs. regions are those of the
-// deployment, in an order that all VMs agree on. A home changes only if the former one is not among vms any more, or
-// if the new one was not before: a ranking by the link, in which a VM affects the others, would not keep that.
-func HomeOf(s Shard, regions []steering.RegionName, vms []VM) string {
-	start := int(xxhash.Sum64String(string(s.Account))%uint64(max(1, len(regions)))) + s.Index
-	for i := range regions {
-		if home := homeIn(s, regions[(start+i)%len(regions)], vms); home != "" {
-			return home
+// Ranking ranks VMs as homes of shards. It is immutable.
+type Ranking struct {
+	regions  []steering.RegionName
+	byRegion map[steering.RegionName][]candidate
+	all      []candidate
+}
+
+type candidate struct {
+	address string
+	weight  float64
+}
+
+// NewRanking returns the ranking of vms. regions are those of the deployment, in an order that all VMs agree on.
+func NewRanking(regions []steering.RegionName, vms []VM) *Ranking {
+	r := &Ranking{regions: regions, byRegion: make(map[steering.RegionName][]candidate)}
+	for i := range vms {
+		c := candidate{address: vms[i].Address, weight: vms[i].weight()}
+		r.byRegion[vms[i].Region] = append(r.byRegion[vms[i].Region], c)
+		r.all = append(r.all, c)
+	}
+	return r
+}
+
+// HomeOf returns the address of the VM that is the home of s, "" if there are no VMs. A home changes only if the former
+// one is not among the VMs any more, or if the new one was not before: a ranking by the link, in which a VM affects the
+// others, would not keep that.
+func (r *Ranking) HomeOf(s Shard) string {
+	start := int(xxhash.Sum64String(string(s.Account))%uint64(max(1, len(r.regions)))) + s.Index
+	for i := range r.regions {
+		if in := r.byRegion[r.regions[(start+i)%len(r.regions)]]; len(in) > 0 {
+			return homeAmong(s, in)
 		}
 	}
-	return homeIn(s, "", vms)
+	return homeAmong(s, r.all)
 }
 
-// homeIn returns the home of s among the VMs of a region, or among all if region is empty, by weighted rendezvous
-// hashing. The weight is the square of the link's bandwidth, so that narrow links carry hardly any asks.
-func homeIn(s Shard, region steering.RegionName, vms []VM) string {
+// homeAmong returns the home of s among candidates, by weighted rendezvous hashing.
+func homeAmong(s Shard, candidates []candidate) string {
 	home, highest := "", math.Inf(-1)
 	var digest xxhash.Digest
-	for i := range vms {
-		vm := &vms[i]
-		if region != "" && vm.Region != region {
-			continue
-		}
+	for i := range candidates {
+		c := &candidates[i]
 		digest.Reset()
 		_, _ = digest.WriteString(string(s.Account)) // never fails
 		_, _ = digest.WriteString(strconv.Itoa(s.Index))
-		_, _ = digest.WriteString(vm.Address)
-		uniform := (float64(digest.Sum64()>>11) + 0.5) / (1 << 53)
-		weight := max(1, vm.LinkMbit) * max(1, vm.LinkMbit)
-		if score := weight / -math.Log(uniform); score > highest || score == highest && vm.Address < home {
-			home, highest = vm.Address, score
+		_, _ = digest.WriteString(c.address)
+		if score := c.weight / -math.Log(uniform(digest.Sum64())); score > highest || score == highest && c.address < home {
+			home, highest = c.address, score
 		}
 	}
 	return home
 }
+
+// weight returns the VM's part of the homes, relative to others. It falls with the square of the VM's place in a random
+// order, so that a few VMs have most homes and asks go together however many VMs there are, and rises with the square of
+// the link's bandwidth, so that narrow links carry hardly any asks. It depends on nothing but the VM itself.
+func (vm *VM) weight() float64 {
+	relative := max(1, vm.LinkMbit) / uniform(xxhash.Sum64String(vm.Address))
+	return relative * relative
+}
+
+// uniform returns a number between 0 and 1, exclusively, that is distributed evenly for even hashes.
+func uniform(hash uint64) float64 { return (float64(hash>>11) + 0.5) / (1 << 53) }
--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -1,10 +1,6 @@
 package quota
 
-import (
-	"time"
-
-	"github.com/azureflow/azureflow/internal/contract"
-)
+import "time"
 
 // askMemory is how long an ask counts in the division of too few tokens: several intervals between a holder's asks.
 const askMemory = 300 * time.Millisecond
@@ -60,20 +56,23 @@
 	b.tokens = min(b.tokens, terms.Burst)
 }
 
-// shareOf records an ask and returns the max-min fair share of holder in the bucket's tokens among the recent askers.
+// shareOf records an ask and returns the share of holder in the bucket's tokens among the recent askers, in proportion
+// to what they want: then each request of the account is as likely to be let in, wherever it arrives.
 func (b *bucket) shareOf(holder string, want int64, now time.Time) int64 {
 	b.askedAt = now
 	b.asks[holder] = ask{tokens: want, at: now}
-	wants := []int64{want}
+	all := int64(0)
 	for other, a := range b.asks {
-		switch {
-		case now.Sub(a.at) > askMemory:
+		if now.Sub(a.at) > askMemory {
 			delete(b.asks, other)
-		case other != holder:
-			wants = append(wants, a.tokens)
+			continue
 		}
+		all += a.tokens
+	}
+	if float64(all) <= b.tokens {
+		return want
 	}
-	return contract.FairShares(int64(b.tokens), wants)[0]
+	return int64(b.tokens * float64(want) / float64(all))
 }
 
 // RemoveUnless removes the buckets of shards for which isHome returns false.
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -43,7 +43,7 @@
 		fewer := append(append([]VM(nil), vms[:without]...), vms[without+1:]...)
 		for i := range Shards {
 			s := Shard{Account: routing.AccountName(rapid.String().Draw(t, "account")), Index: i}
-			all, less := HomeOf(s, regions, vms), HomeOf(s, regions, fewer)
+			all, less := NewRanking(regions, vms).HomeOf(s), NewRanking(regions, fewer).HomeOf(s)
 			if all != less && all != vms[without].Address {
 				t.Fatalf("home of %v moved from %s to %s when %s left", s, all, less, vms[without].Address)
 			}
@@ -134,10 +134,28 @@
 			for i := range vms {
 				vms[i] = VM{Address: fmt.Sprint("10.1.0.", i, ":8384"), Region: regions[i%3], LinkMbit: 200}
 			}
+			ranking := NewRanking(regions, vms)
 			b.ReportAllocs()
 			for range b.N {
-				HomeOf(Shard{Account: "account-1", Index: 1}, regions, vms)
+				ranking.HomeOf(Shard{Account: "account-1", Index: 1})
 			}
 		})
 	}
 }
+
+// Of 100 equal VMs of a region, those that most accounts ask are few.
+func TestFewVMsAreHomes(t *testing.T) {
+	var vms []VM
+	for i := range 100 {
+		vms = append(vms, VM{Address: fmt.Sprintf("10.1.0.%d:8384", i), Region: "a", LinkMbit: 200})
+	}
+	homes := make(map[string]int)
+	ranking := NewRanking([]steering.RegionName{"a"}, vms)
+	for i := range 200 {
+		homes[ranking.HomeOf(Shard{Account: routing.AccountName(fmt.Sprint("account-", i))})]++
+	}
+	if len(homes) > 20 {
+		t.Errorf("200 accounts have %d homes, want at most 20", len(homes))
+	}
+	t.Logf("200 accounts have %d homes", len(homes))
+}
--- a/internal/quota/role.go
+++ b/internal/quota/role.go
@@ -28,6 +28,7 @@
 type Role struct {
 	self    VM
 	regions []steering.RegionName
+	ranking *Ranking // of members
 
 	listed    []VM // by the list of the store, without this VM
 	version   uint64
@@ -35,7 +36,7 @@
 	adopted   []adoption
 	members   []VM
 	changedAt time.Time // last change of members
-	changes   uint64    // of members
+	joins     uint64    // changes of members in which one was added
 	joinedAt  time.Time // zero: this VM has not joined
 	homes     map[Shard]string
 }
@@ -49,7 +50,10 @@
 
 // NewRole returns the role of self, which has not joined.
 func NewRole(self VM, regions []steering.RegionName) *Role {
-	return &Role{self: self, regions: regions, members: []VM{self}, homes: make(map[Shard]string)}
+	members := []VM{self}
+	return &Role{
+		self: self, regions: regions, ranking: NewRanking(regions, members), members: members, homes: make(map[Shard]string),
+	}
 }
 
 // SetList applies a list of the other entry VMs as of version, requested at readAt.
@@ -89,14 +93,17 @@
 	}
 	slices.SortFunc(members, func(a, b VM) int { return cmp.Compare(a.Address, b.Address) })
 	if !slices.Equal(members, r.members) {
+		if slices.ContainsFunc(members, func(vm VM) bool { return !slices.Contains(r.members, vm) }) {
+			r.joins++
+		}
 		r.members, r.changedAt = members, now
-		r.changes++
+		r.ranking = NewRanking(r.regions, members)
 		clear(r.homes)
 	}
 }
 
-// Changes returns how often the entry VMs have changed.
-func (r *Role) Changes() uint64 { return r.changes }
+// Joins returns how often entry VMs were added: only then may this VM lose the home of a shard.
+func (r *Role) Joins() uint64 { return r.joins }
 
 // Leave ends the right to grant tokens: the VM is not listed, or listed anew and has not joined.
 func (r *Role) Leave() { r.joinedAt = time.Time{} }
@@ -111,7 +118,7 @@
 func (r *Role) HomeOf(s Shard) string {
 	home, ok := r.homes[s]
 	if !ok {
-		home = HomeOf(s, r.regions, r.members)
+		home = r.ranking.HomeOf(s)
 		r.homes[s] = home
 	}
 	return home
