--- a/internal/gateway/quota_home.go
+++ b/internal/gateway/quota_home.go
@@ -39,7 +39,7 @@
 	role       *quota.Role
 	ledger     *quota.Ledger
 	joinedAs   *listing          // the listing under which this VM joined; nil: none
-	changes    uint64            // of the role at the last sweep of the ledger
+	joins      uint64            // of the role at the last sweep of the ledger
 	applied    *[]presenceRecord // what role has as the list
 	accounts   map[routing.AccountName]*routing.Account
 	accountsOf *routing.Table // which accounts is from
