--- a/internal/gateway/quota_home.go
+++ b/internal/gateway/quota_home.go
@@ -116,7 +116,7 @@
 	now := time.Now()
 	h.refresh(now)
 	account := h.account(s.Account)
-	if account == nil || h.joinedAs == nil || h.presence.isLeaving.Load() ||
+	if account == nil || s.Index < 0 || s.Index >= quota.Shards || h.joinedAs == nil || h.presence.isLeaving.Load() ||
 		!h.role.MayGrant(*h.joinedAs.until.Load(), now) || !h.role.IsHome(s) {
 		return 0, 0
 	}
--- a/internal/gateway/quota_test.go
+++ b/internal/gateway/quota_test.go
@@ -201,6 +201,9 @@
 		if ask() == 0 {
 			t.Fatal("the home grants nothing")
 		}
+		if _, life := home.quotas.home.grant(quota.Shard{Account: testAccount.Name, Index: quota.Shards}, "asker", 1); life > 0 {
+			t.Error("tokens of a shard that does not exist were granted")
+		}
 		home.link.isCut.Store(true)
 		time.Sleep(presenceTTL)
 		if ask() > 0 {
