--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -75,7 +75,7 @@
 		x.discardLastResponse()
 		a := x.runAttempt(to)
 		x.finishAttempt(a)
-		if !x.shouldRetry(a) {
+		if !x.shouldRetry(a) || !x.takeQuotaForRetry() {
 			return x.respond(a)
 		}
 	}
--- a/internal/forward/quota.go
+++ b/internal/forward/quota.go
@@ -27,6 +27,16 @@
 	return ok, retryAfter
 }
 
+// takeQuotaForRetry takes a further permission for a request that may have run and is sent again: it may run twice. It
+// returns false if the account is over its quota.
+func (x *exchange) takeQuotaForRetry() bool {
+	if !x.mayHaveRun {
+		return true
+	}
+	ok, _ := x.takeQuota()
+	return ok
+}
+
 // returnQuota gives back the permission of a request that certainly ran at no server and never will.
 func (x *exchange) returnQuota() {
 	if !x.permittedUntil.IsZero() && !x.mayHaveRun {
--- a/internal/forward/quota_test.go
+++ b/internal/forward/quota_test.go
@@ -103,3 +103,17 @@
 		})
 	}
 }
+
+// A request that may have run is sent again only with a permission of its own.
+func TestRetryTakesAPermission(t *testing.T) {
+	for permissions, want := range map[int]int{1: http.StatusBadGateway, 2: http.StatusOK} {
+		withTestEnv(t, []script{respondAndClose(""), respondOK}, func(t *testing.T, env *testEnv) {
+			withQuotas(env, permissions)
+			r := newRequest("GET", "/safe/x", "")
+			r.Header.Set("Authorization", "Bearer "+deskKey)
+			if resp, _ := env.serve(r); resp.Code != want {
+				t.Errorf("with %d permissions: status %d, want %d", permissions, resp.Code, want)
+			}
+		})
+	}
+}
--- a/internal/quota/terms.go
+++ b/internal/quota/terms.go
@@ -22,7 +22,7 @@
 	minLife = 150 * time.Millisecond // of a token; several times the delay between regions
 )
 
-// Parts of what the bounds allow beyond the quota. The rest covers requests that run again after a lost answer.
+// Parts of what the bounds allow beyond the quota. The rest covers clocks that run at different rates.
 const (
 	lifePart = 0.5 // at most, for tokens that are granted in one window and used in the next
 	// usedPart is for these tokens and for buckets that are larger than their part of the burst: demand is not the same at
