--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -54,6 +54,7 @@
 	purse   quota.Purse
 	waiting []chan quotaAnswer // requests that wait for a token, oldest first
 	round   *quotaRound        // of asks, nil: none
+	rounds  int                // number of rounds so far
 	usedAt  time.Time
 
 	partialUntil time.Time // until then a round in which not all homes answered counts as the last one
--- a/internal/gateway/quota_asker.go
+++ b/internal/gateway/quota_asker.go
@@ -14,8 +14,10 @@
 	// askInterval is how long asks ahead of need wait, so that they are sent together; well below the time for which a
 	// purse keeps tokens.
 	askInterval = 100 * time.Millisecond
-	// homePause is the time after a failed call in which a home is not called again.
-	homePause = 400 * time.Millisecond
+	// homePause is the time after failed calls in which a home is not called again. One failure may come from a connection
+	// that was idle when the home's process was started again.
+	homePause       = 400 * time.Millisecond
+	maxHomeFailures = 2 // in a row
 )
 
 // quotaAsk asks for tokens of a shard.
@@ -50,6 +52,7 @@
 	isUrgent  bool // the asks are sent as soon as the call in flight has ended
 	isCalling bool
 	timer     *time.Timer // sends asks that are not urgent; nil: not set
+	failures  int         // in a row
 	pauseEnd  time.Time
 }
 
@@ -134,7 +137,10 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	o.isCalling = false
-	if err != nil {
+	if o.failures++; err == nil {
+		o.failures = 0
+	}
+	if o.failures >= maxHomeFailures {
 		o.pauseEnd = time.Now().Add(homePause)
 	}
 	a.send(home, o)
--- a/internal/gateway/quota_test.go
+++ b/internal/gateway/quota_test.go
@@ -57,9 +57,6 @@
 		for i := range 4 {
 			fl.start(ctx, t, fmt.Sprintf("vm-%d", i))
 		}
-		for _, vm := range fl.vms {
-			go vm.presence.keepListed(ctx)
-		}
 		time.Sleep(5 * time.Second)
 		test(t, fl)
 	})
@@ -80,9 +77,12 @@
 	vm.sharing.quotaHome = vm.quotas.home
 	vm.quotas.useIfLimited(fl.table)
 	ctx, vm.stop = context.WithCancel(ctx)
+	fl.mu.Lock()
 	fl.vms[name] = vm
+	fl.mu.Unlock()
 	go p.pollList(ctx, func(ctx context.Context) bool { return ctx.Err() == nil })
 	go vm.quotas.serve(ctx)
+	go p.keepListed(ctx)
 }
 
 func (fl *quotaFleet) dial(ctx context.Context, address string) (net.Conn, error) {
@@ -221,6 +221,30 @@
 	}, *testAccount)
 }
 
+// A process that is started again while it is still listed is a home again at once, without the tokens of the one before.
+func TestRestartedHomeJoinsAtOnce(t *testing.T) {
+	withQuotaFleet(t, func(t *testing.T, fl *quotaFleet) {
+		time.Sleep(time.Minute)
+		name := fl.homes()[0]
+		fl.mu.Lock()
+		fl.vms[name].stop()
+		fl.mu.Unlock()
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		fl.start(ctx, t, name)
+		time.Sleep(time.Second)
+		granted, life := fl.vms[name].quotas.home.grant(quota.Shard{Account: testAccount.Name}, "asker", 1000)
+		if most := int(testAccount.Rate); life == 0 || granted > most {
+			t.Errorf("%d tokens were granted a second after the start, life %v, want at most %d", granted, life, most)
+		}
+		fl.send(ctx, 24, 10*time.Second, allVMs...)
+		fl.checkBound(t)
+		if fl.lost > 0 {
+			t.Errorf("%d of %d requests within the quota were refused", fl.lost, fl.lost+len(fl.spent))
+		}
+	}, *testAccount)
+}
+
 // The entry of a home was lost and written again: others may have taken its shards over.
 func TestHomeThatIsListedAgainStartsWithoutTokens(t *testing.T) {
 	withQuotaFleet(t, func(t *testing.T, fl *quotaFleet) {
