--- a/internal/gateway/quota_home.go
+++ b/internal/gateway/quota_home.go
@@ -39,7 +39,7 @@
 	role       *quota.Role
 	ledger     *quota.Ledger
 	joinedAs   *listing          // the listing under which this VM joined; nil: none
-	changes    uint64            // of the role at the last sweep of the ledger
+	joins      uint64            // of the role at the last sweep of the ledger
 	applied    *[]presenceRecord // what role has as the list
 	accounts   map[routing.AccountName]*routing.Account
 	accountsOf *routing.Table // which accounts is from
@@ -91,8 +91,8 @@
 		h.role.Leave()
 		h.ledger.Clear()
 	}
-	if changes := h.role.Changes(); changes != h.changes {
-		h.changes = changes
+	if joins := h.role.Joins(); joins != h.joins {
+		h.joins = joins
 		h.ledger.RemoveUnless(h.role.IsHome)
 	}
 }
@@ -116,7 +116,7 @@
 	now := time.Now()
 	h.refresh(now)
 	account := h.account(s.Account)
-	if account == nil || h.joinedAs == nil || h.presence.isLeaving.Load() ||
+	if account == nil || s.Index < 0 || s.Index >= quota.Shards || h.joinedAs == nil || h.presence.isLeaving.Load() ||
 		!h.role.MayGrant(*h.joinedAs.until.Load(), now) || !h.role.IsHome(s) {
 		return 0, 0
 	}
