memory, httpserver, forward, gateway: limits on what callers make a VM hold

Cause: bodies (up to 1 MiB each), responses (256 KiB each), heads and connections were held without regard to the VM's memory and descriptors; a body at readiness, directory or metrics that stopped kept its connection for good.

Change: one memory account a VM, from memory_mb of the settings, from which connections, heads with their fields, bodies and responses are reserved before they are held. Who finds no room is not read for up to a second, then refused with 503 before anything was sent; bodies that do not go on lose their room to those that wait. A body's buffer grows as it arrives, not by the announced length; what is passed on is given up once it is sent; a response without room is passed on as it arrives. Connections of all listeners share half of the sockets of max_fds; beyond that idle ones, partial heads, stalled bodies and responses not taken for 10 s are closed, those of callers with a large part first. Bodies that come more slowly than 1 KiB/s after 10 s are given up. Limits on head bytes, head time and idle time follow the operator's configuration. The peer listener closes its longest silent connection beyond an eighth of the sockets. Without memory_mb and max_fds in the settings there is no such limit.

Also: a body in chunks over the limit was cut at limit + 1 bytes and passed on to the server as if it were whole. It now ends the sending, and the caller gets 413.

--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -5,6 +5,8 @@
 	"io"
 	"math"
 	"net/http"
+
+	"github.com/azureflow/azureflow/internal/memory"
 )
 
 // bufferedResponseBytes is how much of a response body is read before any of it is passed on, so that a response that
@@ -24,32 +26,39 @@
 	buffered []byte // the body, or its beginning
 	complete bool   // buffered is the complete body
 	conn     *conn
+	holder   memory.Holder // of the memory for buffered
+	reserved int64
 }
 
 // readResponse reads the response to the request with id from c. Responses to other requests are skipped. One without
 // an ID can only be trusted on a new connection: elsewhere it may belong to an earlier request.
 // Errors: *InvalidResponseError, *HeadTooLargeError, those of reading.
-func readResponse(c *conn, address, id string, names *Headers, req *http.Request) (*serverResponse, error) {
+func readResponse(
+	c *conn, address, id string, names *Headers, req *http.Request, holder memory.Holder,
+) (*serverResponse, error) {
 	for range maxStrayResponses {
 		response, err := readFinalHead(c, req)
 		if err != nil {
 			return nil, err
 		}
-		buffered, complete, err := bufferBody(response)
-		if err != nil {
+		resp := &serverResponse{http: response, conn: c, holder: holder}
+		if err := resp.bufferBody(); err != nil {
+			resp.releaseBuffer()
 			return nil, err
 		}
 		if echoedID := response.Header.Get(names.RequestID); echoedID != "" && echoedID != id {
-			if !complete || response.Close {
+			resp.releaseBuffer()
+			if !resp.complete || response.Close {
 				return nil, &InvalidResponseError{Address: address, Problem: "it is for another request"}
 			}
 			continue
 		}
 		if response.Header.Get(names.RequestID) == "" && c.used {
+			resp.releaseBuffer()
 			return nil, &InvalidResponseError{Address: address, Problem: "it has no request ID on a connection that was used before"}
 		}
-		resp := &serverResponse{http: response, buffered: buffered, complete: complete, conn: c}
 		if problem := resp.problem(names); problem != "" {
+			resp.releaseBuffer()
 			return nil, &InvalidResponseError{Address: address, Problem: problem}
 		}
 		return resp, nil
@@ -73,28 +82,44 @@
 	}
 }
 
-// bufferBody reads up to bufferedResponseBytes of a response's body.
-func bufferBody(r *http.Response) (buffered []byte, complete bool, err error) {
+// bufferBody reads up to bufferedResponseBytes of the body. If there is no memory for that, nothing of it is read: the
+// body is passed on as it arrives, and one that is cut off ends the caller's connection. Errors: those of reading.
+func (resp *serverResponse) bufferBody() error {
+	r := resp.http
 	if r.Request.Method == http.MethodHead {
-		return nil, true, nil // its head gives the length that a body would have, and there is no body
+		resp.complete = true // its head gives the length that a body would have, and there is no body
+		return nil
 	}
-	if r.ContentLength >= 0 && r.ContentLength <= bufferedResponseBytes {
-		buffered = make([]byte, r.ContentLength)
-		if _, err := io.ReadFull(r.Body, buffered); err != nil {
-			return nil, false, err
-		}
-		// The body's end is read too, so that the connection can be used again.
-		_, err := r.Body.Read(make([]byte, 1))
-		if err != nil && !errors.Is(err, io.EOF) {
-			return nil, false, err
-		}
-		return buffered, true, nil
+	size := int64(bufferedResponseBytes)
+	if r.ContentLength >= 0 {
+		size = min(size, r.ContentLength)
 	}
-	buffered, err = io.ReadAll(io.LimitReader(r.Body, bufferedResponseBytes))
-	if err != nil {
-		return nil, false, err
+	if !resp.holder.TryReserve(size) {
+		return nil
 	}
-	return buffered, len(buffered) < bufferedResponseBytes, nil
+	resp.reserved = size
+	if r.ContentLength < 0 {
+		var err error
+		resp.buffered, err = io.ReadAll(io.LimitReader(r.Body, bufferedResponseBytes))
+		resp.complete = len(resp.buffered) < bufferedResponseBytes
+		return err
+	}
+	resp.buffered = make([]byte, size)
+	if _, err := io.ReadFull(r.Body, resp.buffered); err != nil || r.ContentLength > size {
+		return err
+	}
+	// The body's end is read too, so that the connection can be used again.
+	if _, err := r.Body.Read(make([]byte, 1)); err != nil && !errors.Is(err, io.EOF) {
+		return err
+	}
+	resp.complete = true
+	return nil
+}
+
+// releaseBuffer gives up what is buffered.
+func (resp *serverResponse) releaseBuffer() {
+	resp.holder.Release(resp.reserved)
+	resp.buffered, resp.reserved = nil, 0
 }
 
 // problem returns why the response cannot be passed on, or "".
@@ -119,6 +144,7 @@
 	if !resp.complete {
 		_ = resp.conn.raw.Close()
 	}
+	resp.releaseBuffer()
 }
 
 // isReusable reports whether the connection can carry another request.
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -13,6 +13,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/azureflow/azureflow/internal/httpheader"
+	"github.com/azureflow/azureflow/internal/memory"
 	"github.com/azureflow/azureflow/internal/placement"
 	"github.com/azureflow/azureflow/internal/routing"
 	"github.com/azureflow/azureflow/internal/steering"
@@ -34,6 +35,7 @@
 	objectHash uint64
 	body       *body
 	account    *routing.Account // nil: none
+	holder     memory.Holder
 	// usesAccounts is true if the configuration has client accounts, so that keys are not passed on.
 	usesAccounts bool
 
@@ -79,7 +81,10 @@
 func (x *exchange) respondBodyError(err error) bool {
 	var large *BodyTooLargeError
 	var stalled *BodyStalledError
+	var noRoom *memory.NoRoomError
 	switch {
+	case errors.As(err, &noRoom):
+		x.writeFailure(http.StatusServiceUnavailable, ReasonNoMemory, x.h.retryAfter(0))
 	case errors.As(err, &large):
 		x.writeFailure(http.StatusRequestEntityTooLarge, ReasonBodyTooLarge, 0)
 	case !errors.As(err, &stalled):
@@ -105,7 +110,7 @@
 	now := time.Now()
 	return &placement.Query{
 		Route: x.route, Account: x.account, Service: x.service, Object: x.objectHash,
-		TimeLeft: x.deadline.Sub(now), TargetLeft: x.lateAfter.Sub(now), Bytes: len(x.body.buffered),
+		TimeLeft: x.deadline.Sub(now), TargetLeft: x.lateAfter.Sub(now), Bytes: x.body.size(),
 		Tried: x.triedServers, FirstAttempt: x.last == nil, Retry: x.attempts > 0, Random: rand.Float64(),
 	}
 }
@@ -187,6 +192,8 @@
 		return false
 	case a.response != nil && !a.notRun && (!isRefusal(a.status()) || x.route.Kind.Idempotent()):
 		return x.writeResponse(a.response)
+	case x.body.isTooLarge():
+		x.writeFailure(http.StatusRequestEntityTooLarge, ReasonBodyTooLarge, 0)
 	case !x.mayHaveRun:
 		x.writeFailure(http.StatusServiceUnavailable, Reason(a.result.Outcome.String()), x.h.retryAfter(0))
 	case x.h.abortCtx.Err() != nil:
@@ -215,8 +222,9 @@
 	x.w.WriteHeader(resp.http.StatusCode)
 	_, err := x.w.Write(resp.buffered)
 	if err == nil && !resp.complete {
+		resp.releaseBuffer()
 		stop := resp.conn.interruptOn(x.ctx)
-		_, err = io.Copy(x.w, resp.http.Body)
+		err = x.copyBody(resp.http.Body)
 		stop()
 		_ = resp.conn.raw.Close()
 	}
@@ -228,6 +236,22 @@
 	return true
 }
 
+// Sizes of the buffer through which a body is passed on.
+const (
+	copyBytes    = 32 << 10
+	minCopyBytes = 4 << 10 // if there is no memory for more; as a connection's own buffer
+)
+
+// copyBody passes a server's body on to the caller. Errors: those of reading and writing.
+func (x *exchange) copyBody(source io.Reader) error {
+	size := copyBytes
+	if !x.holder.TryReserve(copyBytes) {
+		size = minCopyBytes
+	}
+	_, err := io.CopyBuffer(x.w, source, make([]byte, size))
+	return err
+}
+
 // writeFailure responds with an empty body and a status that this entry VM chose.
 func (x *exchange) writeFailure(status int, reason Reason, retryAfter time.Duration) {
 	header := x.w.Header()
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -41,6 +41,7 @@
 	ReasonTimeout            Reason = "timeout"
 	ReasonStopping           Reason = "stopping" // the process stopped before it was served
 	ReasonUnknownKey         Reason = "unknown-key"
+	ReasonNoMemory           Reason = "no-memory"        // the body found no room
 	ReasonKeysUnconfirmed    Reason = "keys-unconfirmed" // a key may have been withdrawn without this entry VM knowing
 )
 
@@ -131,7 +132,7 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h.inFlight.Add(1)
 	defer h.inFlight.Add(-1)
-	x := &exchange{h: h, w: w, r: r, start: time.Now(), id: r.Header.Get(h.opts.Headers.RequestID)}
+	x := &exchange{h: h, w: w, r: r, start: time.Now(), id: r.Header.Get(h.opts.Headers.RequestID), holder: holderOf(w)}
 	x.setReadDeadline(x.start.Add(rejectedBodyTimeout))
 	if h.refusingRequests.Load() {
 		x.writeFailure(http.StatusServiceUnavailable, ReasonStopping, h.retryAfter(0))
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -117,9 +117,12 @@
 		go func() {
 			// A failed write shows as a connection without a response.
 			a.written.Store(writeRequest(c, req) == nil)
+			if x.body.callerError() != nil {
+				_ = c.raw.Close() // the server must not wait for the rest
+			}
 		}()
 	}
-	return readResponse(c, a.to.Address, x.id, &x.h.opts.Headers, req)
+	return readResponse(c, a.to.Address, x.id, &x.h.opts.Headers, req, x.holder)
 }
 
 func writeRequest(c *conn, req *http.Request) error {
@@ -176,6 +179,9 @@
 			a.result.Outcome = placement.OutcomeCancelled
 		}
 		return
+	case a.err != nil && x.body.callerError() != nil:
+		a.result.Outcome = placement.OutcomeCancelled
+		return
 	case a.err != nil:
 		a.result.Outcome = placement.OutcomeNoResponse
 		if x.ctx.Err() != nil {
@@ -193,7 +199,7 @@
 	}
 	a.result.Leaving = names.ParseLeaving(h.Get(names.Leaving))
 	a.result.Backoff = backoffOf(a.response.http)
-	a.result.Bytes = len(a.response.buffered) + len(x.body.buffered)
+	a.result.Bytes = len(a.response.buffered) + x.body.size()
 	switch {
 	case a.response.http.StatusCode == http.StatusMisdirectedRequest:
 		a.notRun = true
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -33,7 +33,11 @@
 const (
 	sweepInterval  = time.Second
 	tcpUserTimeout = time.Second // a connection is closed if sent bytes stay unacknowledged for this long
-	maxHeaderBytes = 64 << 10    // larger than any configuration allows so far
+)
+
+// Limits on callers while no configuration sets them.
+const (
+	maxHeaderBytes = 64 << 10 // larger than any configuration allows so far
 	idleTimeout    = time.Minute
 	headerTimeout  = 10 * time.Second
 )
@@ -51,9 +55,11 @@
 	store    *countedStore
 	registry *prometheus.Registry
 	log      logrus.FieldLogger
+	closures *closures
 
 	stop           context.CancelFunc
 	stopAnnouncing context.CancelFunc // ends the listing of this entry VM
+	limits         *httpserver.Limits // of all servers
 	loops          sync.WaitGroup
 	requestServer  *httpserver.Server   // for callers; nil if there is no request listener
 	auxServers     []*httpserver.Server // for readiness, directory and metrics
@@ -86,6 +92,7 @@
 	if err != nil {
 		return err
 	}
+	listener = limitConns(listener, d.settings.maxPeerConns(), d.closures.record)
 	d.loops.Go(func() { d.sharing.servePeers(ctx, listener) })
 	d.loops.Go(func() { d.sharing.run(ctx) })
 	return nil
@@ -105,6 +112,7 @@
 func (d *daemon) sweepPool(ctx context.Context) {
 	for clock.Sleep(ctx, sweepInterval) == nil {
 		d.pool.CloseExpired(time.Now())
+		d.limits.Sweep(time.Now())
 	}
 }
 
@@ -183,7 +191,7 @@
 	}
 	server := httpserver.New(listener, httpserver.Options{
 		Handler: handler, RunsAhead: runsAhead, HeadTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		MaxHeadBytes: maxHeaderBytes, Log: d.log,
+		MaxHeadBytes: maxHeaderBytes, Log: d.log, Limits: d.limits, CallerLimits: d.callerLimits,
 	})
 	d.loops.Go(func() {
 		if err := server.Serve(); err != nil {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -20,6 +20,7 @@
 	notices         *prometheus.CounterVec
 	ignoredEntries  prometheus.Counter
 	outdatedEntries prometheus.Counter
+	closures        *prometheus.CounterVec
 
 	storeCalls       *prometheus.CounterVec
 	storeCallSeconds *prometheus.HistogramVec
@@ -64,6 +65,10 @@
 			Namespace: "azureflow", Name: "gateway_outdated_entries_total",
 			Help: "Entries of servers that the store wrote after later ones of the same server, or after its removal.",
 		}),
+		closures: auto.NewCounterVec(prometheus.CounterOpts{
+			Namespace: "azureflow", Name: "gateway_caller_closures_total",
+			Help: "Connections of callers that were closed, and requests that were refused, to protect the VM, by reason.",
+		}, []string{"reason"}),
 		storeCalls: auto.NewCounterVec(prometheus.CounterOpts{
 			Namespace: "azureflow", Name: "gateway_store_calls_total", Help: "Calls of the platform's store.",
 		}, []string{"call", "outcome"}),
--- a/internal/gateway/module.go
+++ b/internal/gateway/module.go
@@ -9,6 +9,7 @@
 	"go.uber.org/fx"
 
 	"github.com/azureflow/azureflow/internal/forward"
+	"github.com/azureflow/azureflow/internal/httpserver"
 	"github.com/azureflow/azureflow/internal/kv"
 	"github.com/azureflow/azureflow/internal/peer"
 	"github.com/azureflow/azureflow/internal/placement"
@@ -33,9 +34,10 @@
 		fx.Supply(opts.Settings, opts.Catalog, opts),
 		fx.Provide(
 			provideLogger, provideCountedStore, provideStore, provideChooser, newFollower, newPresence, newSharing, prometheus.NewRegistry,
-			provideMetrics, newStateCollector, newJournal, providePeers, providePool, provideHandler, provideDaemon,
+			provideMetrics, newStateCollector, newJournal, providePeers, providePool, provideHandler, provideDaemon, newClosures,
+			provideLimits,
 		),
-		fx.Invoke(registerState, newDaemon),
+		fx.Invoke(registerState, applyMemoryLimit, newDaemon),
 		fx.StopTimeout(opts.Settings.StopTimeout()),
 	)
 }
@@ -78,9 +80,10 @@
 
 func provideDaemon(
 	opts Options, s *Settings, c *Catalog, f *follower, p *presence, h *forward.Handler, pool *forward.Pool, sharing *sharing,
-	store *countedStore, registry *prometheus.Registry, log logrus.FieldLogger,
+	store *countedStore, registry *prometheus.Registry, log logrus.FieldLogger, closures *closures, limits *httpserver.Limits,
 ) *daemon {
 	return &daemon{
 		opts: opts, settings: s, catalog: c, follower: f, presence: p, handler: h, pool: pool, sharing: sharing, store: store, registry: registry, log: log,
+		closures: closures, limits: limits,
 	}
 }
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -19,6 +19,8 @@
 	Zones        map[steering.ZoneName]steering.RegionName // of the deployment
 	StoreAddress string                                    // host:port of the platform's store
 	LinkMbit     float64                                   // bandwidth of the VM's own link, Mbit/s; 0: unknown
+	Memory       int64                                     // of the VM, bytes; 0: unknown
+	MaxSockets   int                                       // that the process may have open; 0: unknown
 	Listen       ListenSettings
 	Seeds        []string      // peer addresses of some entry VMs, host:port; any of them may be down
 	MinLeaseTTL  time.Duration // the shortest TTL that the store grants
--- a/internal/httpserver/body.go
+++ b/internal/httpserver/body.go
@@ -5,6 +5,8 @@
 	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
+	"time"
 )
 
 // maxSkippedBodyBytes is how much of a body that the handler did not read is skipped to keep the connection.
@@ -18,6 +20,9 @@
 	length   int64         // declared; -1 if unknown
 	done     chan struct{} // closed once the connection's reader may continue behind the body
 
+	waited   atomic.Int64 // nanoseconds for which reads waited for the caller
+	received atomic.Int64 // bytes
+
 	mu        sync.Mutex
 	read      int64
 	complete  bool  // all of it was read
@@ -46,7 +51,7 @@
 			return 0, err
 		}
 	}
-	n, err := b.source.Read(p)
+	n, err := b.readSource(p)
 	b.read += int64(n)
 	if err != nil {
 		b.err = err
@@ -58,6 +63,17 @@
 	return n, err
 }
 
+// readSource reads from the connection and records how long the caller was waited for.
+func (b *requestBody) readSource(p []byte) (int, error) {
+	since := time.Now()
+	b.conn.bodyReadSince.Store(since.UnixNano())
+	n, err := b.source.Read(p)
+	b.conn.bodyReadSince.Store(0)
+	b.waited.Add(int64(time.Since(since)))
+	b.received.Add(int64(n))
+	return n, err
+}
+
 // Close implements io.Closer.
 func (b *requestBody) Close() error {
 	b.mu.Lock()
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -41,18 +41,27 @@
 	changed chan struct{} // capacity 1: a request in flight has ended
 	held    atomic.Int64  // bytes of responses that wait for their turn
 
+	charged       atomic.Int64 // bytes that its requests hold, see Limits
+	bufferCharged int64        // of the read buffer, beyond that of a new connection; owned by the reading goroutine
+	lastRead      atomic.Int64 // when bytes last came, Unix nanoseconds
+	bodyReadSince atomic.Int64 // since when the next bytes of a body are waited for, Unix nanoseconds; 0: they are not
+	writeSince    atomic.Int64 // since when a write waits for the caller, Unix nanoseconds; 0: none does
+	awaitsRoom    atomic.Bool  // nothing is read for want of memory
+
 	mu            sync.Mutex
 	inFlight      []*response // in the order of their requests
 	isReadingHead bool
 	isWaiting     bool // the reading goroutine waits for a request in flight
 	isClosing     bool // no further request is accepted
 	lingers       bool // the caller may still send when the connection closes
+	isEvicted     bool // it is being closed for others
 }
 
 func newConn(s *Server, raw net.Conn) *conn {
 	c := &conn{server: s, raw: raw, work: make(chan *response), changed: make(chan struct{}, 1)}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	c.reader = bufio.NewReaderSize(c, readBufferBytes)
+	c.lastRead.Store(time.Now().UnixNano())
 	if addr := raw.RemoteAddr(); addr != nil {
 		c.remote = addr.String()
 	}
@@ -63,7 +72,9 @@
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.raw.Read(p)
 	if n > 0 {
-		c.server.lastRead.Store(time.Now().UnixNano())
+		now := time.Now().UnixNano()
+		c.lastRead.Store(now)
+		c.server.lastRead.Store(now)
 	}
 	return n, err
 }
@@ -72,13 +83,15 @@
 func (c *conn) serve() {
 	defer c.end()
 	for c.awaitHead() {
-		r, err := c.readRequest()
+		r, headCharged, err := c.readRequest()
 		if err != nil {
 			c.rejectHead(err)
 			return
 		}
 		w := newResponse(c, r)
+		w.charge(headCharged)
 		if !c.admit(w) {
+			w.releaseCharged()
 			return
 		}
 		c.dispatch(w)
@@ -99,6 +112,7 @@
 	c.cancel()
 	c.linger()
 	_ = c.raw.Close()
+	c.server.opts.Limits.release(c.bufferCharged)
 	c.server.removeConn(c)
 }
 
@@ -123,6 +137,7 @@
 		if !c.startAwaiting() {
 			return false
 		}
+		c.shrinkBuffer()
 		_, err := c.reader.Peek(1)
 		if err == nil {
 			return c.startHead()
@@ -146,12 +161,12 @@
 	defer c.mu.Unlock()
 	c.isReadingHead = false
 	switch {
-	case c.isClosing:
+	case c.isClosing || c.isEvicted:
 		return false
 	case len(c.inFlight) > 0:
 		c.setReadDeadline(time.Time{})
 	default:
-		c.setReadDeadline(time.Now().Add(c.server.opts.IdleTimeout))
+		c.setReadDeadline(time.Now().Add(c.server.callerLimits().IdleTimeout))
 	}
 	return true
 }
@@ -164,7 +179,7 @@
 		return false
 	}
 	c.isReadingHead = true
-	c.setReadDeadline(time.Now().Add(c.server.opts.HeadTimeout))
+	c.setReadDeadline(time.Now().Add(c.server.callerLimits().HeadTimeout))
 	return true
 }
 
@@ -280,6 +295,7 @@
 // complete removes a request from those in flight. The response to the next one may then be written.
 func (c *conn) complete(w *response) {
 	w.release()
+	w.releaseCharged()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if i := slices.Index(c.inFlight, w); i >= 0 {
@@ -293,7 +309,7 @@
 	case c.isClosing || c.isWaiting:
 		c.setReadDeadline(past)
 	case len(c.inFlight) == 0 && !c.isReadingHead:
-		c.setReadDeadline(time.Now().Add(c.server.opts.IdleTimeout))
+		c.setReadDeadline(time.Now().Add(c.server.callerLimits().IdleTimeout))
 	}
 	select {
 	case c.changed <- struct{}{}:
@@ -325,7 +341,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	isLast := len(c.inFlight) <= 1
-	if isForced || isLast && (isWished || c.server.keepAlivesDisabled.Load()) {
+	if isForced || isLast && (isWished || c.isEvicted || c.server.keepAlivesDisabled.Load()) {
 		c.isClosing = true
 	}
 	return c.isClosing
--- a/internal/httpserver/head.go
+++ b/internal/httpserver/head.go
@@ -4,16 +4,21 @@
 	"bufio"
 	"bytes"
 	"errors"
+	"io"
+	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
+	"time"
 
 	"golang.org/x/net/http/httpguts"
 )
 
 // RequestError reports a request that is rejected before it reaches the handler.
 type RequestError struct {
-	Status  int // of the response
-	Problem string
+	Status     int // of the response
+	Problem    string
+	RetryAfter time.Duration // 0: none
 }
 
 // Error implements error.
@@ -27,20 +32,23 @@
 // Errors: *RequestError if it is longer than the limit, those of reading.
 func (c *conn) peekHead() ([]byte, error) {
 	scanned := 0
+	limit := c.server.callerLimits().HeadBytes
 	for {
 		buffered, _ := c.reader.Peek(c.reader.Buffered())
 		if end := headEnd(buffered, scanned); end > 0 {
-			if end > c.server.opts.MaxHeadBytes {
+			if end > limit {
 				return nil, &RequestError{Status: http.StatusRequestHeaderFieldsTooLarge, Problem: "head too large"}
 			}
 			return buffered[:end], nil
 		}
 		scanned = len(buffered)
-		if scanned > c.server.opts.MaxHeadBytes {
+		if scanned > limit {
 			return nil, &RequestError{Status: http.StatusRequestHeaderFieldsTooLarge, Problem: "head too large"}
 		}
 		if scanned == c.reader.Size() {
-			c.reader = bufio.NewReaderSize(c.reader, 2*c.reader.Size())
+			if err := c.growBuffer(buffered); err != nil {
+				return nil, err
+			}
 		}
 		if _, err := c.reader.Peek(scanned + 1); err != nil {
 			return nil, err
@@ -70,6 +78,7 @@
 // headFields are the fields of a head that decide where the request ends and for whom it is.
 type headFields struct {
 	hosts             []string
+	count             int
 	contentLengths    int
 	transferEncodings int
 }
@@ -99,6 +108,7 @@
 		if !found || !httpguts.ValidHeaderFieldName(name) || !httpguts.ValidHeaderFieldValue(value) {
 			return fields, badRequest("invalid header line")
 		}
+		fields.count++
 		switch strings.ToLower(name) {
 		case "host":
 			fields.hosts = append(fields.hosts, strings.Trim(value, " \t"))
@@ -111,27 +121,68 @@
 	return fields, nil
 }
 
-// readRequest reads the next request up to its body. Errors: *RequestError, those of reading.
-func (c *conn) readRequest() (*http.Request, error) {
+// readRequest reads the next request up to its body. charged is the memory that is reserved for its head. Errors:
+// *RequestError, those of reading.
+func (c *conn) readRequest() (r *http.Request, charged int64, err error) {
 	head, err := c.peekHead()
 	if err != nil {
-		return nil, err
+		return nil, 0, err
 	}
 	fields, err := checkHead(head)
 	if err != nil {
-		return nil, err
+		return nil, 0, err
+	}
+	charged = int64(2*len(head) + fields.count*fieldBytes) // its text is copied once
+	if c.server.opts.Limits.reserve(c, charged) != nil {
+		return nil, 0, noRoom()
 	}
+	if r, err = c.parseRequest(&fields); err != nil {
+		c.server.opts.Limits.release(charged)
+		return nil, 0, err
+	}
+	return r, charged, nil
+}
+
+// parseRequest consumes the head in the read buffer. Errors: *RequestError.
+func (c *conn) parseRequest(fields *headFields) (*http.Request, error) {
 	r, err := http.ReadRequest(c.reader)
 	if err != nil {
 		return nil, badRequest(err.Error())
 	}
-	if err := checkRequest(r, &fields); err != nil {
+	if err := checkRequest(r, fields); err != nil {
 		return nil, err
 	}
 	r.RemoteAddr = c.remote
 	return r, nil
 }
 
+// noRoom returns the error of a request for whose head there is no memory.
+func noRoom() *RequestError {
+	// Callers come back after half to one and a half times the wait for room, not all at once.
+	return &RequestError{Status: http.StatusServiceUnavailable, Problem: "no memory", RetryAfter: maxRoomWait/2 + rand.N(maxRoomWait)}
+}
+
+// growBuffer doubles the read buffer, which is full with buffered. Errors: *RequestError if there is no memory for it.
+func (c *conn) growBuffer(buffered []byte) error {
+	size := 2 * c.reader.Size()
+	if c.server.opts.Limits.reserve(c, int64(size)) != nil {
+		return noRoom()
+	}
+	c.bufferCharged += int64(size)
+	c.reader = bufio.NewReaderSize(io.MultiReader(bytes.NewReader(slices.Clone(buffered)), c), size)
+	return nil
+}
+
+// shrinkBuffer replaces a read buffer that grew for an earlier head, once all of it is used.
+func (c *conn) shrinkBuffer() {
+	if c.bufferCharged == 0 || c.reader.Buffered() > 0 {
+		return
+	}
+	c.reader = bufio.NewReaderSize(c, readBufferBytes)
+	c.server.opts.Limits.release(c.bufferCharged)
+	c.bufferCharged = 0
+}
+
 // checkRequest rejects requests that net/http's server rejects, and those whose length is given in two ways.
 // Errors: *RequestError.
 func checkRequest(r *http.Request, fields *headFields) error {
--- a/internal/httpserver/response.go
+++ b/internal/httpserver/response.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -35,9 +36,10 @@
 	header      http.Header
 	status      int // 0 until WriteHeader
 	length      int64
-	written     int64  // bytes of the body that the handler wrote
-	held        []byte // of these, those that are not sent yet
-	reserved    int    // of the server's budget for held bytes
+	written     int64        // bytes of the body that the handler wrote
+	held        []byte       // of these, those that are not sent yet
+	reserved    int          // of the server's budget for held bytes
+	charged     atomic.Int64 // bytes reserved for this request, see Limits
 	headSent    bool
 	isChunked   bool
 	closeFramed bool // the end of the connection ends the body
@@ -150,6 +152,10 @@
 	if w.conn.held.Load()+int64(len(p)) > maxHeldPerConn || !w.conn.server.reserveHeld(len(p)) {
 		return false
 	}
+	if !w.TryReserve(int64(len(p))) {
+		w.conn.server.heldBytes.Add(-int64(len(p)))
+		return false
+	}
 	w.conn.held.Add(int64(len(p)))
 	w.reserved += len(p)
 	w.held = append(w.held, p...)
@@ -166,9 +172,15 @@
 	}
 }
 
+// releaseCharged returns the memory that is still reserved for the request.
+func (w *response) releaseCharged() { w.Release(w.charged.Load()) }
+
 // writeRejection responds to a request that is not handled.
 func (w *response) writeRejection() {
 	w.header["Content-Length"] = []string{"0"}
+	if w.rejected.RetryAfter > 0 {
+		w.header["Retry-After"] = []string{strconv.FormatFloat(w.rejected.RetryAfter.Seconds(), 'f', 3, 64)}
+	}
 	w.WriteHeader(w.rejected.Status)
 }
 
@@ -269,7 +281,10 @@
 // writeAll writes the buffers to the caller. A failed write ends all requests of the connection.
 func (w *response) writeAll(b net.Buffers) error {
 	raw := w.conn.raw
-	_ = raw.SetWriteDeadline(time.Now().Add(writeTimeout))
+	now := time.Now()
+	_ = raw.SetWriteDeadline(now.Add(writeTimeout))
+	w.conn.writeSince.Store(now.UnixNano())
+	defer w.conn.writeSince.Store(0)
 	var err error
 	if len(b) == 1 {
 		_, err = raw.Write(b[0])
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -31,6 +31,9 @@
 	MaxInFlight  int           // requests of one connection; default 32
 	MaxAhead     int           // requests of all connections that run ahead of earlier ones; default 256
 	MaxHeldBytes int64         // responses of all connections that wait for earlier ones; default 16 MiB
+	Limits       *Limits       // shared with other servers; nil: none
+	// CallerLimits returns the limits in force, which replace those above where they are positive. nil: none.
+	CallerLimits func() CallerLimits
 	Log          logrus.FieldLogger
 }
 
@@ -56,6 +59,9 @@
 	if o.RunsAhead == nil {
 		o.RunsAhead = func(*http.Request) bool { return false }
 	}
+	if o.CallerLimits == nil {
+		o.CallerLimits = func() CallerLimits { return CallerLimits{} }
+	}
 	if o.Log == nil {
 		o.Log = logrus.StandardLogger()
 	}
@@ -79,7 +85,24 @@
 
 // New returns a Server for the connections of listener.
 func New(l net.Listener, opts Options) *Server {
-	return &Server{listener: &listener{Listener: l}, opts: opts.withDefaults(), conns: make(map[*conn]struct{})}
+	s := &Server{listener: &listener{Listener: l}, opts: opts.withDefaults(), conns: make(map[*conn]struct{})}
+	s.opts.Limits.add(s)
+	return s
+}
+
+// callerLimits returns the limits in force.
+func (s *Server) callerLimits() CallerLimits {
+	limits := s.opts.CallerLimits()
+	if limits.HeadBytes <= 0 {
+		limits.HeadBytes = s.opts.MaxHeadBytes
+	}
+	if limits.HeadTimeout <= 0 {
+		limits.HeadTimeout = s.opts.HeadTimeout
+	}
+	if limits.IdleTimeout <= 0 {
+		limits.IdleTimeout = s.opts.IdleTimeout
+	}
+	return limits
 }
 
 // acceptRetryDelay is the pause after a connection could not be accepted for lack of descriptors.
@@ -97,6 +120,7 @@
 		case errors.Is(err, net.ErrClosed):
 			return nil
 		case isTransientAcceptError(err):
+			s.opts.Limits.makeRoom(time.Now())
 			time.Sleep(acceptRetryDelay)
 		default:
 			return err
@@ -109,11 +133,16 @@
 }
 
 func (s *Server) startConn(raw net.Conn) {
+	if !s.opts.Limits.admit(raw.RemoteAddr(), time.Now()) {
+		_ = raw.Close()
+		return
+	}
 	c := newConn(s, raw)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.closed {
 		_ = raw.Close()
+		s.opts.Limits.remove()
 		return
 	}
 	s.conns[c] = struct{}{}
@@ -124,6 +153,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.conns, c)
+	s.opts.Limits.remove()
 }
 
 // DisableKeepAlives makes responses from now on ask the caller to close the connection.
