--- a/internal/httpserver/body.go
+++ b/internal/httpserver/body.go
@@ -66,7 +66,7 @@
 // readSource reads from the connection and records how long the caller was waited for.
 func (b *requestBody) readSource(p []byte) (int, error) {
 	since := time.Now()
-	b.conn.bodyReadSince.Store(since.UnixNano())
+	b.conn.bodyReadSince.Store(b.conn.server.ticks(since))
 	n, err := b.source.Read(p)
 	b.conn.bodyReadSince.Store(0)
 	b.waited.Add(int64(time.Since(since)))
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -43,9 +43,9 @@
 
 	charged       atomic.Int64 // bytes that its requests hold, see Limits
 	bufferCharged int64        // of the read buffer, beyond that of a new connection; owned by the reading goroutine
-	lastRead      atomic.Int64 // when bytes last came, Unix nanoseconds
-	bodyReadSince atomic.Int64 // since when the next bytes of a body are waited for, Unix nanoseconds; 0: they are not
-	writeSince    atomic.Int64 // since when a write waits for the caller, Unix nanoseconds; 0: none does
+	lastRead      atomic.Int64 // when bytes last came, ticks
+	bodyReadSince atomic.Int64 // since when the next bytes of a body are waited for, ticks; 0: they are not
+	writeSince    atomic.Int64 // since when a write waits for the caller, ticks; 0: none does
 	awaitsRoom    atomic.Bool  // nothing is read for want of memory
 
 	mu            sync.Mutex
@@ -61,7 +61,7 @@
 	c := &conn{server: s, raw: raw, work: make(chan *response), changed: make(chan struct{}, 1)}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	c.reader = bufio.NewReaderSize(c, readBufferBytes)
-	c.lastRead.Store(time.Now().UnixNano())
+	c.lastRead.Store(s.ticks(time.Now()))
 	if addr := raw.RemoteAddr(); addr != nil {
 		c.remote = addr.String()
 	}
@@ -72,9 +72,9 @@
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.raw.Read(p)
 	if n > 0 {
-		now := time.Now().UnixNano()
-		c.lastRead.Store(now)
-		c.server.lastRead.Store(now)
+		now := time.Now()
+		c.lastRead.Store(c.server.ticks(now))
+		c.server.lastRead.Store(now.UnixNano())
 	}
 	return n, err
 }
--- a/internal/httpserver/evict.go
+++ b/internal/httpserver/evict.go
@@ -14,7 +14,7 @@
 	if c.isEvicted {
 		return candidate{}, true
 	}
-	found = candidate{conn: c, caller: c.callerIP(), bytes: c.charged.Load(), since: time.Unix(0, c.lastRead.Load())}
+	found = candidate{conn: c, caller: c.callerIP(), bytes: c.charged.Load(), since: c.server.timeAt(c.lastRead.Load())}
 	bodySince, writeSince := c.bodyReadSince.Load(), c.writeSince.Load()
 	switch {
 	case c.awaitsRoom.Load():
@@ -23,9 +23,9 @@
 	case len(c.inFlight) == 0:
 		found.reason = ReasonPartialHead
 	case bodySince != 0:
-		found.reason, found.since = ReasonStalledBody, time.Unix(0, bodySince)
+		found.reason, found.since = ReasonStalledBody, c.server.timeAt(bodySince)
 	case writeSince != 0:
-		found.reason, found.since = ReasonUnread, time.Unix(0, writeSince)
+		found.reason, found.since = ReasonUnread, c.server.timeAt(writeSince)
 	}
 	return found, false
 }
@@ -77,7 +77,7 @@
 	if b == nil {
 		return false
 	}
-	waited := time.Duration(b.waited.Load()) + now.Sub(time.Unix(0, since))
+	waited := time.Duration(b.waited.Load()) + now.Sub(c.server.timeAt(since))
 	if !isTooSlow(waited, b.received.Load()) {
 		return false
 	}
--- a/internal/httpserver/response.go
+++ b/internal/httpserver/response.go
@@ -283,7 +283,7 @@
 	raw := w.conn.raw
 	now := time.Now()
 	_ = raw.SetWriteDeadline(now.Add(writeTimeout))
-	w.conn.writeSince.Store(now.UnixNano())
+	w.conn.writeSince.Store(w.conn.server.ticks(now))
 	defer w.conn.writeSince.Store(0)
 	var err error
 	if len(b) == 1 {
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -75,6 +75,7 @@
 	keepAlivesDisabled atomic.Bool
 	accepting          atomic.Bool
 	lastRead           atomic.Int64 // when bytes were last read, Unix nanoseconds
+	startedAt          time.Time
 	ahead              atomic.Int64 // requests that run ahead of earlier ones of their connection
 	heldBytes          atomic.Int64 // of responses that wait for earlier ones
 
@@ -85,11 +86,18 @@
 
 // New returns a Server for the connections of listener.
 func New(l net.Listener, opts Options) *Server {
-	s := &Server{listener: &listener{Listener: l}, opts: opts.withDefaults(), conns: make(map[*conn]struct{})}
+	s := &Server{listener: &listener{Listener: l}, opts: opts.withDefaults(), conns: make(map[*conn]struct{}), startedAt: time.Now()}
 	s.opts.Limits.add(s)
 	return s
 }
 
+// ticks returns t as nanoseconds of the steady clock since the server's start, which go on neither while the VM is
+// suspended nor when the time of day is set. They are never 0.
+func (s *Server) ticks(t time.Time) int64 { return int64(t.Sub(s.startedAt)) + 1 }
+
+// timeAt returns the time of ticks.
+func (s *Server) timeAt(ticks int64) time.Time { return s.startedAt.Add(time.Duration(ticks - 1)) }
+
 // callerLimits returns the limits in force.
 func (s *Server) callerLimits() CallerLimits {
 	limits := s.opts.CallerLimits()
