--- a/internal/forward/limits_test.go
+++ b/internal/forward/limits_test.go
@@ -6,6 +6,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"testing/synctest"
 
 	"github.com/azureflow/azureflow/internal/memory"
 )
@@ -96,3 +97,17 @@
 		}
 	})
 }
+
+// The server must not wait for the rest of a body that its caller does not send, and nothing may be promised.
+func TestBodyThatStopsAfterItsBeginningWasPassedOn(t *testing.T) {
+	withTestEnv(t, []script{respondOK}, func(t *testing.T, env *testEnv) {
+		r := newRequest("POST", "/upload/x", "")
+		r.ContentLength = bufferedBodyBytes + 200
+		r.Body = io.NopCloser(io.MultiReader(strings.NewReader(strings.Repeat("b", bufferedBodyBytes+100)), failingReader{}))
+		h := env.serveWithin(4<<20, r)
+		synctest.Wait()
+		if h.Code != http.StatusBadGateway || env.servers[0].closedConnCount() != 1 || h.held > streamBytes {
+			t.Errorf("status %d, %d connections closed, %d bytes held", h.Code, env.servers[0].closedConnCount(), h.held)
+		}
+	})
+}
