--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -43,6 +43,7 @@
 	ReasonNoKey              Reason = "no-key"      // on a route that needs one
 	ReasonUnknownKey         Reason = "unknown-key" // or an Authorization header that holds none
 	ReasonOverQuota          Reason = "over-quota"
+	ReasonNoMemory           Reason = "no-memory"        // the body found no room
 	ReasonKeysUnconfirmed    Reason = "keys-unconfirmed" // a key may have been withdrawn without this entry VM knowing
 )
 
@@ -147,7 +148,7 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h.inFlight.Add(1)
 	defer h.inFlight.Add(-1)
-	x := &exchange{h: h, w: w, r: r, start: time.Now(), id: r.Header.Get(h.opts.Headers.RequestID)}
+	x := &exchange{h: h, w: w, r: r, start: time.Now(), id: r.Header.Get(h.opts.Headers.RequestID), holder: holderOf(w)}
 	x.setReadDeadline(x.start.Add(rejectedBodyTimeout))
 	if h.refusingRequests.Load() {
 		x.writeFailure(http.StatusServiceUnavailable, ReasonStopping, h.retryAfter(0))
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -117,10 +117,15 @@
 			return nil, err
 		}
 	} else {
-		// A failed write shows as a connection without a response.
-		go func() { a.written.end(writeRequest(c, req)) }()
+		go func() {
+			// A failed write shows as a connection without a response.
+			a.written.end(writeRequest(c, req))
+			if x.body.callerError() != nil {
+				_ = c.raw.Close() // the server must not wait for the rest
+			}
+		}()
 	}
-	resp, err := readResponse(c, a.to.Address, x.id, &x.h.opts.Headers, req)
+	resp, err := readResponse(c, a.to.Address, x.id, &x.h.opts.Headers, req, x.holder)
 	if resp != nil {
 		resp.written = &a.written
 	}
@@ -215,6 +220,9 @@
 			a.result.Outcome = placement.OutcomeCancelled
 		}
 		return
+	case a.err != nil && x.body.callerError() != nil:
+		a.result.Outcome = placement.OutcomeCancelled
+		return
 	case a.err != nil:
 		a.result.Outcome = placement.OutcomeNoResponse
 		if x.ctx.Err() != nil {
@@ -232,7 +240,7 @@
 	}
 	a.result.Leaving = names.ParseLeaving(h.Get(names.Leaving))
 	a.result.Backoff = backoffOf(a.response.http)
-	a.result.Bytes = len(a.response.buffered) + len(x.body.buffered)
+	a.result.Bytes = len(a.response.buffered) + x.body.size()
 	switch {
 	case a.response.http.StatusCode == http.StatusMisdirectedRequest:
 		a.notRun = true
--- a/internal/gateway/module.go
+++ b/internal/gateway/module.go
@@ -9,6 +9,7 @@
 	"go.uber.org/fx"
 
 	"github.com/azureflow/azureflow/internal/forward"
+	"github.com/azureflow/azureflow/internal/httpserver"
 	"github.com/azureflow/azureflow/internal/kv"
 	"github.com/azureflow/azureflow/internal/peer"
 	"github.com/azureflow/azureflow/internal/placement"
@@ -34,9 +35,9 @@
 		fx.Provide(
 			provideLogger, provideCountedStore, provideStore, provideChooser, newFollower, newPresence, newSharing, prometheus.NewRegistry,
 			provideMetrics, newStateCollector, newJournal, providePeers, providePool, provideHandler, provideDaemon,
-			newQuotaMetrics, newQuotas,
+			newQuotaMetrics, newQuotas, newClosures, provideLimits,
 		),
-		fx.Invoke(registerState, registerQuotas, newDaemon),
+		fx.Invoke(registerState, registerQuotas, applyMemoryLimit, newDaemon),
 		fx.StopTimeout(opts.Settings.StopTimeout()),
 	)
 }
@@ -81,11 +82,12 @@
 
 func provideDaemon(
 	opts Options, s *Settings, c *Catalog, f *follower, p *presence, h *forward.Handler, pool *forward.Pool, sharing *sharing,
-	store *countedStore, registry *prometheus.Registry, log logrus.FieldLogger, q *quotas,
+	store *countedStore, registry *prometheus.Registry, log logrus.FieldLogger, q *quotas, closures *closures,
+	limits *httpserver.Limits,
 ) *daemon {
 	sharing.quotaHome = q.home
 	return &daemon{
-		quotas: q,
-		opts:   opts, settings: s, catalog: c, follower: f, presence: p, handler: h, pool: pool, sharing: sharing, store: store, registry: registry, log: log,
+		quotas: q, opts: opts, settings: s, catalog: c, follower: f, presence: p, handler: h, pool: pool, sharing: sharing, store: store, registry: registry, log: log,
+		closures: closures, limits: limits,
 	}
 }
