placement: bounds of admission apply where all slots of a region are taken

Bounds held already where 0.9 of the slots were taken, so that some refused requests had free slots.

--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -106,7 +106,7 @@
 		done, sent := try(t)
 		switch {
 		case !done:
-			q.remove(t)
+			q.remove(t) // and added again below, since the try may have changed its order
 			kept = append(kept, t)
 		case sent:
 			q.countTurn(t)
--- a/internal/placement/cost.go
+++ b/internal/placement/cost.go
@@ -16,8 +16,8 @@
 	byteCostBetweenRegions = 2.6e-6
 	// Utilization of a region's slots below which it is sent requests that the neighboring regions have no capacity for.
 	freeCapacityThreshold = 0.4
-	// Utilization of a region's slots from which a wait is a lack of room rather than the queue of single servers.
-	fullThreshold = 0.9
+	// Utilization of a region's slots from which a wait is a lack of room and not just the queue of one server.
+	fullThreshold = 1.0
 	// A cold run holds a slot for longer, and its object displaces another one. The time that a warm server saves counts
 	// this many times: on idle servers, and in addition where all slots are in use.
 	duplicateWeightIdle     = 1.0
