kv, platform: versions and leases carry the store's era

Cause: a store that comes back older gives its revisions out again, so that a revision alone orders nothing.

--- a/internal/kv/errors.go
+++ b/internal/kv/errors.go
@@ -17,7 +17,7 @@
 
 // Error implements error.
 func (e *ConflictError) Error() string {
-	return fmt.Sprintf("key %s is at version %d, expected %d", e.Key, e.Current, e.Expected)
+	return fmt.Sprintf("key %s is at version %s, expected %s", e.Key, e.Current, e.Expected)
 }
 
 // UnavailableError reports a call that certainly had no effect because the platform was unreachable.
--- a/internal/kv/kv.go
+++ b/internal/kv/kv.go
@@ -11,7 +11,7 @@
 // MaxValueBytes is the size of the largest value that the store accepts.
 const MaxValueBytes = 1_000_000
 
-// Version orders the writes of the store; it rises with each write to any key.
+// Version orders the writes of the store; it rises with each write to any key, and with the store's era.
 type Version uint64
 
 // LeaseID identifies a lease of the store; 0 means none.
@@ -47,11 +47,12 @@
 	Delete(ctx context.Context, key string, expect Version) error
 	// Watch waits until keys with prefix changed after version and returns the last state of each.
 	// It may return no entries after a long wait. A returned version below after means that the store
-	// was reset to an earlier state; the entries are then all that it holds with prefix.
+	// was reset to an earlier state; the entries are then all that it holds with prefix. A store that counts its eras
+	// returns *CompactedError instead if it is not in the era of after.
 	Watch(ctx context.Context, prefix string, after Version) ([]Entry, Version, error)
 	// Grant creates a lease that expires after ttl unless it is renewed; its keys are deleted with it.
 	Grant(ctx context.Context, ttl time.Duration) (Lease, error)
-	// KeepAlive renews a lease, or returns *LeaseExpiredError.
+	// KeepAlive renews a lease, or returns *LeaseExpiredError, also if the lease is of an era that has passed.
 	KeepAlive(ctx context.Context, id LeaseID) error
 	// Revoke ends a lease at once.
 	Revoke(ctx context.Context, id LeaseID) error
--- a/internal/kv/stale.go
+++ b/internal/kv/stale.go
@@ -12,8 +12,8 @@
 	ListStale(ctx context.Context, prefix string) ([]Entry, Version, error)
 }
 
-// CompactedError reports a watch whose starting version is older than the history that the store retains.
-// The watcher has to list the keys again.
+// CompactedError reports a watch whose starting version is older than the history that the store retains,
+// or of another era. The watcher has to list the keys again.
 type CompactedError struct {
 	Prefix string
 	After  Version
@@ -21,5 +21,5 @@
 
 // Error implements error.
 func (e *CompactedError) Error() string {
-	return fmt.Sprintf("history of %s after version %d is no longer kept", e.Prefix, e.After)
+	return fmt.Sprintf("history of %s after version %s is no longer kept", e.Prefix, e.After)
 }
