gateway: a complete copy of a peer replaces a value that it knows to be older

Cause: a VM that missed changes after which a key had its old value again keeps the key's older version, though its copy is complete. Another VM that saw one of these changes then kept the value in between until the key was written again, and asked for the complete copy each time. Change: a value in a complete copy is as of that copy's version, also where the key was not deleted in between.

--- a/internal/gateway/copy.go
+++ b/internal/gateway/copy.go
@@ -78,9 +78,9 @@
 	listed := make(map[string]bool, len(entries))
 	for _, e := range entries {
 		listed[e.Key] = true
-		// The list may come from another VM that missed the deletion and re-creation of the key and so has its older
+		// The list may come from another VM that missed changes after which the key was as before, and so has its older
 		// version.
-		if row := c.rows[e.Key]; row != nil && row.entry.Deleted && e.Version < row.entry.Version && row.entry.Version < version {
+		if row := c.rows[e.Key]; row != nil && e.Version < row.entry.Version && row.entry.Version < version {
 			e.Version = version
 		}
 		c.applyEntry(&e)
