gateway: a store that comes back older: copies, what is kept, leases

Cause: copies merged by version alone, so that a store whose revisions go back was never believed again. Change: copies take a later era at once, from the store or a peer, and nothing of an earlier one, neither content nor age; numbers of servers' entries hold across eras, so that a server that was leaving or gone does not return with the older state. Leases of an earlier era are gone; entry VMs list themselves again after a random pause. Log line 'store era rose', gauge azureflow_gateway_store_era. Stores without eras are served as before: no test of theirs was changed beyond the fake store, which now refuses watches and leases of another era, and one line more of the state that is scraped.

--- a/internal/gateway/copy.go
+++ b/internal/gateway/copy.go
@@ -12,8 +12,8 @@
 )
 
 // storeCopy is this entry VM's copy of the keys with one prefix. It is filled by reads of the store and by copies of
-// other entry VMs, in any order: for each key the highest version wins, so that no key goes back to an older version.
-// A store may execute a write long after it was sent, when later ones of the same writer have taken effect: where the
+// other entry VMs, in any order: for each key the highest version wins, so that no key goes back to an older version, and
+// none to an earlier era of the store (see rewindState). A store may execute a write long after it was sent, when later ones of the same writer have taken effect: where the
 // values are numbered, such a write does not change the copy. It is not safe for concurrent use.
 type storeCopy struct {
 	incarnation uint64 // of this copy; change numbers are valid within it
@@ -23,6 +23,7 @@
 	version     kv.Version // of the store, up to which the copy is complete
 	readAt      time.Time  // when the read that it reflects was requested; zero: it was never filled
 	digest      uint64     // sum of the fingerprints of the keys that exist; equal for copies that agree
+	rewind      rewindState
 	// inspect returns a hash of the content of an entry that matters here, and the number that its writer gave it.
 	// Changes that keep the hash are not propagated. It may remove content of e that does not matter.
 	inspect func(e *kv.Entry) (fingerprint uint64, number writeNumber)
@@ -47,7 +48,9 @@
 	latest      writeNumber // highest number of a write
 	latestAt    time.Time   // of the last change of latest, or of the deletion
 	change      uint64
-	fingerprint uint64 // 0 while deleted
+	fingerprint uint64     // 0 while deleted
+	lastLive    kv.Version // before the deletion
+	hasVanished bool       // deleted because the store that came back older lacks it; it may be written again
 }
 
 // maxTombstones is the number of tombstones above which all of them are removed.
@@ -71,13 +74,17 @@
 // applyList applies a complete list of the keys as of version, requested at readAt. It reports whether a fingerprint
 // changed.
 func (c *storeCopy) applyList(entries []kv.Entry, version kv.Version, readAt time.Time) bool {
-	if version < c.version {
+	if version < c.version || version.Era() < c.rewind.era {
 		return false
 	}
+	c.beginUpdate(version)
 	previousChange := c.change
 	listed := make(map[string]bool, len(entries))
 	for _, e := range entries {
 		listed[e.Key] = true
+		if c.hasReturned(&e) {
+			continue
+		}
 		// The list may come from another VM that missed changes after which the key was as before, and so has its older
 		// version.
 		if row := c.rows[e.Key]; row != nil && e.Version < row.entry.Version && row.entry.Version < version {
@@ -97,6 +104,10 @@
 // applyChanges applies the keys that changed up to version, requested at readAt. It reports whether a fingerprint
 // changed.
 func (c *storeCopy) applyChanges(entries []kv.Entry, version kv.Version, readAt time.Time) bool {
+	if version.Era() != c.rewind.era {
+		return false // not all that differs from this copy
+	}
+	c.beginUpdate(version)
 	changed := c.applyEntries(entries)
 	c.advanceTo(version, readAt)
 	return changed
@@ -145,7 +156,8 @@
 	}
 	entry := *e
 	fingerprint, number := c.inspect(&entry)
-	wasRecreated := !row.entry.Deleted && row.entry.Version != 0 && e.Created > row.entry.Version
+	wasRecreated := !row.entry.Deleted && row.entry.Version != 0 &&
+		e.Created.Era() == row.entry.Version.Era() && e.Created > row.entry.Version
 	if row.isOutdated(number, wasRecreated) {
 		if c.onOutdated != nil {
 			c.onOutdated(&entry, row.latest)
@@ -162,7 +174,7 @@
 	if row.entry.Deleted {
 		c.tombstones--
 	}
-	row.entry = entry
+	row.entry, row.hasVanished = entry, false
 	c.recordChange(row, fingerprint, wasRecreated)
 }
 
@@ -178,9 +190,11 @@
 	row.latestAt = time.Now()
 	if !row.entry.Deleted {
 		c.tombstones++
+		row.lastLive = row.entry.Version
+		row.hasVanished = c.rewind.isRising && row.lastLive != 0
 	}
 	row.entry = kv.Entry{Key: e.Key, Version: e.Version, Deleted: true}
-	if row.latest != (writeNumber{}) {
+	if row.latest != (writeNumber{}) || row.hasVanished {
 		row.entry.Value = value
 	}
 	c.recordChange(row, 0, false)
@@ -198,13 +212,13 @@
 }
 
 // isOutdated reports whether a write with number was executed after later ones of the same writer. A key that was
-// deleted in between does not return with the write that was known before.
+// deleted in between does not return with the write that was known before, unless the store came back older without it.
 func (r *copyRow) isOutdated(number writeNumber, wasRecreated bool) bool {
 	if number == (writeNumber{}) || r.latest == (writeNumber{}) || time.Since(r.latestAt) > lateWriteWindow {
 		return false
 	}
 	order := number.compare(r.latest)
-	return order < 0 || order == 0 && (r.entry.Deleted || wasRecreated)
+	return order < 0 || order == 0 && (r.entry.Deleted && !r.hasVanished || wasRecreated)
 }
 
 // isConsistentWith reports whether this copy is consistent with one that has digest as of version. A newer copy may
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -213,7 +213,7 @@
 	if s.err != nil {
 		return nil, 0, nil, s.err
 	}
-	if after < s.compactedAt {
+	if after < s.compactedAt || after.Era() != s.version.Era() {
 		return nil, 0, nil, &kv.CompactedError{Prefix: prefix, After: after}
 	}
 	var found []kv.Entry
@@ -249,12 +249,15 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lease++
-	return kv.Lease{ID: s.lease, TTL: ttl}, s.err
+	return kv.Lease{ID: kv.LeaseID(kv.FirstOf(s.version.Era())) + s.lease, TTL: ttl}, s.err
 }
 
-func (s *fakeStore) KeepAlive(context.Context, kv.LeaseID) error {
+func (s *fakeStore) KeepAlive(_ context.Context, id kv.LeaseID) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.err == nil && id.Era() < s.version.Era() {
+		return &kv.LeaseExpiredError{ID: id, Era: s.version.Era()}
+	}
 	return s.err
 }
 
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -44,6 +44,7 @@
 	failingReads       map[string]bool // kinds of reads that fail at present
 	serverReadFailed   bool            // a read of the servers failed since the last successful one
 	peerCopyValidUntil time.Time       // until then a peer's copy replaces own reads
+	keepsEvacuations   bool            // zones stay evacuated that the store which came back older does not name
 
 	serversRead atomic.Bool // the servers were read at least once
 }
@@ -60,6 +61,8 @@
 	}
 	f.servers = newStoreCopy(f.inspectServer)
 	f.servers.onOutdated = f.recordOutdated
+	f.operator.rewind.rewriteTime = operatorRewriteTime
+	f.servers.rewind.rewriteTime = reregisterTime + reregisterMargin
 	f.intervals.Store(newIntervals(&s.Bounds))
 	return f
 }
--- a/internal/gateway/intake.go
+++ b/internal/gateway/intake.go
@@ -17,10 +17,19 @@
 func (f *follower) updateOperator(update func(*storeCopy) bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !update(f.operator) {
+	era := f.operator.rewind.era
+	changed := update(f.operator)
+	logRise(f.log, "operator", era, f.operator)
+	if !changed && !f.keepsEvacuations {
 		return
 	}
 	zones := make(map[steering.ZoneName]bool)
+	f.keepsEvacuations = false
+	for _, e := range f.operator.vanishedEntries(time.Now()) {
+		if zone, ok := f.catalog.EvacuatedZone(e.Key); ok {
+			zones[zone], f.keepsEvacuations = true, true
+		}
+	}
 	for _, e := range f.operator.entries() {
 		if e.Key == f.catalog.ConfigKey {
 			f.applyConfig(&e)
@@ -40,6 +49,7 @@
 	if e.Version == f.configStoreVersion {
 		return
 	}
+	isOfNewEra := e.Version.Era() != f.configStoreVersion.Era()
 	f.configStoreVersion = e.Version
 	log := f.log.WithFields(logrus.Fields{"store_version": e.Version})
 	config, err := f.catalog.DecodeConfig(e.Value)
@@ -48,6 +58,9 @@
 		return
 	}
 	old := f.table.Load()
+	if old != nil && isOfNewEra && config.Version == old.Version() {
+		return // in force; the store that came back older has it still or again
+	}
 	if old != nil && config.Version <= old.Version() {
 		log.WithFields(logrus.Fields{"version": config.Version, "in_force": old.Version()}).Warn("configuration ignored")
 		return
@@ -67,8 +80,11 @@
 func (f *follower) updateServers(update func(*storeCopy) bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	previousRead := f.servers.readAt
+	previousRead, era := f.servers.readAt, f.servers.rewind.era
 	changed := update(f.servers)
+	if logRise(f.log, "servers", era, f.servers) {
+		f.registry.recordRewind(time.Now())
+	}
 	outage := false
 	if f.servers.readAt.After(previousRead) {
 		outage = f.serverReadFailed && f.registry.recordOutage(previousRead, time.Now())
--- a/internal/gateway/presence.go
+++ b/internal/gateway/presence.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -50,8 +51,9 @@
 	isLeaving atomic.Bool
 	lease     kv.LeaseID // owned by the loop that renews it
 
-	mu   sync.Mutex // guards list
-	list *storeCopy // of the entry VMs' entries
+	mu            sync.Mutex // guards the fields below
+	list          *storeCopy // of the entry VMs' entries
+	keepsVanished bool       // entry VMs count as listed that the store which came back older lacks
 }
 
 func newPresence(store kv.StaleReader, s *Settings, chooser *placement.Chooser, log logrus.FieldLogger) *presence {
@@ -66,6 +68,7 @@
 			LinkMbit: s.LinkMbit,
 		},
 	}
+	p.list.rewind.rewriteTime, p.list.rewind.hidesReturned = relistTime, true
 	if s.Bounds.DirectoryTTL > 0 {
 		p.lookupTTL = min(p.lookupTTL, s.Bounds.DirectoryTTL)
 	}
@@ -97,9 +100,13 @@
 func (p *presence) renewLease(ctx context.Context) error {
 	if p.lease != 0 {
 		err := p.store.KeepAlive(ctx, p.lease)
-		if _, expired := err.(*kv.LeaseExpiredError); !expired {
+		expired, ok := err.(*kv.LeaseExpiredError)
+		if !ok {
 			return err
 		}
+		if expired.HasEraPassed() { // so are the leases of the other entry VMs
+			_ = clock.Sleep(ctx, rand.N(relistJitter))
+		}
 	}
 	lease, err := p.store.Grant(ctx, p.leaseTTL)
 	if err != nil {
@@ -135,7 +142,9 @@
 		if err == nil {
 			p.updateList(func(c *storeCopy) bool {
 				changed := c.applyList(entries, version, requestedAt)
-				c.confirm(requestedAt) // a list older than the copy says that no newer one is to be had
+				if version.Era() == c.rewind.era {
+					c.confirm(requestedAt) // a list older than the copy says that no newer one is to be had
+				}
 				return changed
 			})
 		}
@@ -147,9 +156,13 @@
 func (p *presence) updateList(update func(*storeCopy) bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	wasRead := !p.list.readAt.IsZero()
-	if update(p.list) || !wasRead && !p.list.readAt.IsZero() {
-		p.applyList(p.list.entries())
+	wasRead, era := !p.list.readAt.IsZero(), p.list.rewind.era
+	changed := update(p.list)
+	logRise(p.log, "entry-vms", era, p.list)
+	if changed || p.keepsVanished || !wasRead && !p.list.readAt.IsZero() {
+		vanished := p.list.vanishedEntries(time.Now())
+		p.keepsVanished = len(vanished) > 0
+		p.applyList(append(p.list.entries(), vanished...))
 	}
 }
 
--- a/internal/gateway/registry.go
+++ b/internal/gateway/registry.go
@@ -48,6 +48,9 @@
 	return true
 }
 
+// recordRewind records at now that the store came back older: servers that it lacks are kept as after an outage.
+func (g *registry) recordRewind(now time.Time) { g.recoveredAt = now }
+
 // hasRetained reports whether servers are kept that are not listed.
 func (g *registry) hasRetained() bool { return len(g.retained) > 0 }
 
--- a/internal/gateway/sharing.go
+++ b/internal/gateway/sharing.go
@@ -87,14 +87,18 @@
 // copyUpdate returns what changed in c since the requester's position. A requester without a position whose copy agrees
 // with c needs no entries.
 func copyUpdate(c *storeCopy, position *peer.StoreCopy, now time.Time) *peer.StoreCopy {
-	if c.readAt.IsZero() {
+	if c.readAt.IsZero() || !c.isOfOneEra() {
 		return &peer.StoreCopy{}
 	}
 	incarnation, change := position.GetIncarnation(), position.GetChange()
 	if incarnation == 0 && position.GetVersion() > 0 && position.GetDigest() == c.digest {
 		incarnation, change = c.incarnation, c.change
 	}
-	entries, complete := c.changesSince(incarnation, change)
+	var entries []kv.Entry
+	complete := false
+	if !isLaterEra(position, c) { // else the requester would not use them
+		entries, complete = c.changesSince(incarnation, change)
+	}
 	m := &peer.StoreCopy{
 		Incarnation: c.incarnation, Change: c.change, Whole: complete, Version: uint64(c.version),
 		AgeMs: uint32(max(0, now.Sub(c.readAt).Milliseconds())), Digest: c.digest,
@@ -215,7 +219,7 @@
 	}
 	s.applyReply(address, reply, requestedAt)
 	intervals := s.follower.intervals.Load()
-	return isYounger(reply.GetServers(), intervals.shareMaxAge) &&
+	return !s.follower.hasLaterEra(reply) && isYounger(reply.GetServers(), intervals.shareMaxAge) &&
 		isYounger(reply.GetOperator(), intervals.operatorMaxAge) && isYounger(reply.GetListedVms(), listMaxAge)
 }
 
@@ -297,6 +301,9 @@
 	for i, e := range m.GetEntries() {
 		entries[i] = kv.Entry{Key: e.GetKey(), Version: kv.Version(e.GetVersion()), Value: e.GetValue(), Deleted: e.GetDeleted()}
 	}
+	if isEarlierEra(m, c) {
+		return false, nil // neither the content nor its age counts
+	}
 	readAt := requestedAt.Add(-time.Duration(m.GetAgeMs()) * time.Millisecond)
 	version := kv.Version(m.GetVersion())
 	if m.GetWhole() {
@@ -305,6 +312,7 @@
 			return changed, nil
 		}
 	} else {
+		c.beginUpdate(version)
 		changed = c.applyEntries(entries)
 		if !c.isConsistentWith(m.GetDigest(), version) {
 			return changed, nil // the copy is not complete up to version
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -22,6 +22,7 @@
 	age         *prometheus.Desc
 	version     *prometheus.Desc
 	routes      *prometheus.Desc
+	era         *prometheus.Desc
 }
 
 var _ prometheus.Collector = (*stateCollector)(nil)
@@ -39,13 +40,14 @@
 		peers:       desc("entry_vms", "Other entry VMs that are listed."),
 		age:         desc("store_copy_age_seconds", "Time since the read that a copy of the store reflects.", "copy"),
 		version:     desc("configuration_version", "Version of the configuration in force, 0 if none is."),
+		era:         desc("store_era", "Era of the store: how often it came back older; 0 also if it does not say."),
 		routes:      desc("routes", "Routes that requests came for, by whether any was answered.", "state"),
 	}
 }
 
 // Describe implements prometheus.Collector.
 func (s *stateCollector) Describe(to chan<- *prometheus.Desc) {
-	for _, d := range []*prometheus.Desc{s.servers, s.inFlight, s.utilization, s.budget, s.peers, s.age, s.version, s.routes} {
+	for _, d := range []*prometheus.Desc{s.servers, s.inFlight, s.utilization, s.budget, s.peers, s.age, s.version, s.routes, s.era} {
 		to <- d
 	}
 }
@@ -82,4 +84,5 @@
 		version = float64(t.Version())
 	}
 	gauge(s.version, version)
+	gauge(s.era, float64(s.follower.storeEra()))
 }
--- a/internal/gateway/state_test.go
+++ b/internal/gateway/state_test.go
@@ -28,6 +28,7 @@
 			`azureflow_gateway_store_copy_age_seconds{copy="servers"}`,
 			`azureflow_gateway_configuration_version 3`,
 			`azureflow_gateway_entry_vms 0`,
+			`azureflow_gateway_store_era 0`,
 			`azureflow_gateway_routes{state="answered"} 0`,
 			`azureflow_gateway_routes{state="unanswered"} 0`,
 		} {
--- a/internal/kv/kv.go
+++ b/internal/kv/kv.go
@@ -14,9 +14,15 @@
 // Version orders the writes of the store; it rises with each write to any key, and with the store's era.
 type Version uint64
 
-// LeaseID identifies a lease of the store; 0 means none.
+// LeaseID identifies a lease of the store; 0 means none. Like a version it has the store's era in its upper bits.
 type LeaseID uint64
 
+// Era returns the era in which the store granted the lease.
+func (id LeaseID) Era() Era { return Version(id).Era() }
+
+// Number returns the store's own number of the lease within its era.
+func (id LeaseID) Number() uint64 { return Version(id).Revision() }
+
 // Entry is a key of the store with its value.
 type Entry struct {
 	Key     string  `json:"key"`
