--- a/internal/gateway/rewind_fleet_test.go
+++ b/internal/gateway/rewind_fleet_test.go
@@ -274,3 +274,21 @@
 		}
 	})
 }
+
+// A reader that has not heard of the store's return yet has young copies, but of an earlier era: they do not replace own
+// reads of a VM that has.
+func TestReaderInAnEarlierEraIsNotFresh(t *testing.T) {
+	withFleet(t, func(t *testing.T, fl *fleet) {
+		for _, wantFresh := range []bool{true, false} {
+			if fresh := fl.shares["vm-2"].fetchFrom(t.Context(), "vm-1"); fresh != wantFresh {
+				t.Errorf("fresh %v, want %v", fresh, wantFresh)
+			}
+			fl.links["vm-1"].isCut.Store(true)
+			fl.store.comeBackAs(fl.store.state())
+			f := fl.followers["vm-2"]
+			if _, _, err := f.listKeys(t.Context(), readServerList, f.catalog.ServerPrefix, f.updateServers); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}, "vm-1", "vm-2")
+}
