--- a/internal/gateway/confirmation.go
+++ b/internal/gateway/confirmation.go
@@ -159,14 +159,21 @@
 	return limit <= 0 || f.confirmation.isYounger(limit)
 }
 
-// readOperator lists the operator's keys, which confirms them as of its request. It returns the store's version.
+// readOperator lists the operator's keys, which confirms them as of its request, but not while the operator may still
+// have to write again what a store that came back older lost. It returns the store's version.
 func (f *follower) readOperator(ctx context.Context) (kv.Version, error) {
 	askedAt := f.confirmation.now()
 	var previous kv.Version // of the copy when the list came
+	rewritten := true
 	version, _, err := f.listKeys(ctx, readOperatorList, f.catalog.OperatorPrefix, func(update func(*storeCopy) bool) {
-		f.updateOperator(func(c *storeCopy) bool { previous = c.version; return update(c) })
+		f.updateOperator(func(c *storeCopy) bool {
+			previous = c.version
+			changed := update(c)
+			rewritten = !c.rewind.isWithin(reregisterTime+reregisterMargin, time.Now())
+			return changed
+		})
 	})
-	if err == nil && version >= previous { // an older list is not applied: it may come from a store that went back
+	if err == nil && rewritten && version >= previous { // an older list is not applied: it may come from a store that went back
 		f.confirmation.record(askedAt)
 	}
 	return version, err
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -26,6 +26,7 @@
 	version     *prometheus.Desc
 	routes      *prometheus.Desc
 	waiting     *prometheus.Desc
+	era         *prometheus.Desc
 }
 
 var _ prometheus.Collector = (*stateCollector)(nil)
@@ -47,12 +48,13 @@
 		version: desc("configuration_version", "Version of the configuration in force, 0 if none is."),
 		routes:  desc("routes", "Routes that requests came for, by whether any was answered.", "state"),
 		waiting: desc("requests_waiting", "Requests that wait at this VM for room at a server."),
+		era:     desc("store_era", "Era of the store: how often it came back older; 0 also if it does not say."),
 	}
 }
 
 // Describe implements prometheus.Collector.
 func (s *stateCollector) Describe(to chan<- *prometheus.Desc) {
-	for _, d := range []*prometheus.Desc{s.servers, s.inFlight, s.utilization, s.budget, s.peers, s.age, s.confirmed, s.version, s.routes, s.waiting} {
+	for _, d := range []*prometheus.Desc{s.servers, s.inFlight, s.utilization, s.budget, s.peers, s.age, s.confirmed, s.version, s.routes, s.waiting, s.era} {
 		to <- d
 	}
 }
@@ -93,4 +95,5 @@
 		version = float64(t.Version())
 	}
 	gauge(s.version, version)
+	gauge(s.era, float64(s.follower.storeEra()))
 }
--- a/internal/kv/errors.go
+++ b/internal/kv/errors.go
@@ -17,7 +17,7 @@
 
 // Error implements error.
 func (e *ConflictError) Error() string {
-	return fmt.Sprintf("key %s is at version %d, expected %d", e.Key, e.Current, e.Expected)
+	return fmt.Sprintf("key %s is at version %s, expected %s", e.Key, e.Current, e.Expected)
 }
 
 // UnavailableError reports a call that certainly had no effect because the platform was unreachable.
@@ -49,7 +49,13 @@
 func (e *EffectUnknownError) Unwrap() error { return e.Cause }
 
 // LeaseExpiredError reports a lease that the store no longer holds.
-type LeaseExpiredError struct{ ID LeaseID }
+type LeaseExpiredError struct {
+	ID  LeaseID
+	Era Era // of the store, above that of ID if the store came back older without the lease
+}
+
+// HasEraPassed reports whether the lease is of an earlier era of the store.
+func (e *LeaseExpiredError) HasEraPassed() bool { return e.ID.Era() < e.Era }
 
 // Error implements error.
 func (e *LeaseExpiredError) Error() string { return fmt.Sprintf("lease %d expired", e.ID) }
