--- a/internal/gateway/quota_home.go
+++ b/internal/gateway/quota_home.go
@@ -175,7 +175,7 @@
 
 // run joins whenever this VM was listed anew, until ctx ends.
 func (h *quotaHome) run(ctx context.Context) {
-	for {
+	for ctx.Err() == nil {
 		if l := h.presence.listing.Load(); l != nil && !h.isJoined(l) {
 			h.join(ctx, l)
 		}
--- a/internal/gateway/quota_test.go
+++ b/internal/gateway/quota_test.go
@@ -294,3 +294,22 @@
 		}
 	}, *testAccount)
 }
+
+// A VM that stops while it joins ends its loop.
+func TestStopDuringAJoin(t *testing.T) {
+	withQuotaFleet(t, func(t *testing.T, fl *quotaFleet) {
+		home := fl.vms["vm-0"].quotas.home
+		fl.vms["vm-0"].link.isCut.Store(true)
+		home.presence.recordListing(1000, time.Now(), presenceTTL)
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan struct{})
+		go func() { defer close(ended); home.run(ctx) }()
+		time.Sleep(time.Second)
+		cancel()
+		select {
+		case <-ended:
+		case <-time.After(time.Second):
+			t.Error("the loop runs a second after its end")
+		}
+	}, *testAccount)
+}
