--- a/internal/gateway/quota_asker.go
+++ b/internal/gateway/quota_asker.go
@@ -13,7 +13,7 @@
 	askTimeout = 200 * time.Millisecond // several times the delay between regions
 	// askInterval is how long asks ahead of need wait, so that they are sent together; well below the time for which a
 	// purse keeps tokens.
-	askInterval = 100 * time.Millisecond
+	askInterval = 60 * time.Millisecond
 	// homePause is the time after failed calls in which a home is not called again. One failure may come from a connection
 	// that was idle when the home's process was started again.
 	homePause       = 400 * time.Millisecond
--- a/internal/quota/terms.go
+++ b/internal/quota/terms.go
@@ -24,10 +24,8 @@
 
 // Parts of what the bounds allow beyond the quota. The rest covers clocks that run at different rates.
 const (
-	lifePart = 0.5 // at most, for tokens that are granted in one window and used in the next
-	// usedPart is for these tokens and for buckets that are larger than their part of the burst: demand is not the same at
-	// all shards, and a fraction of a token permits no request.
-	usedPart = 0.75
+	lifePart = 0.4 // at most, for tokens that are granted in one window and used in the next
+	usedPart = 0.9 // for these tokens and for what the buckets hold
 )
 
 // Terms are the limits of one shard of an account.
@@ -38,9 +36,12 @@
 }
 
 // TermsOf returns the terms of each shard of an account with the given rate (requests a second) and burst (requests).
+// The quota is rate x Window + burst in each window, so that a demand that is even gets that, too: the burst adds to the
+// rate at which tokens come, and the buckets hold what the bounds leave. A bucket that held the burst would give it once
+// and then refuse, window after window, what the quota allows.
 //
 // Tokens that are used in a window were in the buckets, or granted and not yet expired, at its start, or were added in
-// it: at most burst x Shards + rate x Life + rate x Window, which is within the bounds for the parts above.
+// it: at most Shards x (Burst + Rate x (Life + Window)), which is within the bounds for the parts above.
 func (b Bounds) TermsOf(rate, burst float64) Terms {
 	if rate <= 0 {
 		return Terms{Life: maxLife}
@@ -48,15 +49,15 @@
 	if b.Window <= 0 {
 		b = defaultBounds
 	}
-	beyond := b.Overage*(rate*b.Window.Seconds()+burst) + b.Slack
-	life, granted := min(maxLife.Seconds(), lifePart*beyond/rate), rate
-	if life < minLife.Seconds() { // what lives on into the next window then comes out of the rate
-		life = minLife.Seconds()
-		granted *= b.Window.Seconds() / (b.Window.Seconds() + life)
-	}
+	quota := rate*b.Window.Seconds() + burst
+	beyond := b.Overage*quota + b.Slack
+	even := quota / b.Window.Seconds()
+	life := max(minLife.Seconds(), min(maxLife.Seconds(), lifePart*beyond/even))
+	used := quota + usedPart*beyond
+	granted := min(even, max(0, used-Shards)/(b.Window.Seconds()+life)) // each bucket holds a token at least
 	return Terms{
 		Rate:  granted / Shards,
-		Burst: max(1, (burst+max(0, usedPart*beyond-rate*life))/Shards), // below 1 it would never hold a token
+		Burst: max(1, (used-granted*(b.Window.Seconds()+life))/Shards),
 		Life:  time.Duration(life * float64(time.Second)),
 	}
 }
