--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -225,8 +225,10 @@
 			now = now.Add(10 * time.Millisecond)
 		}
 		within, last := 0, time.Duration(0)
+		refused := ticket(1, 100*time.Millisecond)
+		refused.Wait = 10 * time.Second
 		for range 200 {
-			after := q.RetryAfter(ticket(1, 100*time.Millisecond), 0, 3*time.Second, now)
+			after := q.RetryAfter(refused, 0, 3*time.Second, now)
 			if after < MinRetryAfter || after > 1450*time.Millisecond {
 				t.Fatalf("retry after %v, want time for another attempt", after)
 			}
@@ -241,6 +243,18 @@
 	}
 }
 
+// A caller is not kept away for longer than the queue that it found lasts.
+func TestReturnAfterTheQueue(t *testing.T) {
+	q := NewQueue()
+	refused := ticket(1, 100*time.Millisecond)
+	refused.Wait = 400 * time.Millisecond
+	for range 20 {
+		if after := q.RetryAfter(refused, 0, 10*time.Second, start); after > 800*time.Millisecond {
+			t.Fatalf("retry after %v where the wait for a slot was 400 ms", after)
+		}
+	}
+}
+
 // A caller that can still be served in time is asked to return in time for that.
 func TestReturnInTime(t *testing.T) {
 	q := NewQueue()
--- a/internal/admission/returns.go
+++ b/internal/admission/returns.go
@@ -15,6 +15,9 @@
 	// minReturnShare is the share of the room that comes free which is left to callers that return, however many new
 	// requests come: some of these are refused instead, and return themselves.
 	minReturnShare = 0.1
+	// maxWaits bounds a return by the wait for a slot that was expected: in twice that time those that were ahead of
+	// the refused request have ended.
+	maxWaits = 2
 )
 
 // returns spreads the times at which refused callers return.
@@ -56,7 +59,7 @@
 // RetryAfter returns when the caller of a refused request may return: callers are spread over the time in which room
 // for them comes free. A response is late after targetLeft, and the caller gives up after left: it is asked to return
 // while there is time for another wait before the first of these that is worth another attempt. Within t.Work the slots
-// are not given out anew, so that it would meet the same requests.
+// are not given out anew, so that it would meet the same requests. Otherwise it returns within maxWaits.
 func (q *Queue) RetryAfter(t *Ticket, targetLeft, left time.Duration, now time.Time) time.Duration {
 	r := &q.returns
 	if earliest := now.Add(MinRetryAfter); r.nextVisit.Before(earliest) {
@@ -64,7 +67,7 @@
 	}
 	latest := (targetLeft - t.Work) / 2
 	if latest < max(t.Work, MinRetryAfter) {
-		latest = max(MinRetryAfter, (left-t.Work)/2)
+		latest = max(MinRetryAfter, min((left-t.Work)/2, maxWaits*t.Wait))
 	}
 	after := r.nextVisit.Sub(now)
 	if after > latest {
--- a/internal/admission/ticket.go
+++ b/internal/admission/ticket.go
@@ -14,6 +14,7 @@
 	Returned bool             // its caller was refused before and came back
 	InTime   bool             // a response within the latency objective is still possible
 	Work     time.Duration    // that a server needs for it, with the round trip
+	Wait     time.Duration    // expected for a slot, when it was tried last
 
 	key      float64 // order among tickets of the same priority and lane; lower goes first
 	sequence uint64  // order of arrival
--- a/internal/forward/admission.go
+++ b/internal/forward/admission.go
@@ -159,7 +159,7 @@
 		w.ticket.Work = w.placement.ExpectedLatency - w.placement.Wait
 		return true
 	}
-	w.ticket.Work = w.refusal.Work()
+	w.ticket.Work, w.ticket.Wait = w.refusal.Work(), w.refusal.Wait
 	w.ticket.InTime = w.ticket.Work <= query.TargetLeft
 	return !w.refusal.IsForRoom()
 }
--- a/internal/placement/overload_test.go
+++ b/internal/placement/overload_test.go
@@ -62,7 +62,7 @@
 	p, refusal := g.s.place(r)
 	r.query.FirstAttempt = false
 	if refusal != nil {
-		t.Work, t.InTime = refusal.Work(), refusal.Work() <= r.query.TargetLeft
+		t.Work, t.Wait, t.InTime = refusal.Work(), refusal.Wait, refusal.Work() <= r.query.TargetLeft
 		return refusal
 	}
 	t.Work = p.ExpectedLatency - p.Wait
