kv, platform: a lease may have any number

The lines show 'entry VM not listed' with 'era 0 with revision is out of range': the platform's store numbers leases at random up to 48 bits, and kv.LeaseID kept 44 beside the era. Fifteen of sixteen leases were refused, and VMs were listed after five to nine seconds; homes of quotas need the listing.

LeaseExpiredError says whether the era has passed.

--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -34,12 +34,15 @@
 	calls          int // without stale reads
 	staleCalls     int
 	lease          kv.LeaseID
-	watchesStalled bool                // watches deliver no events and do not return before their context ends
-	staleItems     map[string]kv.Entry // what stale reads return, if not nil
+	leaseEras      map[kv.LeaseID]kv.Era // in which they were granted
+	watchesStalled bool                  // watches deliver no events and do not return before their context ends
+	staleItems     map[string]kv.Entry   // what stale reads return, if not nil
 }
 
 func newFakeStore() *fakeStore {
-	return &fakeStore{items: make(map[string]kv.Entry), changed: make(chan struct{})}
+	return &fakeStore{
+		items: make(map[string]kv.Entry), changed: make(chan struct{}), leaseEras: make(map[kv.LeaseID]kv.Era),
+	}
 }
 
 func (s *fakeStore) writeEntry(e kv.Entry) {
@@ -260,14 +263,15 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lease++
-	return kv.Lease{ID: kv.LeaseID(kv.FirstOf(s.version.Era())) + s.lease, TTL: ttl}, s.err
+	s.leaseEras[s.lease] = s.version.Era()
+	return kv.Lease{ID: s.lease, TTL: ttl}, s.err
 }
 
 func (s *fakeStore) KeepAlive(_ context.Context, id kv.LeaseID) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.err == nil && id.Era() < s.version.Era() {
-		return &kv.LeaseExpiredError{ID: id, Era: s.version.Era()}
+	if s.err == nil && s.leaseEras[id] < s.version.Era() {
+		return &kv.LeaseExpiredError{ID: id, EraPassed: true}
 	}
 	return s.err
 }
--- a/internal/gateway/presence.go
+++ b/internal/gateway/presence.go
@@ -110,7 +110,7 @@
 			}
 			return err
 		}
-		if expired.HasEraPassed() { // so are the leases of the other entry VMs
+		if expired.EraPassed { // so are the leases of the other entry VMs
 			_ = clock.Sleep(ctx, rand.N(relistJitter))
 		}
 		sentAt = time.Now()
--- a/internal/gateway/rewind_test.go
+++ b/internal/gateway/rewind_test.go
@@ -124,7 +124,7 @@
 
 func (s *strangeStore) KeepAlive(ctx context.Context, id kv.LeaseID) error {
 	if s.leaseEnded.CompareAndSwap(true, false) {
-		return &kv.LeaseExpiredError{ID: id, Era: id.Era()}
+		return &kv.LeaseExpiredError{ID: id}
 	}
 	return s.fakeStore.KeepAlive(ctx, id)
 }
--- a/internal/kv/errors.go
+++ b/internal/kv/errors.go
@@ -50,13 +50,10 @@
 
 // LeaseExpiredError reports a lease that the store no longer holds.
 type LeaseExpiredError struct {
-	ID  LeaseID
-	Era Era // of the store, above that of ID if the store came back older without the lease
+	ID        LeaseID
+	EraPassed bool // the store came back older since it granted the lease
 }
 
-// HasEraPassed reports whether the lease is of an earlier era of the store.
-func (e *LeaseExpiredError) HasEraPassed() bool { return e.ID.Era() < e.Era }
-
 // Error implements error.
 func (e *LeaseExpiredError) Error() string { return fmt.Sprintf("lease %d expired", e.ID) }
 
--- a/internal/kv/kv.go
+++ b/internal/kv/kv.go
@@ -14,15 +14,10 @@
 // Version orders the writes of the store; it rises with each write to any key, and with the store's era.
 type Version uint64
 
-// LeaseID identifies a lease of the store; 0 means none. Like a version it has the store's era in its upper bits.
+// LeaseID identifies a lease of the store; 0 means none. Any number may be one. A store that came back older may give
+// it to another holder.
 type LeaseID uint64
 
-// Era returns the era in which the store granted the lease.
-func (id LeaseID) Era() Era { return Version(id).Era() }
-
-// Number returns the store's own number of the lease within its era.
-func (id LeaseID) Number() uint64 { return Version(id).Revision() }
-
 // Entry is a key of the store with its value.
 type Entry struct {
 	Key     string  `json:"key"`
