httpserver: a connection that goes on after it was told to close is not closing for ever

Cause: a connection whose head was given up could take its request at the same moment. The deadline that should end it was removed, and it counted as closing from then on. When many did so, no connection could be closed for a new one: TestBodiesAtEveryListener failed once in about 10 runs on a busy machine (no ordinary request for a minute, reason=connections in the log).

TestConnectionThatWentOnMakesRoomLater replays it.

--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -51,10 +51,10 @@
 	mu            sync.Mutex
 	inFlight      []*response // in the order of their requests
 	isReadingHead bool
-	isWaiting     bool // the reading goroutine waits for a request in flight
-	isClosing     bool // no further request is accepted
-	lingers       bool // the caller may still send when the connection closes
-	isEvicted     bool // it is being closed for others
+	isWaiting     bool      // the reading goroutine waits for a request in flight
+	isClosing     bool      // no further request is accepted
+	lingers       bool      // the caller may still send when the connection closes
+	evictedAt     time.Time // when it was told to close for others; zero: it was not, or has taken a request since
 }
 
 func newConn(s *Server, raw net.Conn) *conn {
@@ -161,7 +161,7 @@
 	defer c.mu.Unlock()
 	c.isReadingHead = false
 	switch {
-	case c.isClosing || c.isEvicted:
+	case c.isClosing || !c.evictedAt.IsZero():
 		return false
 	case len(c.inFlight) > 0:
 		c.setReadDeadline(time.Time{})
@@ -178,7 +178,7 @@
 	if c.isClosing {
 		return false
 	}
-	c.isReadingHead = true
+	c.isReadingHead, c.evictedAt = true, time.Time{}
 	c.setReadDeadline(time.Now().Add(c.server.callerLimits().HeadTimeout))
 	return true
 }
@@ -217,7 +217,7 @@
 		default:
 			w.hasAheadPlace, w.turn, c.lingers = true, make(chan struct{}), true
 		}
-		c.isReadingHead = false
+		c.isReadingHead, c.evictedAt = false, time.Time{}
 		c.inFlight = append(c.inFlight, w)
 		accepted = true
 		return true
@@ -341,7 +341,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	isLast := len(c.inFlight) <= 1
-	if isForced || isLast && (isWished || c.isEvicted || c.server.keepAlivesDisabled.Load()) {
+	if isForced || isLast && (isWished || !c.evictedAt.IsZero() || c.server.keepAlivesDisabled.Load()) {
 		c.isClosing = true
 	}
 	return c.isClosing
--- a/internal/httpserver/evict.go
+++ b/internal/httpserver/evict.go
@@ -7,11 +7,15 @@
 	"github.com/azureflow/azureflow/internal/memory"
 )
 
+// maxEviction bounds how long a connection that was told to close counts as closing. It lasts longer only if the caller
+// does not take the response to what was given up.
+const maxEviction = 2 * lingerTimeout
+
 // candidate returns why and since when the connection could be closed for others; the reason is empty if it could not.
-func (c *conn) candidate() (found candidate, isClosing bool) {
+func (c *conn) candidate(now time.Time) (found candidate, isClosing bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.isEvicted {
+	if !c.evictedAt.IsZero() && now.Sub(c.evictedAt) < maxEviction {
 		return candidate{}, true
 	}
 	found = candidate{conn: c, caller: c.callerIP(), bytes: c.charged.Load(), since: c.server.timeAt(c.lastRead.Load())}
@@ -40,7 +44,7 @@
 
 // evict closes the connection unless it has gone on since it was found to be a candidate for reason. A request whose
 // body is given up is still responded to.
-func (c *conn) evict(reason Reason) bool {
+func (c *conn) evict(reason Reason, now time.Time) bool {
 	c.mu.Lock()
 	isIdle := len(c.inFlight) == 0
 	matches := false
@@ -54,7 +58,9 @@
 	case ReasonUnread:
 		matches = c.writeSince.Load() != 0
 	}
-	c.isEvicted = c.isEvicted || matches
+	if matches {
+		c.evictedAt = now
+	}
 	if matches && reason != ReasonUnread {
 		c.setReadDeadline(past)
 	}
@@ -70,7 +76,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	since := c.bodyReadSince.Load()
-	if c.isEvicted || since == 0 || len(c.inFlight) == 0 {
+	if since == 0 || len(c.inFlight) == 0 {
 		return false
 	}
 	b := c.inFlight[len(c.inFlight)-1].body
@@ -81,7 +87,7 @@
 	if !isTooSlow(waited, b.received.Load()) {
 		return false
 	}
-	c.isEvicted = true
+	c.evictedAt = now
 	c.setReadDeadline(past)
 	return true
 }
--- a/internal/httpserver/limits.go
+++ b/internal/httpserver/limits.go
@@ -205,7 +205,7 @@
 	var candidates []candidate
 	closing := 0
 	for _, c := range l.openConns() {
-		candidate, isClosing := c.candidate()
+		candidate, isClosing := c.candidate(now)
 		if isClosing {
 			closing++
 		} else if candidate.reason != "" {
@@ -213,7 +213,7 @@
 		}
 	}
 	for _, chosen := range choose(candidates, closing) {
-		if chosen.conn.evict(chosen.reason) {
+		if chosen.conn.evict(chosen.reason, now) {
 			l.reportAddr(chosen.reason, chosen.conn.raw.RemoteAddr())
 		}
 	}
--- a/internal/httpserver/limits_test.go
+++ b/internal/httpserver/limits_test.go
@@ -146,6 +146,28 @@
 	})
 }
 
+// A connection may take a request in the moment in which it is told to close. It must not count as closing for ever:
+// after that no new connection was accepted.
+func TestConnectionThatWentOnMakesRoomLater(t *testing.T) {
+	withLimits(t, 0, 1, func(t *testing.T, s *site, r *reports) {
+		stalled := s.dial(t)
+		defer stalled.Close()
+		stalled.send(request("POST", "/1", "Content-Length: 10") + "x")
+		go func() { _, _ = io.Copy(io.Discard, stalled) }()
+		c := s.openConns()[0]
+		c.mu.Lock()
+		c.evictedAt = time.Now()
+		c.mu.Unlock()
+		time.Sleep(maxEviction + minStall)
+		next := s.dial(t)
+		defer next.Close()
+		next.send(request("GET", "/2"))
+		if next.status() != http.StatusOK || r.String() != "map[stalled-body:1]" {
+			t.Errorf("closed %s, want the body that stalled", r)
+		}
+	})
+}
+
 func TestSlowBodies(t *testing.T) {
 	for _, c := range []struct {
 		name   string
