gateway: an entry of another writer changes nothing that is known of a server

Cause: an entry that could not be decoded replaced the server's, or the tombstone of one that had left, which a late heartbeat then brought back. A complete entry of another writer was taken whatever it said.

Change: storeCopy asks whether an entry may replace the known one. One that may not raises only the version: the last accepted entry stays, and so does a removal. Not accepted are entries that cannot be decoded, that name an entry VM's address (by the settings or the list, which now also holds directory and readiness), or that differ from the known start of the server in service, zone or address, lack its number, or name no zone of the deployment. Each is logged once per key and counted. A record of an entry VM without an address is ignored.

--- a/internal/gateway/copy.go
+++ b/internal/gateway/copy.go
@@ -27,6 +27,9 @@
 	// inspect returns a hash of the content of an entry that matters here, and the number that its writer gave it.
 	// Changes that keep the hash are not propagated. It may remove content of e that does not matter.
 	inspect func(e *kv.Entry) (fingerprint uint64, number writeNumber)
+	// accepts, if set, reports whether e, which was inspected, may replace known, the last that was accepted (without a
+	// value: none). An entry that is not accepted changes nothing: see ignoreEntry.
+	accepts func(e, known *kv.Entry) bool
 	// onOutdated, if set, is called for each entry whose write was executed late. latest is the number known before.
 	onOutdated func(e *kv.Entry, latest writeNumber)
 }
@@ -148,6 +151,7 @@
 		row = &copyRow{}
 		c.rows[e.Key] = row
 	} else if e.Version < row.entry.Version || (e.Version == row.entry.Version && e.Deleted == row.entry.Deleted) {
+		c.learnHidden(row, e)
 		return
 	}
 	if e.Deleted {
@@ -158,6 +162,10 @@
 	fingerprint, number := c.inspect(&entry)
 	wasRecreated := !row.entry.Deleted && row.entry.Version != 0 &&
 		e.Created.Era() == row.entry.Version.Era() && e.Created > row.entry.Version
+	if c.accepts != nil && !c.accepts(&entry, &row.entry) {
+		c.ignoreEntry(row, &entry, fingerprint, wasRecreated)
+		return
+	}
 	if row.isOutdated(number, wasRecreated) {
 		if c.onOutdated != nil {
 			c.onOutdated(&entry, row.latest)
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -39,6 +39,9 @@
 	configRefused atomic.Bool   // the newest configuration could not be decoded, so that an older one is in force
 	keysRefused   atomic.Bool   // requests with keys are refused, by the last log line about it
 
+	entryVMs  atomic.Pointer[map[string]bool] // addresses of entry VMs by the settings
+	listedVMs func() []presenceRecord         // the other entry VMs that are known; may be nil
+
 	mu                 sync.Mutex // guards the fields below
 	registry           *registry
 	operator           *storeCopy
@@ -65,6 +68,8 @@
 		confirmation:   newConfirmation(s.Bounds.Revoke),
 	}
 	f.servers = newStoreCopy(f.inspectServer)
+	f.servers.accepts = f.acceptsServer
+	f.setEntryVMs(s)
 	f.servers.onOutdated = f.recordOutdated
 	f.operator.rewind.rewriteTime = operatorRewriteTime
 	f.servers.rewind.rewriteTime = reregisterTime + reregisterMargin
@@ -87,7 +92,7 @@
 		e.Value = nil
 		return xxhash.Sum64String(e.Key), writeNumber{}
 	}
-	number = writeNumber{born: decoded.Member.Born.UnixMilli(), seq: decoded.Seq}
+	number = numberOf(&decoded)
 	return xxhash.Sum64String(fmt.Sprintf("%s %+v", e.Key, decoded.Member)), number
 }
 
@@ -95,6 +100,7 @@
 func (f *follower) setSettings(s *Settings) {
 	f.intervals.Store(newIntervals(&s.Bounds))
 	f.confirmation.bound.Store(int64(s.Bounds.Revoke))
+	f.setEntryVMs(s)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.registry.zones = s.Zones
--- a/internal/gateway/presence.go
+++ b/internal/gateway/presence.go
@@ -34,8 +34,15 @@
 	Requests string              `json:"requests"` // address for callers
 	Peer     string              `json:"peer"`     // address for other entry VMs
 	LinkMbit float64             `json:"link_mbit,omitempty"`
+
+	// Addresses that are no servers'.
+	Directory string `json:"directory,omitempty"`
+	Readiness string `json:"readiness,omitempty"`
 }
 
+// isValid reports whether the record names an entry VM that callers can reach.
+func (r *presenceRecord) isValid() bool { return r.Requests != "" }
+
 // presence lists this entry VM in the store and knows the others.
 type presence struct {
 	store     kv.StaleReader
@@ -67,7 +74,7 @@
 		self: presenceRecord{
 			Zone: s.Zone, Region: s.Region, Requests: s.Listen.Requests,
 			Peer:     s.Listen.Peer,
-			LinkMbit: s.LinkMbit,
+			LinkMbit: s.LinkMbit, Directory: s.Listen.Directory, Readiness: s.Listen.Readiness,
 		},
 	}
 	p.list.rewind.rewriteTime, p.list.rewind.hidesReturned = relistTime, true
@@ -205,6 +212,11 @@
 			p.log.WithFields(logrus.Fields{"key": e.Key, "error": err.Error()}).Warn("entry ignored")
 			continue
 		}
+		if !r.isValid() {
+			problem := &StrangeEntryError{Problem: "it lacks an address"}
+			p.log.WithFields(logrus.Fields{"key": e.Key, "error": problem.Error()}).Warn("entry ignored")
+			continue
+		}
 		listed = append(listed, r)
 	}
 	return p.withoutSelf(listed)
--- a/internal/gateway/sharing.go
+++ b/internal/gateway/sharing.go
@@ -54,6 +54,7 @@
 func newSharing(
 	f *follower, p *presence, s *Settings, log logrus.FieldLogger, pool *peer.Pool, metrics *Metrics,
 ) *sharing {
+	f.listedVMs = p.others
 	return &sharing{
 		follower: f, presence: p, pool: pool, log: log, metrics: metrics, positions: make(map[string]*peer.FetchStoreRequest),
 		failures: make(map[string]int), excludedUntil: make(map[string]time.Time),
