forward: an unsigned 3xx or 4xx is not passed on

Cause: only successes needed a signature, so that the 404 of whoever listened at an address reached callers, who do not repeat a request after it.

Change: a redirection or 4xx without a signature is an invalid response, unless it says that the request was not run (408, 421, 429, X-Not-Executed): a safe request goes to another server, an unsafe one gets 502.

--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -144,12 +144,23 @@
 		return "its content is encoded"
 	case success && h.Get(names.Signature) == "":
 		return "it has no signature"
+	case resp.isFinalRejection(names) && h.Get(names.Signature) == "":
+		return "it rejects the request and has no signature"
 	case success && h.Get(names.RequestID) == "":
 		return "it has no request ID"
 	}
 	return ""
 }
 
+// isFinalRejection reports whether the response is a redirection or an error of the caller that does not say that the
+// request was not run. Callers do not repeat a request after it, so it must be the server's own: whoever else listens at
+// an address may answer so.
+func (resp *serverResponse) isFinalRejection(names *Headers) bool {
+	status := resp.http.StatusCode
+	return status >= http.StatusMultipleChoices && status < http.StatusInternalServerError &&
+		!resp.reportsNotRun(names) && !isRefusal(status)
+}
+
 // discard closes the connection if the response still needs it.
 func (resp *serverResponse) discard() {
 	if !resp.complete {
