gateway: copies that know an odd entry agree with those that know a removal under its key

Cause: the hash of an odd entry made copies differ for as long as it stayed, between an entry VM that knew that the server had left and one that started later; the one is then fetched as a whole each time. Change: an odd entry has no share in the digest. Result: TestCopiesAgreeBehindAnOddEntry.

--- a/internal/gateway/copy.go
+++ b/internal/gateway/copy.go
@@ -163,7 +163,7 @@
 	wasRecreated := !row.entry.Deleted && row.entry.Version != 0 &&
 		e.Created.Era() == row.entry.Version.Era() && e.Created > row.entry.Version
 	if c.accepts != nil && !c.accepts(&entry, &row.entry) {
-		c.ignoreEntry(row, &entry, fingerprint, wasRecreated)
+		c.ignoreEntry(row, &entry, wasRecreated)
 		return
 	}
 	if row.isOutdated(number, wasRecreated) {
--- a/internal/gateway/odd.go
+++ b/internal/gateway/odd.go
@@ -12,13 +12,13 @@
 
 // ignoreEntry records that the store has e, which is not accepted, under the key of row. What was known of the key stays
 // until its writer writes again or the key is deleted: the last accepted entry, and a deletion.
-func (c *storeCopy) ignoreEntry(row *copyRow, e *kv.Entry, fingerprint uint64, wasRecreated bool) {
+func (c *storeCopy) ignoreEntry(row *copyRow, e *kv.Entry, wasRecreated bool) {
 	switch {
 	case row.entry.Deleted:
 		row.entry.Version = e.Version
 	case len(row.entry.Value) == 0: // nothing was known, or only entries that were not accepted
 		row.entry = kv.Entry{Key: e.Key, Version: e.Version, Created: e.Created}
-		c.recordChange(row, fingerprint, false)
+		c.recordChange(row, 0, false) // as for a deletion: copies that know one of this key agree with this one
 	case wasRecreated:
 		c.applyDeletion(row, &kv.Entry{Key: e.Key, Version: e.Version, Deleted: true})
 	default:
--- a/internal/gateway/odd_test.go
+++ b/internal/gateway/odd_test.go
@@ -152,6 +152,23 @@
 	})
 }
 
+// A copy that knows that a server left, and one that only read the odd entry in its place, agree: neither needs to be
+// fetched as a whole again and again.
+func TestCopiesAgreeBehindAnOddEntry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := newOddScene(t)
+		o.put("server/a", `{"Zone":"north-a","Born":5,"Beat":7}`)
+		o.remove("server/a")
+		o.put("server/a", "\xff")
+		late := newTestFollower(t, o.store, "three")
+		entries, version, _ := o.store.List(context.Background(), "server/")
+		late.updateServers(func(c *storeCopy) bool { return c.applyList(entries, version, time.Now()) })
+		if !late.servers.isConsistentWith(o.reader.servers.digest, version) || !o.other.servers.isConsistentWith(late.servers.digest, version) {
+			t.Error("the copies differ")
+		}
+	})
+}
+
 // An address of an entry VM, by the settings or by the list of the entry VMs, is no server's.
 func TestAddressOfAnEntryVMIsNoServer(t *testing.T) {
 	f := newTestFollower(t, newFakeStore(), "one")
