socket: a peer whose window is closed is not taken for gone

Change: socket.Watch reads TCP_INFO of connections with bytes outstanding each 200 ms. While the window is closed it lifts the limit and has the kernel probe each second at most; probes unanswered for 1 s end the connection, an open window restores the limit. Bytes in flight at an open window never lift it. A closed connection leaves its peer 10 s for what is unread. Where the system does not tell the window (simulated sockets leave it 0) nothing changes.

--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -17,6 +17,7 @@
 	"github.com/azureflow/azureflow/internal/forward"
 	"github.com/azureflow/azureflow/internal/httpserver"
 	"github.com/azureflow/azureflow/internal/request"
+	"github.com/azureflow/azureflow/internal/socket"
 )
 
 // Times of a planned stop, counted from its start.
@@ -61,6 +62,7 @@
 	stop           context.CancelFunc
 	stopAnnouncing context.CancelFunc // ends the listing of this entry VM
 	limits         *httpserver.Limits // of all servers
+	watch          *socket.Watch      // of connections of callers and to servers
 	loops          sync.WaitGroup
 	requestServer  *httpserver.Server   // for callers; nil if there is no request listener
 	auxServers     []*httpserver.Server // for readiness, directory and metrics
@@ -78,6 +80,7 @@
 	d.loops.Go(func() { d.presence.pollList(ctx, d.follower.awaitOwnReads) })
 	d.loops.Go(func() { d.quotas.serve(ctx) })
 	d.loops.Go(func() { d.sweepPool(ctx) })
+	d.loops.Go(func() { d.watch.Run(ctx) })
 	d.loops.Go(func() { d.store.run(ctx) })
 	d.loops.Go(func() { d.watchSettings(ctx) })
 	d.log.WithFields(logrus.Fields{
@@ -193,7 +196,7 @@
 	if err != nil {
 		return nil, err
 	}
-	server := httpserver.New(listener, httpserver.Options{
+	server := httpserver.New(d.watch.Listener(listener), httpserver.Options{
 		Handler: handler, RunsAhead: runsAhead, HeadTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		MaxHeadBytes: maxHeaderBytes, Log: d.log, Limits: d.limits, CallerLimits: d.callerLimits,
 	})
--- a/internal/gateway/module.go
+++ b/internal/gateway/module.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"context"
 	"io"
+	"net"
 	"os"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -14,6 +16,7 @@
 	"github.com/azureflow/azureflow/internal/peer"
 	"github.com/azureflow/azureflow/internal/placement"
 	"github.com/azureflow/azureflow/internal/request"
+	"github.com/azureflow/azureflow/internal/socket"
 	"github.com/azureflow/azureflow/internal/steering"
 	"github.com/azureflow/azureflow/internal/telemetry"
 )
@@ -33,7 +36,7 @@
 	return fx.Options(
 		fx.Supply(opts.Settings, opts.Catalog, opts),
 		fx.Provide(
-			provideLogger, provideCountedStore, provideStore, provideChooser, newFollower, newPresence, newSharing, prometheus.NewRegistry,
+			provideLogger, provideCountedStore, provideStore, provideChooser, provideWatch, newFollower, newPresence, newSharing, prometheus.NewRegistry,
 			provideMetrics, newStateCollector, newJournal, providePeers, providePool, provideHandler, provideDaemon,
 			newQuotaMetrics, newQuotas, newClosures, provideLimits,
 		),
@@ -66,8 +69,17 @@
 
 func providePeers() *peer.Pool { return peer.NewPool(nil) }
 
-func providePool() *forward.Pool {
-	return forward.NewPool(request.NewAddressDialer(tcpUserTimeout))
+func provideWatch() *socket.Watch { return socket.NewWatch(tcpUserTimeout) }
+
+func providePool(watch *socket.Watch) *forward.Pool {
+	dial := request.NewAddressDialer(tcpUserTimeout)
+	return forward.NewPool(func(ctx context.Context, address string) (net.Conn, error) {
+		c, err := dial(ctx, address)
+		if err != nil {
+			return nil, err
+		}
+		return watch.Conn(c), nil
+	})
 }
 
 func provideHandler(
@@ -83,11 +95,11 @@
 func provideDaemon(
 	opts Options, s *Settings, c *Catalog, f *follower, p *presence, h *forward.Handler, pool *forward.Pool, sharing *sharing,
 	store *countedStore, registry *prometheus.Registry, log logrus.FieldLogger, q *quotas, closures *closures,
-	limits *httpserver.Limits,
+	limits *httpserver.Limits, watch *socket.Watch,
 ) *daemon {
 	sharing.quotaHome = q.home
 	return &daemon{
 		quotas: q, opts: opts, settings: s, catalog: c, follower: f, presence: p, handler: h, pool: pool, sharing: sharing, store: store, registry: registry, log: log,
-		closures: closures, limits: limits,
+		closures: closures, limits: limits, watch: watch,
 	}
 }
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -352,7 +352,7 @@
 	c.mu.Lock()
 	c.isClosing, c.lingers = true, false
 	c.mu.Unlock()
-	if tcp, ok := c.raw.(*net.TCPConn); ok && reset {
+	if tcp, ok := c.raw.(interface{ SetLinger(sec int) error }); ok && reset {
 		_ = tcp.SetLinger(0)
 	}
 	c.cancel()
--- a/internal/httpserver/response.go
+++ b/internal/httpserver/response.go
@@ -286,7 +286,11 @@
 	w.conn.writeSince.Store(w.conn.server.ticks(now))
 	defer w.conn.writeSince.Store(0)
 	var err error
-	if len(b) == 1 {
+	if buffered, ok := raw.(interface {
+		WriteBuffers(b *net.Buffers) (int64, error)
+	}); ok && len(b) > 1 {
+		_, err = buffered.WriteBuffers(&b)
+	} else if len(b) == 1 {
 		_, err = raw.Write(b[0])
 	} else {
 		_, err = b.WriteTo(raw)
