--- a/internal/gateway/module.go
+++ b/internal/gateway/module.go
@@ -40,7 +40,7 @@
 			provideMetrics, newStateCollector, newJournal, providePeers, providePool, provideHandler, provideDaemon,
 			newQuotaMetrics, newQuotas, newClosures, provideLimits,
 		),
-		fx.Invoke(registerState, registerQuotas, applyMemoryLimit, newDaemon),
+		fx.Invoke(registerState, registerWatch, registerQuotas, applyMemoryLimit, newDaemon),
 		fx.StopTimeout(opts.Settings.StopTimeout()),
 	)
 }
@@ -71,15 +71,37 @@
 
 func provideWatch() *socket.Watch { return socket.NewWatch(tcpUserTimeout) }
 
-func providePool(watch *socket.Watch) *forward.Pool {
+func registerWatch(r *prometheus.Registry, w *socket.Watch) error {
+	for _, c := range []struct {
+		name, help string
+		value      func() uint64
+	}{
+		{"closed_window_waits_total", "Times that a caller or server that does not read was waited for beyond the limit for unacknowledged bytes.", w.Waits},
+		{"closed_window_ends_total", "Connections closed since a caller or server that did not read answered no probe.", w.Ends},
+	} {
+		counter := prometheus.NewCounterFunc(
+			prometheus.CounterOpts{Namespace: "azureflow", Subsystem: "gateway", Name: c.name, Help: c.help},
+			func() float64 { return float64(c.value()) },
+		)
+		if err := r.Register(counter); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func providePool(watch *socket.Watch) *forward.Pool { return forward.NewPool(serverDialer(watch)) }
+
+// serverDialer returns the dialer for connections to servers, which are watched.
+func serverDialer(watch *socket.Watch) func(ctx context.Context, address string) (net.Conn, error) {
 	dial := request.NewAddressDialer(tcpUserTimeout)
-	return forward.NewPool(func(ctx context.Context, address string) (net.Conn, error) {
+	return func(ctx context.Context, address string) (net.Conn, error) {
 		c, err := dial(ctx, address)
 		if err != nil {
 			return nil, err
 		}
 		return watch.Conn(c), nil
-	})
+	}
 }
 
 func provideHandler(
--- a/internal/socket/watch.go
+++ b/internal/socket/watch.go
@@ -29,6 +29,7 @@
 	// tellsWindow is set once a connection showed an open window. Systems with simulated sockets leave the field 0, which
 	// would pass for a closed one, and tell nothing of probes either.
 	tellsWindow atomic.Bool
+	waits, ends atomic.Uint64
 
 	mu      sync.Mutex
 	pending []*watchedConn // bytes were written and may wait
@@ -37,6 +38,13 @@
 // NewWatch returns a Watch of connections on which TCP_USER_TIMEOUT is silentAfter.
 func NewWatch(silentAfter time.Duration) *Watch { return &Watch{silentAfter: silentAfter} }
 
+// Waits returns how often the limit was lifted since a window was closed, and Ends how many connections were closed since
+// the probes of a window stayed unanswered.
+func (w *Watch) Waits() uint64 { return w.waits.Load() }
+
+// Ends is described at Waits.
+func (w *Watch) Ends() uint64 { return w.ends.Load() }
+
 // Conn returns the new connection c, watched while Run runs. Only what is written to the returned connection counts.
 func (w *Watch) Conn(c net.Conn) net.Conn {
 	tcp, ok := c.(*net.TCPConn)
@@ -187,12 +195,14 @@
 	}
 	switch c.window.next(&f, now, c.watch.silentAfter) {
 	case lift:
+		c.watch.waits.Add(1)
 		if setAckLimit(c.raw, 0) == nil {
 			_ = setProbeInterval(c.raw, c.watch.silentAfter)
 		}
 	case restore:
 		_ = setAckLimit(c.raw, c.watch.silentAfter)
 	case end:
+		c.watch.ends.Add(1)
 		c.isClosed = true
 		_ = c.tcp.SetLinger(0)
 		_ = c.tcp.Close()
