--- a/internal/gateway/module.go
+++ b/internal/gateway/module.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"context"
 	"io"
+	"net"
 	"os"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -14,6 +16,7 @@
 	"github.com/azureflow/azureflow/internal/peer"
 	"github.com/azureflow/azureflow/internal/placement"
 	"github.com/azureflow/azureflow/internal/request"
+	"github.com/azureflow/azureflow/internal/socket"
 	"github.com/azureflow/azureflow/internal/steering"
 	"github.com/azureflow/azureflow/internal/telemetry"
 )
@@ -33,11 +36,11 @@
 	return fx.Options(
 		fx.Supply(opts.Settings, opts.Catalog, opts),
 		fx.Provide(
-			provideLogger, provideCountedStore, provideStore, provideChooser, newFollower, newPresence, newSharing, prometheus.NewRegistry,
+			provideLogger, provideCountedStore, provideStore, provideChooser, provideWatch, newFollower, newPresence, newSharing, prometheus.NewRegistry,
 			provideMetrics, newStateCollector, newJournal, providePeers, providePool, provideHandler, provideDaemon,
 			newQuotaMetrics, newQuotas, newClosures, provideLimits,
 		),
-		fx.Invoke(registerState, registerQuotas, applyMemoryLimit, newDaemon),
+		fx.Invoke(registerState, registerWatch, registerQuotas, applyMemoryLimit, newDaemon),
 		fx.StopTimeout(opts.Settings.StopTimeout()),
 	)
 }
@@ -66,8 +69,39 @@
 
 func providePeers() *peer.Pool { return peer.NewPool(nil) }
 
-func providePool() *forward.Pool {
-	return forward.NewPool(request.NewAddressDialer(tcpUserTimeout))
+func provideWatch() *socket.Watch { return socket.NewWatch(tcpUserTimeout) }
+
+func registerWatch(r *prometheus.Registry, w *socket.Watch) error {
+	for _, c := range []struct {
+		name, help string
+		value      func() uint64
+	}{
+		{"closed_window_waits_total", "Times that a caller or server that does not read was waited for beyond the limit for unacknowledged bytes.", w.Waits},
+		{"closed_window_ends_total", "Connections closed since a caller or server that did not read answered no probe.", w.Ends},
+	} {
+		counter := prometheus.NewCounterFunc(
+			prometheus.CounterOpts{Namespace: "azureflow", Subsystem: "gateway", Name: c.name, Help: c.help},
+			func() float64 { return float64(c.value()) },
+		)
+		if err := r.Register(counter); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func providePool(watch *socket.Watch) *forward.Pool { return forward.NewPool(serverDialer(watch)) }
+
+// serverDialer returns the dialer for connections to servers, which are watched.
+func serverDialer(watch *socket.Watch) func(ctx context.Context, address string) (net.Conn, error) {
+	dial := request.NewAddressDialer(tcpUserTimeout)
+	return func(ctx context.Context, address string) (net.Conn, error) {
+		c, err := dial(ctx, address)
+		if err != nil {
+			return nil, err
+		}
+		return watch.Conn(c), nil
+	}
 }
 
 func provideHandler(
@@ -83,11 +117,11 @@
 func provideDaemon(
 	opts Options, s *Settings, c *Catalog, f *follower, p *presence, h *forward.Handler, pool *forward.Pool, sharing *sharing,
 	store *countedStore, registry *prometheus.Registry, log logrus.FieldLogger, q *quotas, closures *closures,
-	limits *httpserver.Limits,
+	limits *httpserver.Limits, watch *socket.Watch,
 ) *daemon {
 	sharing.quotaHome = q.home
 	return &daemon{
 		quotas: q, opts: opts, settings: s, catalog: c, follower: f, presence: p, handler: h, pool: pool, sharing: sharing, store: store, registry: registry, log: log,
-		closures: closures, limits: limits,
+		closures: closures, limits: limits, watch: watch,
 	}
 }
