gateway: a VM that starts in a later era confirms no keys before all may be written again

Cause: a copy that is first read after the store came back older saw no rise, so that its list confirmed keys at once: a key whose withdrawal the store had lost ran again, at this VM and at those that adopt its confirmation.

--- a/internal/gateway/confirmation.go
+++ b/internal/gateway/confirmation.go
@@ -169,7 +169,7 @@
 		f.updateOperator(func(c *storeCopy) bool {
 			previous = c.version
 			changed := update(c)
-			rewritten = !c.rewind.isWithin(reregisterTime+reregisterMargin, time.Now())
+			rewritten = !c.rewind.mayLackWrites(reregisterTime+reregisterMargin, time.Now())
 			return changed
 		})
 	})
--- a/internal/gateway/revocation_rewind_test.go
+++ b/internal/gateway/revocation_rewind_test.go
@@ -23,3 +23,37 @@
 		}, "vm-1", "vm-2")
 	}
 }
+
+// A VM that starts right after the store came back without a withdrawal runs no withdrawn key, and confirms none for others.
+func TestStartAfterTheStoreLostAWithdrawal(t *testing.T) {
+	withRevocation(t, func(t *testing.T, r *revocation) {
+		before := r.store.state()
+		r.store.setError(unavailable) // before any VM reads the withdrawal
+		r.withdraw()
+		r.stopVM("vm-0")
+		r.watch(t, revokeBound+time.Second, func(string) bool { return false })
+		r.store.comeBackAs(before)
+		r.store.setError(nil)
+		r.startVM(t.Context(), t, "vm-0") // ranks first among readers
+		time.Sleep(100 * time.Millisecond)
+		r.watch(t, reregisterTime, func(string) bool { return false })
+		r.store.putJSON("operator/config", fakeConfig{Version: 3, Keys: []string{keptKey}})
+		r.watch(t, 2*time.Second, func(string) bool { return false })
+		r.watch(t, time.Second, always)
+	}, "vm-0", "vm-1", "vm-2")
+}
+
+// A VM that starts long after a rise has keys confirmed by a peer at once.
+func TestStartInALaterEraBesidePeers(t *testing.T) {
+	withRevocation(t, func(t *testing.T, r *revocation) {
+		r.stopVM("vm-2")
+		r.store.comeBackAs(r.store.state())
+		time.Sleep(10 * time.Second)
+		r.seeds = []string{"vm-1"}
+		r.startVM(t.Context(), t, "vm-2")
+		time.Sleep(500 * time.Millisecond)
+		if !r.runs("vm-2", keptKey) {
+			t.Error("keys are refused though a peer has confirmed them")
+		}
+	}, "vm-1", "vm-2")
+}
--- a/internal/gateway/rewind.go
+++ b/internal/gateway/rewind.go
@@ -28,6 +28,7 @@
 type rewindState struct {
 	era         kv.Era    // the latest that is known
 	roseAt      time.Time // when it was known; zero: no rise was seen
+	firstAt     time.Time // first update, if the store had come back older before; zero: it had not
 	isRising    bool      // the update that is being applied is of a later era than the copy is complete for
 	rewriteTime time.Duration
 	// hidesReturned is set if entries that were deleted do not return with the older state within rewriteTime. It is for
@@ -43,10 +44,11 @@
 		return
 	}
 	c.rewind.era = era
+	now := time.Now()
 	if c.version == 0 {
+		c.rewind.firstAt = now
 		return // the first read
 	}
-	now := time.Now()
 	isOver := now.Sub(c.rewind.roseAt) >= c.rewind.rewriteTime
 	c.rewind.roseAt = now
 	for _, row := range c.rows {
@@ -72,6 +74,12 @@
 	return !r.roseAt.IsZero() && now.Sub(r.roseAt) < d
 }
 
+// mayLackWrites reports whether the store may have come back older less than d before now, so that its writers may still
+// write again what it lost. A copy that was first read in a later era cannot tell when the era rose.
+func (r *rewindState) mayLackWrites(d time.Duration, now time.Time) bool {
+	return r.isWithin(d, now) || !r.firstAt.IsZero() && now.Sub(r.firstAt) < d
+}
+
 // isOfOneEra reports whether the copy is complete up to a version of the latest era that is known.
 func (c *storeCopy) isOfOneEra() bool { return c.version.Era() == c.rewind.era }
 
