gateway: a VM that joins reads the list again while others do not reply

Cause: it went by the list that it follows, whose stale reads may lie 3 s behind; with one VM gone for good the others granted no tokens until JoinWait. Change: a linearizable list each 0.6 s while a VM does not reply. One that is missing there has no valid lease.

--- a/internal/gateway/quota_home.go
+++ b/internal/gateway/quota_home.go
@@ -17,10 +17,13 @@
 )
 
 const (
-	joinCallTimeout  = peerCallTimeout
-	joinCallsAtOnce  = 64 // bounds the connections that a start opens at a time
-	joinRetry        = 200 * time.Millisecond
-	joinListRetry    = 300 * time.Millisecond
+	joinCallTimeout = peerCallTimeout
+	joinCallsAtOnce = 64 // bounds the connections that a start opens at a time
+	joinRetry       = 200 * time.Millisecond
+	joinListRetry   = 300 * time.Millisecond
+	// joinListInterval is the time between reads of the list while some VMs do not reply: their leases end at any time,
+	// and the list that the VM follows otherwise may lie seconds behind.
+	joinListInterval = 600 * time.Millisecond
 	ledgerSweepEvery = 30 * time.Second
 )
 
@@ -207,7 +210,7 @@
 		}
 		pending, version, err = h.listVMs(ctx)
 	}
-	asked := len(pending)
+	asked, listedAt := len(pending), startedAt
 	for {
 		pending = h.announce(ctx, pending, uint64(l.version))
 		if len(pending) == 0 || time.Since(l.at) >= quota.JoinWait {
@@ -216,6 +219,10 @@
 		if clock.Sleep(ctx, joinRetry) != nil || h.presence.listing.Load() != l {
 			return
 		}
+		if time.Since(listedAt) >= joinListInterval {
+			listedAt = time.Now()
+			_, _, _ = h.listVMs(ctx) // stillListed goes by what was read last
+		}
 		pending = h.stillListed(pending, version)
 	}
 	now := time.Now()
