httpserver, gateway: idle connections leave memory for requests

Cause: connections are charged 24 KiB, and the limit on their number came from max_fds alone. On a VM of 136 MB with 3900 sockets the 1950 allowed connections take more than the account (41.6 MB), so idle ones filled it below that limit. Nothing closed them then: new connections were refused, and heads found no room, until the idle time was over. Change: the connections may take three quarters of the account at most, and a new connection without memory closes idle ones. Result: TestIdleConnectionsMakeRoomInMemory fails without the change in admit and passes with it, 20 runs; TestConnectionsLeaveMemoryForRequests passes for 136, 284 and 804 MB.

--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -21,8 +21,21 @@
 	peerShare   = 1.0 / 8 // from other entry VMs
 )
 
+// connMemoryShare is the part of the account for memory that connections of callers may take. The rest is for requests.
+const connMemoryShare = 3.0 / 4
+
 // maxCallerConns returns how many connections callers may have to all listeners together, 0: any number.
-func (s *Settings) maxCallerConns() int { return shareOf(s.MaxSockets, callerShare) }
+func (s *Settings) maxCallerConns() int {
+	conns := shareOf(s.MaxSockets, callerShare)
+	if s.Memory <= 0 {
+		return conns
+	}
+	fitting := max(1, int(connMemoryShare*float64(memory.CapacityFor(s.Memory)))/httpserver.ConnBytes)
+	if conns == 0 {
+		return fitting
+	}
+	return min(conns, fitting)
+}
 
 // maxPeerConns returns how many connections other entry VMs may have to this one, 0: any number.
 func (s *Settings) maxPeerConns() int { return shareOf(s.MaxSockets, peerShare) }
--- a/internal/gateway/limits_test.go
+++ b/internal/gateway/limits_test.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/azureflow/azureflow/internal/httpserver"
+	"github.com/azureflow/azureflow/internal/memory"
 	"github.com/azureflow/azureflow/internal/pipenet"
 	"github.com/azureflow/azureflow/internal/routing"
 )
@@ -35,6 +36,20 @@
 	}
 }
 
+// Idle connections leave memory for requests, also on the smallest VM.
+func TestConnectionsLeaveMemoryForRequests(t *testing.T) {
+	for _, bytes := range []int64{136_000_000, 284_000_000, 804_000_000} {
+		s := &Settings{Memory: bytes, MaxSockets: 3900}
+		used, capacity := int64(s.maxCallerConns())*httpserver.ConnBytes, memory.CapacityFor(bytes)
+		if used == 0 || used > capacity*3/4 {
+			t.Errorf("VM of %d bytes: connections may take %d of %d", bytes, used, capacity)
+		}
+	}
+	if (&Settings{Memory: 136_000_000}).maxCallerConns() <= 0 {
+		t.Error("any number of connections on a VM whose descriptors are unknown")
+	}
+}
+
 func TestCallerLimitsFollowTheConfiguration(t *testing.T) {
 	d := &daemon{follower: &follower{}}
 	if got := d.callerLimits(); got != (httpserver.CallerLimits{}) {
--- a/internal/httpserver/limits.go
+++ b/internal/httpserver/limits.go
@@ -53,8 +53,8 @@
 }
 
 const (
-	// connBytes is what an open connection takes: two goroutines' stacks and a read buffer.
-	connBytes = 24 << 10
+	// ConnBytes is what an open connection takes: two goroutines' stacks and a read buffer.
+	ConnBytes = 24 << 10
 	// fieldBytes is what a header field takes beyond its text, in the request and in the one to the server.
 	fieldBytes = 256
 	// maxRoomWait bounds how long a sender is held up for want of memory before its request is refused. Those who hold
@@ -111,7 +111,11 @@
 		// Those that were closed are open until they notice it.
 		isFull = open > l.maxConns+batch
 	}
-	if isFull || !l.memory.TryReserve(connBytes) {
+	hasMemory := isFull || l.memory.TryReserve(ConnBytes)
+	if !hasMemory {
+		l.makeRoom(now) // for those that come next
+	}
+	if isFull || !hasMemory {
 		l.open.Add(-1)
 		l.reportAddr(ReasonConnections, caller)
 		return false
@@ -138,7 +142,7 @@
 		return
 	}
 	l.open.Add(-1)
-	l.memory.Release(connBytes)
+	l.memory.Release(ConnBytes)
 }
 
 func (l *Limits) reportAddr(reason Reason, caller net.Addr) {
--- a/internal/httpserver/limits_test.go
+++ b/internal/httpserver/limits_test.go
@@ -79,6 +79,29 @@
 	})
 }
 
+// Idle connections may fill the memory before they are as many as are allowed.
+func TestIdleConnectionsMakeRoomInMemory(t *testing.T) {
+	withLimits(t, 3*ConnBytes+8*fieldBytes, 4, func(t *testing.T, s *site, r *reports) {
+		for range 3 {
+			c := s.dial(t)
+			defer c.Close()
+		}
+		time.Sleep(time.Second)
+		refused := s.dial(t)
+		defer refused.Close()
+		if refused.status() != 0 {
+			t.Error("a connection without memory was accepted")
+		}
+		time.Sleep(time.Second)
+		c := s.dial(t)
+		defer c.Close()
+		c.send(request("GET", "/new"))
+		if c.status() != http.StatusOK || r.String() != "map[connections:1 idle:1]" {
+			t.Errorf("closed %s, want one idle connection for the one that came next", r)
+		}
+	})
+}
+
 func TestRequestsInFlightKeepTheirConnections(t *testing.T) {
 	withLimits(t, 0, 2, func(t *testing.T, s *site, r *reports) {
 		var busy []*caller
@@ -105,7 +128,7 @@
 }
 
 func TestHeadWithoutRoomIsRefusedWithAPromise(t *testing.T) {
-	withLimits(t, connBytes+4*fieldBytes, 0, func(t *testing.T, s *site, r *reports) {
+	withLimits(t, ConnBytes+4*fieldBytes, 0, func(t *testing.T, s *site, r *reports) {
 		c := s.dial(t)
 		defer c.Close()
 		c.send(request("GET", "/1"))
@@ -127,7 +150,7 @@
 func TestStalledBodyMakesRoom(t *testing.T) {
 	const many = 40
 	lines := strings.Split(strings.Repeat("a: b\n", many-1)+"a: b", "\n")
-	withLimits(t, 2*connBytes+many*fieldBytes*3/2+2000, 0, func(t *testing.T, s *site, r *reports) {
+	withLimits(t, 2*ConnBytes+many*fieldBytes*3/2+2000, 0, func(t *testing.T, s *site, r *reports) {
 		stalled := s.dial(t)
 		defer stalled.Close()
 		stalled.send(request("POST", "/1", append(lines, "Content-Length: 10")...) + "x")
