httpserver: a body does not wait for memory beyond the time at which it is due

Cause: each reservation for a body waited for up to 1 s, whatever the request's deadline was, and a body takes up to five of them. On a route with a short timeout the refusal came after it. Change: a reservation waits until the deadline for reading the body at most, which the handler sets.

--- a/internal/httpserver/evict.go
+++ b/internal/httpserver/evict.go
@@ -94,9 +94,13 @@
 
 var _ memory.Holder = (*response)(nil)
 
-// Reserve implements memory.Holder.
+// Reserve implements memory.Holder. It does not wait beyond the deadline for reading the body.
 func (w *response) Reserve(n int64) error {
-	if err := w.conn.server.opts.Limits.reserve(w.conn, n); err != nil {
+	var due time.Time
+	if at := w.bodyDue.Load(); at != nil {
+		due = *at
+	}
+	if err := w.conn.server.opts.Limits.reserve(w.conn, n, due); err != nil {
 		return err
 	}
 	w.charge(n)
--- a/internal/httpserver/head.go
+++ b/internal/httpserver/head.go
@@ -133,7 +133,7 @@
 		return nil, 0, err
 	}
 	charged = int64(2*len(head) + fields.count*fieldBytes) // its text is copied once
-	if c.server.opts.Limits.reserve(c, charged) != nil {
+	if c.server.opts.Limits.reserve(c, charged, time.Time{}) != nil {
 		return nil, 0, noRoom()
 	}
 	if r, err = c.parseRequest(&fields); err != nil {
@@ -165,7 +165,7 @@
 // growBuffer doubles the read buffer, which is full with buffered. Errors: *RequestError if there is no memory for it.
 func (c *conn) growBuffer(buffered []byte) error {
 	size := 2 * c.reader.Size()
-	if c.server.opts.Limits.reserve(c, int64(size)) != nil {
+	if c.server.opts.Limits.reserve(c, int64(size), time.Time{}) != nil {
 		return noRoom()
 	}
 	c.bufferCharged += int64(size)
--- a/internal/httpserver/limits.go
+++ b/internal/httpserver/limits.go
@@ -159,14 +159,18 @@
 // tryReserve reserves n bytes if there is room.
 func (l *Limits) tryReserve(n int64) bool { return l == nil || l.memory.TryReserve(n) }
 
-// reserve reserves n bytes for a caller whose connection is not read meanwhile. Errors: *memory.NoRoomError.
-func (l *Limits) reserve(c *conn, n int64) error {
+// reserve reserves n bytes for a caller whose connection is not read meanwhile. It waits for maxRoomWait and until due at
+// most; zero: any time. Errors: *memory.NoRoomError.
+func (l *Limits) reserve(c *conn, n int64, due time.Time) error {
 	if l.tryReserve(n) {
 		return nil
 	}
 	c.awaitsRoom.Store(true)
 	defer c.awaitsRoom.Store(false)
 	limit := maxRoomWait
+	if !due.IsZero() {
+		limit = min(limit, time.Until(due))
+	}
 	if l.waiting.Add(1) > l.maxWaiting() {
 		limit = 0
 	}
--- a/internal/httpserver/limits_test.go
+++ b/internal/httpserver/limits_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/azureflow/azureflow/internal/memory"
+	"github.com/azureflow/azureflow/internal/pipenet"
 )
 
 // reports collects what Limits closed or refused.
@@ -147,6 +148,34 @@
 }
 
 // Crowds whose heads or bodies stop hold memory until someone else needs it.
+// A body does not wait for memory beyond the time at which it is due.
+func TestBodyWaitsForRoomUntilItIsDue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const due = maxRoomWait / 5
+		l := pipenet.Listen("site:80")
+		waited := make(chan time.Duration, 1)
+		server := New(l, Options{
+			Limits: NewLimits(memory.NewAccount(2*ConnBytes), 0, nil),
+			Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				start := time.Now()
+				_ = http.NewResponseController(w).SetReadDeadline(start.Add(due))
+				if w.(memory.Holder).Reserve(4*ConnBytes) == nil {
+					t.Error("more was reserved than there is")
+				}
+				waited <- time.Since(start)
+			}),
+		})
+		go func() { _ = server.Serve() }()
+		c := (&site{listener: l}).dial(t)
+		c.send(request("POST", "/1", "Content-Length: 5") + "12345")
+		if got := <-waited; got != due {
+			t.Errorf("waited %v, want %v", got, due)
+		}
+		_ = c.Close()
+		server.Close()
+	})
+}
+
 func TestStalledBodyMakesRoom(t *testing.T) {
 	const many = 40
 	lines := strings.Split(strings.Repeat("a: b\n", many-1)+"a: b", "\n")
--- a/internal/httpserver/response.go
+++ b/internal/httpserver/response.go
@@ -36,10 +36,11 @@
 	header      http.Header
 	status      int // 0 until WriteHeader
 	length      int64
-	written     int64        // bytes of the body that the handler wrote
-	held        []byte       // of these, those that are not sent yet
-	reserved    int          // of the server's budget for held bytes
-	charged     atomic.Int64 // bytes reserved for this request, see Limits
+	written     int64                     // bytes of the body that the handler wrote
+	held        []byte                    // of these, those that are not sent yet
+	reserved    int                       // of the server's budget for held bytes
+	charged     atomic.Int64              // bytes reserved for this request, see Limits
+	bodyDue     atomic.Pointer[time.Time] // when the body is due by SetReadDeadline; nil: at any time
 	headSent    bool
 	isChunked   bool
 	closeFramed bool // the end of the connection ends the body
@@ -76,6 +77,7 @@
 	if w.body == nil {
 		return nil
 	}
+	w.bodyDue.Store(&t)
 	w.conn.mu.Lock()
 	defer w.conn.mu.Unlock()
 	select {
