httpserver: a caller that reads slowly is not taken for one that does not read

Cause: up to 256 KiB of a response went out in one write, whose time counted as that of a caller that does not read: after 30 s it was cut off although bytes were taken all the while, and under pressure of connections it could be closed after 10 s. Change: a write has at most 64 KiB, each with its own time.

--- a/internal/httpserver/limits_test.go
+++ b/internal/httpserver/limits_test.go
@@ -259,6 +259,26 @@
 	}
 }
 
+// A caller that reads slowly gets all of a response, and is none that does not read.
+func TestSlowReaderGetsItsResponse(t *testing.T) {
+	withLimits(t, 0, 1, func(t *testing.T, s *site, r *reports) {
+		slow := s.dial(t)
+		defer slow.Close()
+		slow.send(request("GET", "/1", "Fill: "+strings.Repeat("x", 26))) // 260 kB
+		received := 0
+		for piece := make([]byte, 4<<10); received < 260_000; time.Sleep(500 * time.Millisecond) {
+			n, err := slow.Read(piece)
+			if received += n; err != nil {
+				t.Fatalf("%v after %d bytes", err, received)
+			}
+			s.opts.Limits.makeRoom(time.Now())
+		}
+		if r.String() != "map[]" {
+			t.Errorf("closed %s", r)
+		}
+	})
+}
+
 func TestChooseForConnections(t *testing.T) {
 	now := time.Unix(1000, 0)
 	all := []candidate{
--- a/internal/httpserver/response.go
+++ b/internal/httpserver/response.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -18,6 +19,8 @@
 	maxHeldPerConn    = 1 << 20 // bytes of responses that wait for earlier ones of their connection
 	// writeTimeout bounds one write: a caller that does not read holds its connection no longer than this.
 	writeTimeout = 30 * time.Second
+	// maxWriteBytes bounds one write, so that a caller that reads slowly is not taken for one that does not read.
+	maxWriteBytes = 64 << 10
 )
 
 // response is one request of a connection and the writer of its response, which is written once it is the turn of the
@@ -282,6 +285,28 @@
 
 // writeAll writes the buffers to the caller. A failed write ends all requests of the connection.
 func (w *response) writeAll(b net.Buffers) error {
+	for {
+		first, rest := cutBuffers(b, maxWriteBytes)
+		if err := w.write(first); err != nil || len(rest) == 0 {
+			return err
+		}
+		b = rest
+	}
+}
+
+// cutBuffers returns the first n bytes of b, and the rest.
+func cutBuffers(b net.Buffers, n int) (first, rest net.Buffers) {
+	for i, data := range b {
+		if len(data) > n {
+			return append(slices.Clone(b[:i]), data[:n]), append(net.Buffers{data[n:]}, b[i+1:]...)
+		}
+		n -= len(data)
+	}
+	return b, nil
+}
+
+// write writes the buffers in one call.
+func (w *response) write(b net.Buffers) error {
 	raw := w.conn.raw
 	now := time.Now()
 	_ = raw.SetWriteDeadline(now.Add(writeTimeout))
