admission: the share of an account follows its quota

Cause: an account's weight was set when it was seen first and kept while it had requests. One without a quota that came before those with one counted 1 a second for ever, so with equal work it had many times the share and its requests always yielded; and a changed quota had no effect on a busy account. Change: shares keep the work; the rate follows the account, and one without a quota counts as the mean at the moment. Result: TestSharesFollowQuotas fails with the former shares (open first: over the others with equal work; quota changed: share 2 for 0.2) and passes; tests of admission, forward and the overload tests of placement pass.

--- a/internal/admission/shares.go
+++ b/internal/admission/shares.go
@@ -20,19 +20,20 @@
 // shares tracks how much work the client accounts got lately, or wait for, relative to their quotas.
 type shares struct {
 	accounts map[routing.AccountName]*accountShare
-	total    float64 // of all accounts
-	rates    float64 // sum of the quotas of the accounts that have one
-	limited  int     // number of these accounts
-	epoch    time.Time
-	sweptAt  time.Time
+	// Sums over the accounts that have a quota, and over the others.
+	limitedTotal float64 // of work for each request per second of the quota
+	openWork     float64
+	rates        float64 // of the quotas
+	limited      int     // number of accounts that have one
+	epoch        time.Time
+	sweptAt      time.Time
 }
 
-// accountShare is the share of one account. Shares are kept at the scale of the epoch: instead of halving all of them
-// each half-life, new work counts twice as much.
+// accountShare is the share of one account. Work is kept at the scale of the epoch: instead of halving all of it each
+// half-life, new work counts twice as much.
 type accountShare struct {
-	value  float64 // seconds of work for each request per second of its quota
-	weight float64
-	rate   float64
+	work   float64 // seconds
+	rate   float64 // of its quota, 0 if it has none
 	usedAt time.Time
 }
 
@@ -58,18 +59,40 @@
 	}
 	share := s.share(a)
 	share.usedAt = now
-	added := work * scale / share.weight
-	share.value += added
-	s.total += added
-	return share.value / scale
+	s.add(share, work*scale)
+	return s.value(share) / scale
 }
 
 // refund takes work back that claim added at about now, for a request that was not sent.
 func (s *shares) refund(a *routing.Account, work float64, now time.Time) {
 	share := s.share(a)
-	taken := min(work*s.scale(now)/share.weight, share.value)
-	share.value -= taken
-	s.total -= taken
+	s.add(share, -min(work*s.scale(now), share.work))
+}
+
+// add adds work at the scale of the epoch to a share.
+func (s *shares) add(share *accountShare, work float64) {
+	share.work += work
+	if share.rate > 0 {
+		s.limitedTotal += work / share.rate
+	} else {
+		s.openWork += work
+	}
+}
+
+// value returns the work of a share for each request per second of its quota.
+func (s *shares) value(share *accountShare) float64 {
+	if share.rate > 0 {
+		return share.work / share.rate
+	}
+	return share.work / s.openRate()
+}
+
+// openRate returns the rate for which an account without a quota counts: the mean of those that have one.
+func (s *shares) openRate() float64 {
+	if s.limited == 0 {
+		return 1
+	}
+	return s.rates / float64(s.limited)
 }
 
 // isOver reports whether the account has so much more than others that its requests yield to theirs.
@@ -78,51 +101,73 @@
 		return false
 	}
 	share := s.accounts[a.Name]
-	return share != nil && share.value > overShare*(s.total-share.value)/float64(len(s.accounts)-1)
+	if share == nil {
+		return false
+	}
+	value, total := s.value(share), s.limitedTotal+s.openWork/s.openRate()
+	return value > overShare*(total-value)/float64(len(s.accounts)-1)
 }
 
-// share returns the share of an account, which is added if necessary. An account without a quota counts like the mean
-// of those that have one.
+// share returns the share of an account, which is added if necessary and follows its quota.
 func (s *shares) share(a *routing.Account) *accountShare {
+	rate := 0.0
+	if a.IsLimited() {
+		rate = a.Rate
+	}
 	share := s.accounts[a.Name]
-	if share != nil {
+	if share != nil && share.rate == rate {
 		return share
 	}
-	share = &accountShare{weight: 1}
-	switch {
-	case a.IsLimited():
-		share.weight, share.rate = a.Rate, a.Rate
-		s.rates += a.Rate
-		s.limited++
-	case s.limited > 0:
-		share.weight = s.rates / float64(s.limited)
+	work, usedAt := 0.0, time.Time{}
+	if share != nil {
+		work, usedAt = share.work, share.usedAt
+		s.remove(a.Name, share)
 	}
+	share = &accountShare{rate: rate, usedAt: usedAt}
 	s.accounts[a.Name] = share
+	if rate > 0 {
+		s.rates += rate
+		s.limited++
+	}
+	s.add(share, work)
 	return share
 }
 
+// remove removes the share of an account.
+func (s *shares) remove(name routing.AccountName, share *accountShare) {
+	s.add(share, -share.work)
+	if share.rate > 0 {
+		s.rates -= share.rate
+		s.limited--
+	}
+	delete(s.accounts, name)
+}
+
 // moveEpoch moves the epoch to now, where scale is the scale of now.
 func (s *shares) moveEpoch(now time.Time, scale float64) {
 	for _, share := range s.accounts {
-		share.value /= scale
+		share.work /= scale
 	}
-	s.total /= scale
+	s.limitedTotal /= scale
+	s.openWork /= scale
 	s.epoch = now
 }
 
 // forgetUnused removes the accounts that had no request for a while.
 func (s *shares) forgetUnused(now time.Time) {
 	s.sweptAt = now
-	s.total = 0
 	for name, share := range s.accounts {
 		if now.Sub(share.usedAt) > forgottenAfter {
-			if share.rate > 0 {
-				s.rates -= share.rate
-				s.limited--
-			}
-			delete(s.accounts, name)
-			continue
+			s.remove(name, share)
+		}
+	}
+	// The sums are formed anew, since they lose precision.
+	s.limitedTotal, s.openWork = 0, 0
+	for _, share := range s.accounts {
+		if share.rate > 0 {
+			s.limitedTotal += share.work / share.rate
+		} else {
+			s.openWork += share.work
 		}
-		s.total += share.value
 	}
 }
