forward: a waiting request is tried once more before it is refused

Cause: an event offers room to the two requests at the head of the queue only. Two that no room suits, such as urgent ones whose homes are full, kept all offers from those behind them, which were refused while servers elsewhere were idle. Change: a request is tried again when its time to wait ends, and refused only then. Those behind the head still wait for that long; an order of offers that goes past blocked ones would serve them sooner.

--- a/internal/forward/admission.go
+++ b/internal/forward/admission.go
@@ -144,6 +144,14 @@
 		a.breakOff(s, w)
 		return
 	}
+	// Room that came free may not have been offered to it, while others that it does not suit were ahead.
+	if a.tryPlace(s, w, now) {
+		if w.placement != nil {
+			s.queue.RecordSent(&w.ticket, now)
+		}
+		a.finish(s, w)
+		return
+	}
 	a.refuse(s, w, now)
 }
 
--- a/internal/forward/admission_test.go
+++ b/internal/forward/admission_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/azureflow/azureflow/internal/placement"
 	"github.com/azureflow/azureflow/internal/routing"
+	"github.com/azureflow/azureflow/internal/steering"
 )
 
 // admissionTable returns a table with an urgent route, a less urgent one, and with a download route if ordered is true,
@@ -186,3 +187,39 @@
 		})
 	}
 }
+
+// Requests that may only run where there is no room do not keep others from room elsewhere.
+func TestBlockedRequestsLeaveRoomToOthers(t *testing.T) {
+	scripts := []script{respondAfter(time.Second), respondAfter(100 * time.Millisecond)}
+	withTestEnv(t, scripts, func(t *testing.T, env *testEnv) {
+		routes := testRoutes()
+		for i := range routes {
+			routes[i].TargetLatency, routes[i].Timeout = 2*time.Second, 10*time.Second
+		}
+		routes[0].AllowedRegions, routes[1].Priority = []steering.RegionName{"near"}, 1
+		routes[2].Kind = routing.KindDownload // so that requests without room wait in order
+		env.table = routing.NewTable(&routing.Config{Version: 1, Routes: routes})
+		env.serve(newRequest("GET", urgentPath, "")) // whose time is known then
+		for range 24 {                               // more than the near server has room for
+			go env.serve(newRequest("GET", urgentPath, ""))
+		}
+		synctest.Wait()
+		if env.handler.Waiting() < 2 {
+			t.Fatalf("%d wait", env.handler.Waiting())
+		}
+		var responses []<-chan *timedResponse
+		for range 24 { // more than the far one has room for
+			responses = append(responses, env.serveAsync(t.Context()))
+		}
+		served := 0
+		for _, r := range responses {
+			if resp := <-r; resp.Code == 200 {
+				served++
+			}
+		}
+		if served < 2*7 {
+			t.Errorf("%d served, want those that find room at first, and as many once these ended", served)
+		}
+		time.Sleep(time.Minute)
+	})
+}
