--- a/internal/httpserver/limits_test.go
+++ b/internal/httpserver/limits_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/azureflow/azureflow/internal/memory"
+	"github.com/azureflow/azureflow/internal/pipenet"
 )
 
 // reports collects what Limits closed or refused.
@@ -79,6 +80,29 @@
 	})
 }
 
+// Idle connections may fill the memory before they are as many as are allowed.
+func TestIdleConnectionsMakeRoomInMemory(t *testing.T) {
+	withLimits(t, 3*ConnBytes+8*fieldBytes, 4, func(t *testing.T, s *site, r *reports) {
+		for range 3 {
+			c := s.dial(t)
+			defer c.Close()
+		}
+		time.Sleep(time.Second)
+		refused := s.dial(t)
+		defer refused.Close()
+		if refused.status() != 0 {
+			t.Error("a connection without memory was accepted")
+		}
+		time.Sleep(time.Second)
+		c := s.dial(t)
+		defer c.Close()
+		c.send(request("GET", "/new"))
+		if c.status() != http.StatusOK || r.String() != "map[connections:1 idle:1]" {
+			t.Errorf("closed %s, want one idle connection for the one that came next", r)
+		}
+	})
+}
+
 func TestRequestsInFlightKeepTheirConnections(t *testing.T) {
 	withLimits(t, 0, 2, func(t *testing.T, s *site, r *reports) {
 		var busy []*caller
@@ -105,7 +129,7 @@
 }
 
 func TestHeadWithoutRoomIsRefusedWithAPromise(t *testing.T) {
-	withLimits(t, connBytes+4*fieldBytes, 0, func(t *testing.T, s *site, r *reports) {
+	withLimits(t, ConnBytes+4*fieldBytes, 0, func(t *testing.T, s *site, r *reports) {
 		c := s.dial(t)
 		defer c.Close()
 		c.send(request("GET", "/1"))
@@ -124,10 +148,38 @@
 }
 
 // Crowds whose heads or bodies stop hold memory until someone else needs it.
+// A body does not wait for memory beyond the time at which it is due.
+func TestBodyWaitsForRoomUntilItIsDue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const due = maxRoomWait / 5
+		l := pipenet.Listen("site:80")
+		waited := make(chan time.Duration, 1)
+		server := New(l, Options{
+			Limits: NewLimits(memory.NewAccount(2*ConnBytes), 0, nil),
+			Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				start := time.Now()
+				_ = http.NewResponseController(w).SetReadDeadline(start.Add(due))
+				if w.(memory.Holder).Reserve(4*ConnBytes) == nil {
+					t.Error("more was reserved than there is")
+				}
+				waited <- time.Since(start)
+			}),
+		})
+		go func() { _ = server.Serve() }()
+		c := (&site{listener: l}).dial(t)
+		c.send(request("POST", "/1", "Content-Length: 5") + "12345")
+		if got := <-waited; got != due {
+			t.Errorf("waited %v, want %v", got, due)
+		}
+		_ = c.Close()
+		server.Close()
+	})
+}
+
 func TestStalledBodyMakesRoom(t *testing.T) {
 	const many = 40
 	lines := strings.Split(strings.Repeat("a: b\n", many-1)+"a: b", "\n")
-	withLimits(t, 2*connBytes+many*fieldBytes*3/2+2000, 0, func(t *testing.T, s *site, r *reports) {
+	withLimits(t, 2*ConnBytes+many*fieldBytes*3/2+2000, 0, func(t *testing.T, s *site, r *reports) {
 		stalled := s.dial(t)
 		defer stalled.Close()
 		stalled.send(request("POST", "/1", append(lines, "Content-Length: 10")...) + "x")
@@ -207,6 +259,26 @@
 	}
 }
 
+// A caller that reads slowly gets all of a response, and is none that does not read.
+func TestSlowReaderGetsItsResponse(t *testing.T) {
+	withLimits(t, 0, 1, func(t *testing.T, s *site, r *reports) {
+		slow := s.dial(t)
+		defer slow.Close()
+		slow.send(request("GET", "/1", "Fill: "+strings.Repeat("x", 26))) // 260 kB
+		received := 0
+		for piece := make([]byte, 4<<10); received < 260_000; time.Sleep(500 * time.Millisecond) {
+			n, err := slow.Read(piece)
+			if received += n; err != nil {
+				t.Fatalf("%v after %d bytes", err, received)
+			}
+			s.opts.Limits.makeRoom(time.Now())
+		}
+		if r.String() != "map[]" {
+			t.Errorf("closed %s", r)
+		}
+	})
+}
+
 func TestChooseForConnections(t *testing.T) {
 	now := time.Unix(1000, 0)
 	all := []candidate{
