--- a/internal/placement/chooser.go
+++ b/internal/placement/chooser.go
@@ -217,29 +217,11 @@
 func (c *Chooser) Place(q *Query, now time.Time) (*Placement, *Refusal) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	budget := c.retryBudget(q.Service)
-	if q.FirstAttempt {
-		budget.Deposit()
+	d := c.decide(q, now)
+	if d.refusal != nil {
+		return nil, d.refusal
 	}
-	times := c.routeTimes(q.Route, q.Service)
-	if q.FirstAttempt {
-		times.demand.add(now)
-	}
-	best, candidates := c.selectServer(q, times, now)
-	if best.server == nil {
-		return nil, c.noServerRefusal(q, candidates, now)
-	}
-	basis := best.refusalBasis(q)
-	if basis == BasisNone && q.WaitBounds.areExceeded(&best, q) {
-		basis = BasisOrder
-	}
-	switch {
-	case basis != BasisNone:
-		return nil, best.noCapacityRefusal(q, basis, candidates, now)
-	case q.Retry && !budget.TryWithdraw():
-		return nil, best.refusal(q, ReasonBudget, minRetryAfter, candidates, now)
-	}
-	return c.recordPlacement(q, times, &best, candidates, now), nil
+	return c.recordPlacement(q, d.times, &d.best, d.candidates, now), nil
 }
 
 // recordPlacement records that the request is sent and returns its Placement.
--- a/internal/placement/cost.go
+++ b/internal/placement/cost.go
@@ -91,22 +91,13 @@
 		}
 	}
 	c.updateAssumedLoad(q.Service)
-	utilization := c.utilizationByRegion(q.Service, now)
+	by := &comparison{home: home, preferred: preferred, utilization: c.utilizationByRegion(q.Service, now), isAway: isAway}
 	for _, s := range c.services[q.Service] {
 		if !c.isEligible(s, q, now) || !permission.admits(s.member.Region == c.opts.Region) {
 			continue
 		}
 		candidates++
-		e := c.estimate(s, home, q, times, now)
-		if q.Object != 0 && !e.warm {
-			e.cost += c.coldCost(s, home, preferred, times, utilization[s.member.Region])
-		}
-		if isAway && s.member.Region == c.opts.Region {
-			e.cost += awayCost
-		}
-		e.wouldBeRefused = e.refusalBasis(q) != BasisNone
-		e.hasFreeCapacity = utilization[s.member.Region] < freeCapacityThreshold
-		e.isRegionFull = utilization[s.member.Region] >= fullThreshold
+		e := c.compareAt(s, by, q, times, now)
 		if best.server == nil || e.isBetterThan(&best) {
 			best = e
 		}
@@ -114,6 +105,30 @@
 	return best, candidates
 }
 
+// comparison is what the servers of a service are compared by for one request.
+type comparison struct {
+	home        *Server // of the request's object; nil: none
+	preferred   map[steering.RegionName]*Server
+	utilization map[steering.RegionName]float64
+	isAway      bool // home is in another region
+}
+
+// compareAt returns the estimate of s with its whole cost.
+func (c *Chooser) compareAt(s *Server, by *comparison, q *Query, times *RouteTimes, now time.Time) estimate {
+	e := c.estimate(s, by.home, q, times, now)
+	utilization := by.utilization[s.member.Region]
+	if q.Object != 0 && !e.warm {
+		e.cost += c.coldCost(s, by.home, by.preferred, times, utilization)
+	}
+	if by.isAway && s.member.Region == c.opts.Region {
+		e.cost += awayCost
+	}
+	e.wouldBeRefused = e.refusalBasis(q) != BasisNone
+	e.hasFreeCapacity = utilization < freeCapacityThreshold
+	e.isRegionFull = utilization >= fullThreshold
+	return e
+}
+
 // isBetterThan reports whether e is the better choice: the one with the lower cost, but a server that can accept the
 // request in a region with free capacity before a server that would refuse it.
 func (e *estimate) isBetterThan(o *estimate) bool {
