azureflow where: asks an entry VM where a request would go now, and why

Change: admission.Queue.Preview and forward.Handler.Explain decide on copies; GET /where at the metrics address serves the answer as JSON, with at most 50 candidates and accounts by name; the command prints it. Result: tests of Explain, Preview, Where pass; in TestGatewaysOnThePlatform a running gateway answers and no server gets a request.

--- a/cmd/azureflow/e2e_gateway_test.go
+++ b/cmd/azureflow/e2e_gateway_test.go
@@ -17,6 +17,7 @@
 	"testing"
 	"time"
 
+	"github.com/azureflow/azureflow/internal/gateway"
 	"github.com/azureflow/azureflow/internal/load"
 	"github.com/azureflow/azureflow/platform/platformtest"
 )
@@ -248,6 +249,25 @@
 	}
 }
 
+// checkWhere checks what a gateway says of a request to path, which no server must get.
+func (s *gatewaySystem) checkWhere(g *process, path string) {
+	s.t.Helper()
+	out, problems, code := s.run("where", "--gateway", g.address+":9464", "--host", "desk.example", "--path", path, "--json")
+	var a gateway.Where
+	if err := json.Unmarshal([]byte(out), &a); err != nil || code != exitDone {
+		s.t.Fatalf("where ended with %d, %v: %s", code, err, problems)
+	}
+	if a.Route != "all" || a.Kind != "unsafe" || a.Verdict != "sent" || len(a.Candidates) == 0 || !a.Candidates[0].Chosen {
+		s.t.Errorf("where: %+v", a)
+	}
+	if n := s.arrived(path); n != 0 {
+		s.t.Errorf("%d requests arrived at servers", n)
+	}
+	if status, body, err := s.ask(g, gateway.WherePath); err == nil && strings.Contains(body, "candidates") {
+		s.t.Errorf("callers get %d %s from %s", status, body, gateway.WherePath)
+	}
+}
+
 // checkLoad sends load to where the directory of g says.
 func (s *gatewaySystem) checkLoad(g *process) {
 	s.t.Helper()
@@ -290,6 +310,7 @@
 	})
 	s.awaitAnswer(one, "/z", "two") // still there, and never back to the lower version
 	s.checkStatus(5)
+	s.checkWhere(s.gateways[0], "/where-only")
 	s.checkLoad(two)
 
 	type result struct {
--- a/cmd/azureflow/main.go
+++ b/cmd/azureflow/main.go
@@ -24,6 +24,7 @@
 	Call       callCommand       `cmd:"" help:"Send one request and print answer, outcome and decision id."`
 	Explain    explainCommand    `cmd:"" help:"Say what was decided and why."`
 	Status     statusCommand     `cmd:"" help:"Show entry VMs, zones, links, contracts, upstreams and the revision in force."`
+	Where      whereCommand      `cmd:"" help:"Ask an entry VM on the users' platform where a request would go now, without sending it."`
 	Settings   settingsCommand   `cmd:"" help:"Print the settings in force for a settings file, defaults included."`
 	Standin    standinCommand    `cmd:"" help:"Run a stand-in of the platform or of an upstream, for tests."`
 	Demo       demoCommand       `cmd:"" help:"Run a whole deployment in one process for a short while."`
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -351,10 +351,18 @@
 		return 0
 	}
 	c, err := r.Cookie(cookie)
-	if err != nil || c.Value == "" {
+	if err != nil {
+		return 0
+	}
+	return hashObjectName(route, c.Value)
+}
+
+// hashObjectName returns the hash of the object called name, 0 if there is none or the route has no affinity.
+func hashObjectName(route *routing.Route, name string) uint64 {
+	if !route.Affinity || name == "" {
 		return 0
 	}
-	return max(1, xxhash.Sum64String(route.Name+"\x00"+c.Value))
+	return max(1, xxhash.Sum64String(route.Name+"\x00"+name))
 }
 
 // cutQuery splits a request target at its first question mark.
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -156,6 +156,7 @@
 func (d *daemon) startServers(ctx context.Context) error {
 	metrics := http.NewServeMux()
 	metrics.Handle("/metrics", promhttp.HandlerFor(d.registry, promhttp.HandlerOpts{}))
+	metrics.HandleFunc("GET "+WherePath, d.serveWhere)
 	listen := &d.settings.Listen
 	for _, l := range []struct {
 		address   string
@@ -183,7 +184,7 @@
 	return nil
 }
 
-// metricsPort is the port that serves /metrics.
+// metricsPort is the port that serves /metrics and WherePath.
 const metricsPort = "9464"
 
 func (d *daemon) startServer(
