--- a/internal/forward/explain.go
+++ b/internal/forward/explain.go
@@ -54,7 +54,7 @@
 	Waiting         int                  // requests that wait for room at the service
 	Bounds          placement.WaitBounds // of the wait at a server, if OrdersAdmission
 	Hold            time.Duration        // of VerdictWaits: longest wait here
-	// RetryAfter is what a refused caller is told now, or would be after Hold.
+	// RetryAfter is sent to a refused caller now, or would be after Hold.
 	RetryAfter      time.Duration
 	RetryAfterBasis RetryAfterBasis
 	TimeLeft        time.Duration          // until the response is due
--- a/internal/gateway/confirmation.go
+++ b/internal/gateway/confirmation.go
@@ -15,7 +15,7 @@
 
 // How an entry VM knows that the keys of client accounts have not been withdrawn without its knowledge: the operator's
 // keys of the store were confirmed lately. Only a linearizable read confirms them, as of its request: this VM's own, or
-// a peer's whose age the peer tells. A stale read may be older than it looks, and a watch without an event may be deaf.
+// a peer's whose age the peer reports. A stale read may be older than it looks, and a watch without events may have stalled.
 
 // moment is a point in time on this VM. Unlike a time.Time it measures spans that include times in which the VM was
 // suspended.
@@ -128,7 +128,7 @@
 	return f.intervals.Load().configReadInterval
 }
 
-// confirmedAge returns the age that a peer told of its confirmation; ok is false if it has none.
+// confirmedAge returns the age that a peer reported of its confirmation; ok is false if it has none.
 func confirmedAge(m *peer.StoreCopy) (age time.Duration, ok bool) {
 	return time.Duration(m.GetConfirmedAgeMs()) * time.Millisecond, m.GetConfirmedAgeMs() > 0
 }
--- a/internal/gateway/quota_home.go
+++ b/internal/gateway/quota_home.go
@@ -199,7 +199,7 @@
 	return h.joinedAs == l
 }
 
-// join tells all entry VMs that are listed of this one, so that those which were homes in its place stop. It waits for
+// join announces this VM to all listed entry VMs, so that those which were homes in its place stop. It waits for
 // each until it replied, has left the list, or must have seen this VM there.
 func (h *quotaHome) join(ctx context.Context, l *listing) {
 	startedAt := time.Now()
@@ -265,7 +265,7 @@
 	})
 }
 
-// announce tells the VMs at addresses of this one and returns those that did not reply.
+// announce announces this VM to those at addresses and returns the ones that did not reply.
 func (h *quotaHome) announce(ctx context.Context, addresses []string, version uint64) []string {
 	request := &peer.JoinQuotaRequest{Vm: toListedVMs([]presenceRecord{h.presence.self})[0], Version: version}
 	var (
--- a/internal/gateway/quota_round.go
+++ b/internal/gateway/quota_round.go
@@ -22,7 +22,7 @@
 	hedge     *time.Timer
 }
 
-// startRound asks for tokens. isUrgent says that a request waits. The caller holds q.mu.
+// startRound asks for tokens. isUrgent: a request waits. The caller holds q.mu.
 func (q *quotas) startRound(h *quotaHolder, isUrgent bool, now time.Time) {
 	r := &quotaRound{}
 	r.homes, r.isNear = q.home.homesOf(h.account.Name)
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -54,7 +54,7 @@
 	isWaiting     bool      // the reading goroutine waits for a request in flight
 	isClosing     bool      // no further request is accepted
 	lingers       bool      // the caller may still send when the connection closes
-	evictedAt     time.Time // when it was told to close for others; zero: it was not, or has taken a request since
+	evictedAt     time.Time // when it was chosen to close for others; zero: it was not, or has taken a request since
 }
 
 func newConn(s *Server, raw net.Conn) *conn {
--- a/internal/httpserver/evict.go
+++ b/internal/httpserver/evict.go
@@ -7,7 +7,7 @@
 	"github.com/azureflow/azureflow/internal/memory"
 )
 
-// maxEviction bounds how long a connection that was told to close counts as closing. It lasts longer only if the caller
+// maxEviction bounds how long a connection that was chosen to close counts as closing. It lasts longer only if the caller
 // does not take the response to what was given up.
 const maxEviction = 2 * lingerTimeout
 
--- a/internal/quota/purse.go
+++ b/internal/quota/purse.go
@@ -24,7 +24,7 @@
 	tokens     []tokens // in the order of expiry
 	demand     average
 	income     average
-	promisedAt time.Time // when the last refused request was told to return
+	promisedAt time.Time // for when the last refused request was asked to return
 }
 
 // tokens are permissions that expire at the same time.
--- a/internal/routing/config.go
+++ b/internal/routing/config.go
@@ -103,7 +103,7 @@
 	Routes   []Route
 	Services []Service
 	Limits   Limits
-	// RequiresKeys says that requests need the key of one of Accounts, except on routes that allow anonymous requests. It
+	// RequiresKeys is true if requests need the key of one of Accounts, except on routes that allow anonymous requests. It
 	// may hold without any account: then no key is known.
 	RequiresKeys bool
 	Accounts     []Account // client accounts
--- a/internal/socket/watch.go
+++ b/internal/socket/watch.go
@@ -20,16 +20,16 @@
 	closedLimit = 10 * time.Second
 )
 
-// Watch tells peers that do not read from peers that are gone. The kernel, with TCP_USER_TIMEOUT, closes the connections
+// Watch distinguishes peers that do not read from peers that are gone. The kernel, with TCP_USER_TIMEOUT, closes the connections
 // of both: it counts the time in which a window is closed. Watch lifts this limit while a window is closed, and closes
-// the connection itself if probes of the window stay unanswered. Where the system does not tell the window of
-// a connection (Linux before 5.4, simulated sockets), the kernel's limit stays.
+// the connection itself if probes of the window stay unanswered. Where the system does not report the window of
+// a connection (Linux before 5.4), the kernel's limit stays.
 type Watch struct {
 	silentAfter time.Duration
-	// tellsWindow is set once a connection showed an open window. Systems with simulated sockets leave the field 0, which
-	// would pass for a closed one, and tell nothing of probes either.
-	tellsWindow atomic.Bool
-	waits, ends atomic.Uint64
+	// reportsWindow is set once a connection showed an open window. Some systems leave the field 0, which
+	// would pass for a closed one, and report nothing of probes either.
+	reportsWindow atomic.Bool
+	waits, ends   atomic.Uint64
 
 	mu      sync.Mutex
 	pending []*watchedConn // bytes were written and may wait
@@ -55,7 +55,7 @@
 	if err != nil {
 		return c
 	}
-	if !w.tellsWindow.Load() {
+	if !w.reportsWindow.Load() {
 		if f, err := readFigures(raw); err != nil || !w.canWatch(&f) {
 			return c
 		}
@@ -78,12 +78,12 @@
 	}
 }
 
-// canWatch reports whether the system tells enough, given the figures of a new connection. The window of that is open.
+// canWatch reports whether the system reports enough, given the figures of a new connection. The window of that is open.
 func (w *Watch) canWatch(f *Figures) bool {
-	if f.Window > 0 && !w.tellsWindow.Load() {
-		w.tellsWindow.Store(true)
+	if f.Window > 0 && !w.reportsWindow.Load() {
+		w.reportsWindow.Store(true)
 	}
-	return w.tellsWindow.Load()
+	return w.reportsWindow.Load()
 }
 
 func (w *Watch) sweep(now time.Time) {
