--- a/internal/gateway/sharing_test.go
+++ b/internal/gateway/sharing_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/azureflow/azureflow/internal/clock"
 	"github.com/azureflow/azureflow/internal/kv"
 	"github.com/azureflow/azureflow/internal/peer"
 	"github.com/azureflow/azureflow/internal/pipenet"
@@ -113,6 +114,11 @@
 	fl.calls[address]++
 	down, s := fl.down[address], fl.shares[address]
 	fl.mu.Unlock()
+	for ; s == nil && !down; down, s = fl.isDown(address), fl.share(address) {
+		if err := clock.Sleep(ctx, time.Millisecond); err != nil { // the fleet is being started
+			return nil, err
+		}
+	}
 	if down {
 		<-ctx.Done()
 		return nil, ctx.Err()
@@ -122,6 +128,13 @@
 	return l.Dial(ctx)
 }
 
+// share returns the sharing of an entry VM, nil before it was started.
+func (fl *fleet) share(name string) *sharing {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	return fl.shares[name]
+}
+
 // stopVM stops an entry VM; its address no longer responds.
 func (fl *fleet) stopVM(name string) {
 	fl.mu.Lock()
