--- a/internal/forward/account_test.go
+++ b/internal/forward/account_test.go
@@ -38,7 +38,7 @@
 	for _, test := range []struct {
 		name, path, authorization string
 		status                    int
-		account                   string // that a server is told
+		account                   string // name that a server gets
 	}{
 		{"key", "/safe/x", "Bearer " + deskKey, 200, accountName},
 		{"another key of the account", "/unsafe/x", "bearer " + deskKey2, 200, accountName},
@@ -84,7 +84,7 @@
 				}
 				header := env.servers[0].requests[0].Header
 				if header.Get("Test-Account") != test.account || header["Authorization"] != nil {
-					t.Errorf("a server was told %v", header)
+					t.Errorf("a server got %v", header)
 				}
 			})
 		})
@@ -165,7 +165,7 @@
 		resp, _ := env.serve(r)
 		header := env.servers[0].requests[0].Header
 		if resp.Code != 200 || len(header["Test-Account"]) != 1 || header.Get("Test-Account") != accountName || header["Authorization"] != nil {
-			t.Errorf("status %d, a server was told %v", resp.Code, header)
+			t.Errorf("status %d, a server got %v", resp.Code, header)
 		}
 	})
 }
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -104,7 +104,7 @@
 	*fakeStore
 	isCut     atomic.Bool
 	listsFail atomic.Bool  // linearizable reads of the operator's keys time out
-	lists     atomic.Int64 // those that were begun
+	lists     atomic.Int64 // calls of List that were started
 }
 
 func (s *storeLink) List(ctx context.Context, prefix string) ([]kv.Entry, kv.Version, error) {
--- a/internal/gateway/revocation_test.go
+++ b/internal/gateway/revocation_test.go
@@ -205,13 +205,13 @@
 			r.watch(t, readerExclusion+2*time.Second+offset, always) // a reader that was slow to start is excluded no longer
 			reader, before := r.links["vm-1"], r.links["vm-2"].lists.Load()+r.links["vm-3"].lists.Load()
 			reader.listsFail.Store(true)
-			begun := reader.lists.Load()
+			started := reader.lists.Load()
 			for range 20 {
-				if r.watch(t, 100*time.Millisecond, always); reader.lists.Load() > begun {
+				if r.watch(t, 100*time.Millisecond, always); reader.lists.Load() > started {
 					break
 				}
 			}
-			if reader.lists.Load() == begun {
+			if reader.lists.Load() == started {
 				t.Fatal("the reader read nothing for 2 s")
 			}
 			reader.listsFail.Store(false)
@@ -289,8 +289,8 @@
 	if age, _ := f.confirmation.age(); age != 1700*time.Millisecond {
 		t.Errorf("age %v, want 1.7 s", age)
 	}
-	if told := f.confirmation.describe(); told != 1701 {
-		t.Errorf("a peer is told %d ms, want 1701", told)
+	if age := f.confirmation.describe(); age != 1701 {
+		t.Errorf("a peer gets an age of %d ms, want 1701", age)
 	}
 }
 
@@ -314,7 +314,7 @@
 	}
 }
 
-// Without the bound, nothing is read for confirmations, peers are told none, and keys are never refused.
+// Without the bound, nothing is read for confirmations, peers get none, and keys are never refused.
 func TestWithoutABoundKeysNeedNoConfirmation(t *testing.T) {
 	withFollower(t, func(t *testing.T, store *fakeStore, f *follower) {
 		store.putJSON("operator/config", fakeConfig{Version: 4, Keys: []string{keptKey}})
--- a/internal/gateway/rewind_fleet_test.go
+++ b/internal/gateway/rewind_fleet_test.go
@@ -275,7 +275,7 @@
 	})
 }
 
-// A reader that has not heard of the store's return yet has young copies, but of an earlier era: they do not replace own
+// A reader that has not read since the store's return has young copies, but of an earlier era: they do not replace own
 // reads of a VM that has.
 func TestReaderInAnEarlierEraIsNotFresh(t *testing.T) {
 	withFleet(t, func(t *testing.T, fl *fleet) {
